--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Runs a whole deployment on loopback."""
--- /dev/null
+++ b/skylarktally/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager."""
--- /dev/null
+++ b/skylarktally/_errors.py
@@ -0,0 +1,103 @@
+"""The closed list of error kinds and the answer that each one gets."""
+
+import datetime
+import enum
+from typing import NamedTuple
+
+
+class Outcome(enum.Enum):
+    """What is known about the run of a request."""
+
+    COMPLETE = 'complete'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class ErrorKind(enum.Enum):
+    """Every kind of error that a caller, operator or peer can meet."""
+
+    INVALID_REQUEST = 'invalid_request'
+    INVALID_RESOURCE = 'invalid_resource'
+    UNAUTHENTICATED = 'unauthenticated'
+    FORBIDDEN = 'forbidden'
+    NOT_FOUND = 'not_found'
+    CONFLICT = 'conflict'
+    DUPLICATE_REQUEST = 'duplicate_request'
+    KEY_EXPIRED = 'key_expired'
+    BODY_TOO_LARGE = 'body_too_large'
+    HEADERS_TOO_LARGE = 'headers_too_large'
+    REQUEST_TIMEOUT = 'request_timeout'
+    BUDGET_EXHAUSTED = 'budget_exhausted'
+    QUOTA_EXHAUSTED = 'quota_exhausted'
+    QUEUE_FULL = 'queue_full'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    NO_CAPACITY = 'no_capacity'
+    WORKER_REFUSED = 'worker_refused'
+    WORKER_UNREACHABLE = 'worker_unreachable'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    LEASE_LOST = 'lease_lost'
+    SHUTTING_DOWN = 'shutting_down'
+    PLATFORM_UNAVAILABLE = 'platform_unavailable'
+    RATE_LIMITED = 'rate_limited'
+    PEER_UNREACHABLE = 'peer_unreachable'
+    UNSCHEDULABLE = 'unschedulable'
+    INTERNAL = 'internal'
+
+
+class Answer(NamedTuple):
+    """How an error kind is shown to a caller."""
+
+    status: int
+    outcome: Outcome
+    retry_after: datetime.timedelta | None
+
+
+_SOON = datetime.timedelta(seconds=1)
+_LATER = datetime.timedelta(seconds=5)
+_NOT_RUN = Outcome.NOT_RUN
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.INVALID_REQUEST: Answer(400, _NOT_RUN, None),
+    ErrorKind.INVALID_RESOURCE: Answer(422, _NOT_RUN, None),
+    ErrorKind.UNAUTHENTICATED: Answer(401, _NOT_RUN, None),
+    ErrorKind.FORBIDDEN: Answer(403, _NOT_RUN, None),
+    ErrorKind.NOT_FOUND: Answer(404, _NOT_RUN, None),
+    ErrorKind.CONFLICT: Answer(409, _NOT_RUN, None),
+    # Another request with the same key may have run or may be running.
+    ErrorKind.DUPLICATE_REQUEST: Answer(409, Outcome.UNKNOWN, None),
+    ErrorKind.KEY_EXPIRED: Answer(410, Outcome.UNKNOWN, None),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN, None),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(431, _NOT_RUN, None),
+    ErrorKind.REQUEST_TIMEOUT: Answer(408, _NOT_RUN, None),
+    ErrorKind.BUDGET_EXHAUSTED: Answer(409, _NOT_RUN, _LATER),
+    ErrorKind.QUOTA_EXHAUSTED: Answer(429, _NOT_RUN, _LATER),
+    ErrorKind.QUEUE_FULL: Answer(429, _NOT_RUN, _SOON),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(504, _NOT_RUN, _SOON),
+    ErrorKind.NO_CAPACITY: Answer(503, _NOT_RUN, _SOON),
+    ErrorKind.WORKER_REFUSED: Answer(503, _NOT_RUN, _SOON),
+    ErrorKind.WORKER_UNREACHABLE: Answer(503, _NOT_RUN, _SOON),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(502, Outcome.UNKNOWN, None),
+    ErrorKind.LEASE_LOST: Answer(503, _NOT_RUN, _LATER),
+    ErrorKind.SHUTTING_DOWN: Answer(503, _NOT_RUN, _SOON),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, _NOT_RUN, _LATER),
+    ErrorKind.RATE_LIMITED: Answer(503, _NOT_RUN, _SOON),
+    ErrorKind.PEER_UNREACHABLE: Answer(503, _NOT_RUN, _SOON),
+    ErrorKind.UNSCHEDULABLE: Answer(422, _NOT_RUN, None),
+    ErrorKind.INTERNAL: Answer(500, Outcome.UNKNOWN, None),
+}
+
+
+class Failure(NamedTuple):
+    """The error value of a returns Result."""
+
+    kind: ErrorKind
+    message: str
+    # Overrides the advice of the table when a better figure is known.
+    retry_after: datetime.timedelta | None = None
+
+    def find_answer(self) -> Answer:
+        """Return the status, outcome and retry advice for this failure."""
+        answer = ANSWERS[self.kind]
+        if self.retry_after is None:
+            return answer
+        return answer._replace(retry_after=self.retry_after)
--- /dev/null
+++ b/skylarktally/skylarktally.thrift
@@ -0,0 +1,60 @@
+/** Messages between routers, and between a controller and a router. */
+namespace py peer
+
+/** One process of the system, as its peers know it. */
+struct Member {
+  1: string name,
+  2: string zone,
+  /** Start time in nanoseconds since the epoch; tells a restart apart. */
+  3: i64 incarnation,
+  4: string peer_address,
+  5: string serving_address,
+  /** Grows by one with each gossip period of the member itself. */
+  6: i64 heartbeat,
+  /** True once the member has begun a graceful shutdown. */
+  7: bool leaving,
+}
+
+/** One committed control transaction. */
+struct LogEntry {
+  1: i64 version,
+  /** The row log/<version> as JSON. */
+  2: string body,
+}
+
+struct SyncRequest {
+  1: Member sender,
+  2: list<Member> members,
+  3: i64 log_version,
+}
+
+struct SyncReply {
+  1: Member responder,
+  2: list<Member> members,
+  3: i64 log_version,
+  4: list<LogEntry> entries,
+}
+
+struct Snapshot {
+  1: i64 log_version,
+  /** JSON list of resources. */
+  2: string body,
+}
+
+struct Answer {
+  /** One of: absent, running, recorded. */
+  1: string state,
+  2: i32 status,
+  3: map<string, string> headers,
+  4: binary body,
+}
+
+service Peer {
+  SyncReply sync(1: SyncRequest request),
+  /** Returns the log version of the receiver afterwards. */
+  i64 push_log(1: list<LogEntry> entries),
+  Snapshot fetch_snapshot(),
+  Answer find_answer(1: string request_key),
+  /** JSON object of observations by pool and by worker. */
+  string get_observations(),
+}
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform for tests and the demo."""
