--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,116 @@
+"""Guards the settings: every error is found, named and placed."""
+
+import datetime
+import json
+
+import pytest
+
+from skylarktally import _settings
+
+KEY = '0123456789abcdef0123456789abcdef'
+DIGEST = 'ab' * 32
+ROUTER = {
+    'name': 'router-1',
+    'zone': 'nairobi-a',
+    'serving_address': '127.0.0.1:8000',
+    'peer_address': '127.0.0.1:8001',
+    'admin_address': '127.0.0.1:8002',
+    'platform_address': '127.0.0.1:8003',
+    'seeds': ['[::1]:8001'],
+    'peer_keys': [KEY],
+    'tokens': {DIGEST: {'subject': 'a', 'role': 'caller', 'team': 't'}},
+}
+
+
+def check(**changes):
+    data = {k: v for k, v in (ROUTER | changes).items() if v is not ...}
+    return _settings.check_settings(
+        _settings.RouterSettings, json.dumps(data), 'router.json'
+    )
+
+
+def test_comments_units_and_defaults():
+    text = '// one router\n' + json.dumps(ROUTER)[:-1]
+    text += ', gossip_interval_seconds: 0.25, /* tuned */}'
+    settings, issues = _settings.check_settings(
+        _settings.RouterSettings, text, 'f'
+    )
+    assert issues == []
+    assert settings.gossip_interval == datetime.timedelta(seconds=0.25)
+    assert settings.dead_after == datetime.timedelta(seconds=8)
+    assert settings.tokens[DIGEST] == ('a', 'caller', 't')
+
+
+@pytest.mark.parametrize(
+    ('changes', 'path', 'message'),
+    [
+        ({'name': ...}, 'name', 'required'),
+        ({'zone': 'a b'}, 'zone', 'must be a name'),
+        ({'zone': 7}, 'zone', 'must be a string'),
+        ({'gosip_interval_seconds': 1}, None, 'gossip_interval_seconds'),
+        ({'gossip_interval': 1}, 'gossip_interval', 'interval_seconds'),
+        ({'gossip_interval_seconds': 0}, None, 'must be 0.01 to 60 seconds'),
+        ({'gossip_interval_seconds': True}, None, 'must be a number'),
+        ({'gossip_interval_seconds': float('nan')}, None, 'must be 0.01'),
+        ({'gossip_interval_seconds': 1e300}, None, 'must be 0.01'),
+        ({'queue_limit': 1.5}, 'queue_limit', 'whole number'),
+        ({'peer_address': 'localhost:1'}, 'peer_address', 'IP address'),
+        ({'peer_address': '127.0.0.1:0'}, 'peer_address', 'IP address'),
+        ({'peer_address': '::1:80'}, 'peer_address', 'IP address'),
+        ({'peer_address': 4}, 'peer_address', 'IP address'),
+        ({'peer_address': '127.0.0.1:8000'}, 'peer_address', 'the same'),
+        ({'seeds': ['127.0.0.1:1', 'x']}, 'seeds[1]', 'IP address'),
+        ({'seeds': 'x'}, 'seeds', 'must be a list'),
+        ({'peer_keys': []}, 'peer_keys', '1 to 4'),
+        ({'peer_keys': ['short']}, 'peer_keys[0]', '32 to 256'),
+        ({'tokens': {'x': {}}}, 'tokens.x', 'SHA-256'),
+        ({'tokens': {DIGEST: 1}}, f'tokens.{DIGEST}', 'mapping'),
+        (
+            {'tokens': {DIGEST: {'subject': 'a', 'role': 'root'}}},
+            f'tokens.{DIGEST}.role',
+            'operator, caller, peer',
+        ),
+        (
+            {'tokens': {DIGEST: {'subject': 'a', 'role': 'caller'}}},
+            f'tokens.{DIGEST}.team',
+            'required',
+        ),
+        ({'dead_after_seconds': 4}, 'dead_after_seconds', 'above suspect'),
+    ],
+)
+def test_errors_are_placed(changes, path, message):
+    settings, issues = check(**changes)
+    errors = [issue for issue in issues if issue.severity == 'error']
+    assert settings is None
+    assert errors[0].file == 'router.json'
+    assert errors[0].path == (path or next(iter(changes)))
+    assert message in str(errors[0])
+    assert KEY not in str(issues) and 'short' not in str(issues)
+
+
+def test_all_errors_are_collected():
+    settings, issues = check(zone=1, queue_limit=0, nme='x')
+    assert settings is None
+    assert {issue.path for issue in issues} == {'zone', 'queue_limit', 'nme'}
+
+
+@pytest.mark.parametrize('text', ['', '{', '[]', '{"a": 1, "a": 2}'])
+def test_malformed_files(text):
+    settings, issues = _settings.check_settings(
+        _settings.RouterSettings, text, 'f'
+    )
+    assert settings is None and issues[0].file == 'f'
+
+
+def test_unreadable_file(tmp_path):
+    path = str(tmp_path / 'absent.json')
+    settings, issues = _settings.load_settings(
+        _settings.ControllerSettings, path
+    )
+    assert settings is None and 'No such file' in str(issues[0])
+
+
+def test_warnings_do_not_refuse():
+    settings, issues = check(seeds=[], suspect_after_seconds=1)
+    assert settings is not None
+    assert {i.path for i in issues} == {'seeds', 'suspect_after_seconds'}
