--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,58 @@
+"""Runs a whole deployment on loopback and checks what came of it."""
+
+from skylarktally import _loop
+
+_loop.patch_standard_library()
+
+import os  # noqa: E402
+import pathlib  # noqa: E402
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+import time  # noqa: E402
+
+from absl import app  # noqa: E402
+from absl import flags  # noqa: E402
+
+from demo import _scenario  # noqa: E402
+
+_DEPLOYMENT = flags.DEFINE_string(
+    'deployment', None, 'Deployment file in JSON with comments.', required=True
+)
+_SECONDS = flags.DEFINE_float(
+    'seconds', 30.0, 'How long callers send requests, in seconds.', 5.0, 600.0
+)
+_RATE = flags.DEFINE_float(
+    'rate', 60.0, 'Mean number of requests a second.', 1.0, 500.0
+)
+_SEED = flags.DEFINE_integer('seed', None, 'Seed; default: the process id.')
+_KEEP = flags.DEFINE_string(
+    'keep', None, 'Folder that keeps the settings and logs of the processes.'
+)
+
+
+def main(arguments: list[str]) -> None:
+    """Run the scenario; exit with status 1 if any check failed."""
+    del arguments
+    seed = os.getpid() if _SEED.value is None else _SEED.value
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory() as scratch:
+        directory = pathlib.Path(_KEEP.value or scratch)
+        directory.mkdir(parents=True, exist_ok=True)
+        checks = _scenario.run(
+            str(_DEPLOYMENT.value),
+            directory,
+            _SECONDS.value,
+            _RATE.value,
+            seed,
+        )
+    width = max(len(check.name) for check in checks)
+    print()
+    for check in checks:
+        verdict = 'ok' if check.passed else 'WRONG'
+        print(f'{check.name:<{width}}  {check.value:>16}  {verdict}')
+    print(f'{time.monotonic() - started:.0f} s, seed {seed}')
+    sys.exit(0 if all(check.passed for check in checks) else 1)
+
+
+if __name__ == '__main__':
+    app.run(main)
--- /dev/null
+++ b/demo/_callers.py
@@ -0,0 +1,142 @@
+"""Callers of the serving port, with a record of every answer."""
+
+import random
+import time
+from typing import Any, NamedTuple
+
+import urllib3
+
+from demo import _deployment
+from skylarktally import _loop
+
+_TIMEOUT_SECONDS = 10.0
+_MOST_ATTEMPTS = 8
+_PAUSE_SECONDS = 0.2
+
+
+class Call(NamedTuple):
+    """What became of one request."""
+
+    key: str
+    pool: str
+    job: str
+    urgency: str
+    idempotent: bool
+    # complete, not-run, unknown or wrong-answer
+    outcome: str
+    attempts: int
+    seconds: float
+
+
+class Callers:
+    """Open-loop callers that choose an entry at random, as a balancer does.
+
+    A request that was not run, and any idempotent request, is sent again
+    through another entry; a non-idempotent one only under the same key.
+    """
+
+    def __init__(self, deployment: _deployment.Deployment, seed: int) -> None:
+        self.calls: list[Call] = []
+        self._deployment = deployment
+        self._entries = list(deployment.entries)
+        self._random = random.Random(seed)
+        self._http = urllib3.PoolManager(
+            num_pools=len(self._entries), maxsize=64, retries=False
+        )
+        self._jobs = [
+            resource
+            for resource in deployment.resources
+            if resource['kind'] == 'job'
+        ]
+
+    def run(self, duration_seconds: float, rate: float) -> None:
+        """Send requests at a mean rate per second, and wait for the last."""
+        threads = []
+        end = time.monotonic() + duration_seconds
+        number = 0
+        while time.monotonic() < end:
+            number += 1
+            job = self._choose_job(end - time.monotonic(), duration_seconds)
+            threads.append(_loop.spawn(self._call, number, job))
+            _loop.sleep(self._random.expovariate(rate))
+        for thread in threads:
+            thread.wait()
+
+    def _choose_job(self, left: float, duration: float) -> dict[str, Any]:
+        """Give each pool in turn five times the weight of the others."""
+        pools = sorted({job['spec']['pool'] for job in self._jobs})
+        surge = pools[int((1 - left / duration) * len(pools)) % len(pools)]
+        weights = [
+            5.0 if job['spec']['pool'] == surge else 1.0 for job in self._jobs
+        ]
+        return dict(self._random.choices(self._jobs, weights)[0])
+
+    def _call(self, number: int, job: dict[str, Any]) -> None:
+        key = f'demo-{number:06d}'
+        started = time.monotonic()
+        outcome, attempts = 'not-run', 0
+        while attempts < _MOST_ATTEMPTS:
+            attempts += 1
+            entry = self._random.choice(self._entries)
+            outcome = self._send(entry, job, key)
+            final = outcome in ('complete', 'wrong-answer')
+            if final or not self._may_resend(job, outcome):
+                break
+            _loop.sleep(_PAUSE_SECONDS * attempts)
+        spec = job['spec']
+        self.calls.append(
+            Call(
+                key=key,
+                pool=spec['pool'],
+                job=job['name'],
+                urgency=spec['urgency'],
+                idempotent=spec['idempotent'],
+                outcome=outcome,
+                attempts=attempts,
+                seconds=time.monotonic() - started,
+            )
+        )
+
+    def _may_resend(self, job: dict[str, Any], outcome: str) -> bool:
+        # A resend under the same key never runs a request twice; it is
+        # how a caller finds out what became of the first attempt.
+        return outcome in ('not-run', 'unreachable') or (
+            job['spec']['idempotent'] and outcome == 'unknown'
+        )
+
+    def _send(
+        self, entry: _deployment.Entry, job: dict[str, Any], key: str
+    ) -> str:
+        spec = job['spec']
+        seconds = spec['expected_seconds']
+        url = (
+            f'http://{entry.serving_address}/v1/pools/{spec["pool"]}'
+            f'/jobs/{job["name"]}/work?seconds={seconds}&key={key}'
+        )
+        body = f'{key} {job["name"]}'.encode()
+        try:
+            response = self._http.request(
+                'POST',
+                url,
+                body=body,
+                headers={
+                    'Authorization': f'Bearer {self._deployment.caller_token}',
+                    'Idempotency-Key': key,
+                },
+                timeout=_TIMEOUT_SECONDS,
+            )
+        except urllib3.exceptions.NewConnectionError:
+            return 'unreachable'
+        except urllib3.exceptions.HTTPError:
+            return 'unknown'
+        return self._classify(response, key)
+
+    def _classify(self, response: urllib3.BaseHTTPResponse, key: str) -> str:
+        outcome = response.headers.get('Skylarktally-Outcome', 'unknown')
+        if outcome != 'complete':
+            return outcome
+        return 'complete' if key.encode() in response.data else 'wrong-answer'
+
+    def forget_entry(self, name: str) -> None:
+        """Take an entry out, as the balancer does after its health check."""
+        self._entries = [e for e in self._entries if e.name != name]
--- /dev/null
+++ b/demo/_scenario.py
@@ -0,0 +1,156 @@
+"""The scenario of the demo: load, a planned stop and a killed entry."""
+
+import pathlib
+import sys
+import time
+from typing import Any
+
+import urllib3
+
+from demo import _callers
+from demo import _checks
+from demo import _deployment
+from demo import _operator
+from demo import _processes
+from skylarktally import _loop
+
+# Time for every router to apply what the operator declared.
+_ROLLOUT_LIMIT_SECONDS = 5.0
+_URGENT_LIMIT_SECONDS = 5.5
+_POLL_SECONDS = 0.1
+
+
+def run(
+    path: str,
+    directory: pathlib.Path,
+    seconds: float,
+    rate: float,
+    seed: int,
+) -> list[_checks.Check]:
+    """Run a deployment for some seconds and return the checks."""
+    deployment = _deployment.read_deployment(path, seed)
+    processes = _processes.Processes(directory)
+    try:
+        return _run_started(deployment, processes, seconds, rate, seed)
+    finally:
+        _print('stopping all processes')
+        killed = processes.stop_all()
+        if killed:
+            _print(f'had to kill: {", ".join(killed)}')
+
+
+def _run_started(
+    deployment: _deployment.Deployment,
+    processes: _processes.Processes,
+    seconds: float,
+    rate: float,
+    seed: int,
+) -> list[_checks.Check]:
+    failed = _start(deployment, processes)
+    if failed:
+        return failed
+    operator = _operator.Operator(deployment, processes.directory)
+    checks = [_declare(deployment, operator)]
+    callers = _callers.Callers(deployment, seed)
+    _print(f'sending {rate:.0f} requests a second for {seconds:.0f} s')
+    load = _loop.spawn(callers.run, seconds, rate)
+    _loop.sleep(seconds * 0.2)
+    leaving = deployment.workers[0].name
+    stop = _loop.spawn(operator.drain, leaving)
+    _print(f'draining {leaving}')
+    _loop.sleep(seconds * 0.3)
+    victim = deployment.entries[0]
+    _print(f'killing both processes of {victim.name}')
+    processes.kill(f'{victim.name}-router')
+    processes.kill(f'{victim.name}-controller')
+    _loop.sleep(1.0)
+    callers.forget_entry(victim.name)
+    operator.forget_entry(victim.name)
+    load.wait()
+    drained = stop.wait()
+    records = _checks.read_records(deployment)
+    return [
+        *checks,
+        *_checks.check_calls(callers.calls, records),
+        _checks.check_urgent(callers.calls, _URGENT_LIMIT_SECONDS),
+        _checks.check_pools(records),
+        _checks.check_stop(records, leaving),
+        _checks.Check(f'planned stop of {leaving}', *drained),
+        _check_versions(deployment, victim.name),
+    ]
+
+
+def _start(
+    deployment: _deployment.Deployment, processes: _processes.Processes
+) -> list[_checks.Check]:
+    """Start everything; return a failed check when something is not ready."""
+    _print(f'starting the platform and {len(deployment.workers)} workers')
+    _processes.start_platform(processes, deployment)
+    missing = processes.wait_until_ready()
+    if not missing:
+        _operator.register_instances(deployment)
+        _print(f'starting {len(deployment.entries)} entry instances')
+        _processes.start_entries(processes, deployment)
+        missing = processes.wait_until_ready()
+    if missing:
+        return [_checks.Check('not ready', ', '.join(missing), False)]
+    return []
+
+
+def _declare(
+    deployment: _deployment.Deployment, operator: _operator.Operator
+) -> _checks.Check:
+    """Apply the resources and wait until every router has them in force."""
+    _print('declaring pools, jobs, budgets and instances')
+    version = operator.apply()
+    started = time.monotonic()
+    name = f'version {version} in force everywhere (limit 5 s)'
+    while time.monotonic() - started < 2 * _ROLLOUT_LIMIT_SECONDS:
+        versions = read_versions(deployment)
+        if version > 0 and all(v >= version for v in versions.values()):
+            took = time.monotonic() - started
+            operator.wait_until_serving()
+            return _checks.Check(
+                name, f'{took:.2f} s', took <= _ROLLOUT_LIMIT_SECONDS
+            )
+        _loop.sleep(_POLL_SECONDS)
+    return _checks.Check(name, 'not reached', False)
+
+
+def _check_versions(
+    deployment: _deployment.Deployment, killed: str
+) -> _checks.Check:
+    """Check that the routers agree once nothing changes any more."""
+    deadline = time.monotonic() + _ROLLOUT_LIMIT_SECONDS
+    versions: dict[str, int] = {}
+    while time.monotonic() < deadline:
+        versions = read_versions(deployment)
+        versions.pop(killed, None)
+        if len(set(versions.values())) == 1:
+            return _checks.Check(
+                'log version at every router',
+                str(next(iter(versions.values()))),
+                True,
+            )
+        _loop.sleep(_POLL_SECONDS)
+    return _checks.Check(
+        'log version at every router', str(sorted(versions.values())), False
+    )
+
+
+def read_versions(deployment: _deployment.Deployment) -> dict[str, int]:
+    """Return the log version in force at each reachable router."""
+    http = urllib3.PoolManager(retries=False, timeout=2.0)
+    versions = {}
+    for entry in deployment.entries:
+        url = f'http://{entry.admin_address}/debug/state'
+        try:
+            dump: dict[str, Any] = http.request('GET', url).json()
+        except urllib3.exceptions.HTTPError:
+            continue
+        versions[entry.name] = int(dump['log_version'])
+    return versions
+
+
+def _print(message: str) -> None:
+    print(message, file=sys.stderr, flush=True)
