Name the peer secret and the router's address as the demo does

The demo writes peer_secret and gives controllers the peer address of their own instance. Both are settings of every process now, and a list of other accepted secrets allows a change without an interruption.

--- a/skylarktally/_dumps.py
+++ b/skylarktally/_dumps.py
@@ -17,7 +17,7 @@
 
 Section = Callable[[], Any]
 
-_SECRETS = ('tokens', 'peer_keys')
+_SECRETS = ('tokens', 'peer_secret', 'other_peer_secrets')
 
 
 class Dump:
@@ -84,5 +84,5 @@
         for field in dataclasses.fields(settings)
     }
     for name in _SECRETS:
-        fields[name] = f'{len(fields[name])} not shown'
+        fields[name] = 'not shown'
     return fields
--- a/skylarktally/_settings.py
+++ b/skylarktally/_settings.py
@@ -22,7 +22,7 @@
     '[A-Za-z0-9][A-Za-z0-9._-]{0,62}', 'a name of 1 to 63 letters or digits'
 )
 # 32 characters hold 128 bits even when written in hexadecimal digits.
-_Key = _fields.Text(
+_Secret = _fields.Text(
     r'[\x21-\x7e]{32,256}', '32 to 256 printable characters', secret=True
 )
 _Address = _fields.Address()
@@ -58,9 +58,15 @@
     tokens: Annotated[dict[str, Token], _fields.Tokens()] = dataclasses.field(
         default_factory=dict
     )
-    # The first key is used for new connections and all are accepted, so
-    # that a key can be replaced without an interruption.
-    peer_keys: Annotated[tuple[str, ...], _fields.Many(_Key, 1, 4)]
+    # Where the router of this instance serves the peer protocol.
+    peer_address: Annotated[str, _Address]
+    # Shared by all routers and controllers of a deployment.
+    peer_secret: Annotated[str, _Secret]
+    # Accepted from others but not used for own calls, so that the secret
+    # can be replaced without an interruption.
+    other_peer_secrets: Annotated[
+        tuple[str, ...], _fields.Many(_Secret, 0, 4)
+    ] = ()
 
     log_level: Annotated[
         str,
@@ -82,7 +88,6 @@
     """What a router is told."""
 
     serving_address: Annotated[str, _Address]
-    peer_address: Annotated[str, _Address]
 
     # Membership and roll-out, section 8.
     gossip_interval: Annotated[_Duration, _SHORT] = _seconds(0.5)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -17,7 +17,7 @@
     'admin_address': '127.0.0.1:8002',
     'platform_address': '127.0.0.1:8003',
     'seeds': ['[::1]:8001'],
-    'peer_keys': [KEY],
+    'peer_secret': KEY,
     'tokens': {DIGEST: {'subject': 'a', 'role': 'caller', 'team': 't'}},
 }
 
@@ -61,8 +61,9 @@
         ({'peer_address': '127.0.0.1:8000'}, 'peer_address', 'the same'),
         ({'seeds': ['127.0.0.1:1', 'x']}, 'seeds[1]', 'IP address'),
         ({'seeds': 'x'}, 'seeds', 'must be a list'),
-        ({'peer_keys': []}, 'peer_keys', '1 to 4'),
-        ({'peer_keys': ['short']}, 'peer_keys[0]', '32 to 256'),
+        ({'peer_secret': 'short'}, 'peer_secret', '32 to 256'),
+        ({'other_peer_secrets': ['short']}, 'other_peer_secrets[0]', '32'),
+        ({'other_peer_secrets': [KEY] * 5}, None, '0 to 4'),
         ({'tokens': {'x': {}}}, 'tokens.x', 'SHA-256'),
         ({'tokens': {DIGEST: 1}}, f'tokens.{DIGEST}', 'mapping'),
         (
