--- /dev/null
+++ b/skylarktally/_leases.py
@@ -0,0 +1,218 @@
+"""Shard leases of a zone, held by its controllers.
+
+Leases only avoid duplicate work. Safety comes from the fencing token, the
+version of the lease row, on which the holder conditions each transaction.
+"""
+
+import datetime
+import logging
+from typing import NamedTuple
+import uuid
+
+from returns import result
+import xxhash
+
+from skylarktally import _clock
+from skylarktally import _errors
+from skylarktally import _table
+
+log = logging.getLogger(__name__)
+
+SHARDS = 4
+_BEAT_INTERVAL = datetime.timedelta(seconds=4)
+# The holder stops 4 s before a candidate may take over.
+_HOLD_LIMIT = datetime.timedelta(seconds=8)
+_TAKE_AFTER = datetime.timedelta(seconds=12)
+# After a longer gap in its own reads a candidate watches anew, so that an
+# outage or a pause of the candidate does not count against the holder.
+_WATCH_GAP = datetime.timedelta(seconds=4)
+
+
+def find_shard(pool: str) -> int:
+    """Return the shard, of each zone, that a pool belongs to."""
+    return xxhash.xxh64_intdigest(pool.encode()) % SHARDS
+
+
+class _Sighting(NamedTuple):
+    """A lease and its holder's beat, unchanged since a time."""
+
+    lease_version: int
+    beat_version: int
+    since: datetime.timedelta
+
+
+class ShardLeases:
+    """The leases of a zone as one controller sees and takes them."""
+
+    def __init__(
+        self,
+        table: _table.Table,
+        clock: _clock.Clock,
+        zone: str,
+        controller: str,
+        incarnation: int,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._prefix = f'lease/{zone}/'
+        self._controller = controller
+        self._incarnation = incarnation
+        self._beat_key = f'beat/{controller}'
+        self._beat_version: int | None = None
+        self._count = 0
+        # Monotonic times; None before the first success.
+        self._beat_at: datetime.timedelta | None = None
+        self._scanned_at: datetime.timedelta | None = None
+        self._held: dict[int, int] = {}
+        self._sightings: dict[int, _Sighting] = {}
+        self._stopped = False
+
+    def renew(self) -> None:
+        """Take one step: beat when due, watch, take at most one lease."""
+        if self._stopped:
+            return
+        now = self._clock.monotonic()
+        if self._beat_at is None or now - self._beat_at >= _BEAT_INTERVAL:
+            self._beat(now)
+        self._watch()
+
+    def holds(self, shard: int) -> bool:
+        """Tell whether this controller may act for a shard now."""
+        return (
+            shard in self._held
+            and self._beat_at is not None
+            and self._clock.monotonic() - self._beat_at < _HOLD_LIMIT
+        )
+
+    def find_fence(self, shard: int) -> _table.Condition | None:
+        """Return the condition for transactions on behalf of a shard."""
+        if not self.holds(shard):
+            return None
+        return _table.Condition(f'{self._prefix}{shard}', self._held[shard])
+
+    def release(self) -> None:
+        """Give all leases back, so that no one has to wait for expiry."""
+        held, self._held = self._held, {}
+        self._stopped = True
+        for shard, version in held.items():
+            self._commit(f'{self._prefix}{shard}', version, None)
+
+    def _beat(self, sent_at: datetime.timedelta) -> None:
+        if self._beat_version is None and not self._adopt_beat():
+            return
+        value = {'incarnation': self._incarnation, 'count': self._count + 1}
+        written = self._commit(self._beat_key, self._beat_version or 0, value)
+        if isinstance(written, result.Success):
+            self._count += 1
+            self._beat_version = written.unwrap()
+            self._beat_at = sent_at
+        elif written.failure().kind in (
+            _errors.ErrorKind.CONFLICT,
+            _errors.ErrorKind.OUTCOME_UNKNOWN,
+        ):
+            # The row tells whether the write took effect; read it anew.
+            self._beat_version = None
+
+    def _adopt_beat(self) -> bool:
+        """Find the version of the own beat row; False when unknown."""
+        read = self._table.read(self._beat_key)
+        if not isinstance(read, result.Success):
+            return False
+        row = read.unwrap()
+        self._beat_version = row.version if row else 0
+        if row is None:
+            return True
+        if row.value['incarnation'] > self._incarnation:
+            log.warning('a newer process runs as %s', self._controller)
+            self._stopped = True
+            self._held.clear()
+            return False
+        if row.value['incarnation'] == self._incarnation:
+            self._count = max(self._count, row.value['count'])
+        return True
+
+    def _watch(self) -> None:
+        leases = self._table.scan(self._prefix)
+        if not isinstance(leases, result.Success):
+            return
+        beats = self._table.scan('beat/')
+        if not isinstance(beats, result.Success):
+            return
+        now = self._clock.monotonic()
+        if self._scanned_at is None or now - self._scanned_at > _WATCH_GAP:
+            self._sightings.clear()
+        self._scanned_at = now
+        rows = {row.key: row for row in leases.unwrap()}
+        counts = {row.key: row for row in beats.unwrap()}
+        self._read_held(rows)
+        for shard in self._order_shards():
+            row = rows.get(f'{self._prefix}{shard}')
+            if shard not in self._held and self._is_free(shard, row, counts):
+                self._take(shard, row)
+                return
+
+    def _read_held(self, rows: dict[str, _table.Row]) -> None:
+        own = {'holder': self._controller, 'incarnation': self._incarnation}
+        held = {
+            shard: row.version
+            for shard in range(SHARDS)
+            if (row := rows.get(f'{self._prefix}{shard}')) and row.value == own
+        }
+        for shard in sorted(self._held.keys() - held.keys()):
+            log.warning('lost the lease %s%d', self._prefix, shard)
+        self._held = held
+
+    def _is_free(
+        self,
+        shard: int,
+        row: _table.Row | None,
+        beats: dict[str, _table.Row],
+    ) -> bool:
+        if row is None:
+            return True
+        beat = beats.get(f'beat/{row.value["holder"]}')
+        alive = (
+            beat is not None
+            and beat.value['incarnation'] == row.value['incarnation']
+        )
+        beat_version = beat.version if beat is not None and alive else 0
+        now = self._clock.monotonic()
+        seen = self._sightings.get(shard)
+        if seen is None or seen[:2] != (row.version, beat_version):
+            seen = _Sighting(row.version, beat_version, now)
+            self._sightings[shard] = seen
+        return now - seen.since >= _TAKE_AFTER
+
+    def _take(self, shard: int, row: _table.Row | None) -> None:
+        if self._beat_at is None:
+            return
+        key = f'{self._prefix}{shard}'
+        value = {'holder': self._controller, 'incarnation': self._incarnation}
+        taken = self._commit(key, row.version if row else 0, value)
+        if isinstance(taken, result.Success):
+            self._held[shard] = taken.unwrap()
+            self._sightings.pop(shard, None)
+            log.info('took the lease %s', key)
+
+    def _order_shards(self) -> list[int]:
+        """Return the shards in an order of this controller's own.
+
+        Controllers that start together thus seldom try the same shard.
+        """
+        return sorted(
+            range(SHARDS),
+            key=lambda shard: xxhash.xxh64_intdigest(
+                f'{self._controller}/{shard}'.encode()
+            ),
+        )
+
+    def _commit(
+        self, key: str, version: int, value: dict | None
+    ) -> result.Result[int, _errors.Failure]:
+        return self._table.commit(
+            _table.Transaction(
+                str(uuid.uuid4()),
+                (_table.Condition(key, version),),
+                (_table.Write(key, value),),
+            )
+        )
--- /dev/null
+++ b/skylarktally/_limits.py
@@ -0,0 +1,92 @@
+"""A process's share of the platform's request rates."""
+
+import datetime
+import random
+
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _errors
+
+# A caller that would wait longer is refused and may do other work.
+_WAIT_LIMIT = datetime.timedelta(seconds=2)
+
+
+class TokenBucket:
+    """Limit on a rate, with a burst of one second's worth."""
+
+    def __init__(self, clock: _clock.Clock, per_second: float) -> None:
+        self._clock = clock
+        self._per_second = per_second
+        self._burst = max(per_second, 1.0)
+        self._tokens = self._burst
+        self._filled_at = clock.monotonic()
+
+    def acquire(self) -> result.Result[None, _errors.Failure]:
+        """Take a token, waiting for it; RATE_LIMITED if that takes long."""
+        now = self._clock.monotonic()
+        elapsed = (now - self._filled_at).total_seconds()
+        self._filled_at = now
+        self._tokens = min(
+            self._burst, self._tokens + elapsed * self._per_second
+        )
+        wait = datetime.timedelta(
+            seconds=max(0.0, (1 - self._tokens) / self._per_second)
+        )
+        if wait > _WAIT_LIMIT:
+            return result.Failure(
+                _errors.Failure(
+                    _errors.ErrorKind.RATE_LIMITED,
+                    'own share of the platform rate is used up',
+                    retry_after=wait,
+                )
+            )
+        # Tokens may go below zero: later callers queue behind this one.
+        self._tokens -= 1
+        if wait:
+            self._clock.sleep(wait)
+        return result.Success(None)
+
+
+class Limits:
+    """Rates and timeouts that all platform clients of a process share."""
+
+    def __init__(
+        self,
+        clock: _clock.Clock,
+        writes_per_second: float,
+        reads_per_second: float,
+        connect_timeout: datetime.timedelta = datetime.timedelta(seconds=1),
+        response_timeout: datetime.timedelta = datetime.timedelta(seconds=2),
+    ) -> None:
+        self.writes = TokenBucket(clock, writes_per_second)
+        self.reads = TokenBucket(clock, reads_per_second)
+        self.connect_timeout = connect_timeout
+        self.response_timeout = response_timeout
+
+
+class Backoff:
+    """Growing delays with full jitter, up to a total time."""
+
+    def __init__(
+        self,
+        clock: _clock.Clock,
+        source: random.Random,
+        limit: datetime.timedelta,
+        first: datetime.timedelta = datetime.timedelta(milliseconds=100),
+        longest: datetime.timedelta = datetime.timedelta(seconds=2),
+    ) -> None:
+        self._clock = clock
+        self._random = source
+        self._end = clock.monotonic() + limit
+        self._next = first
+        self._longest = longest
+
+    def wait(self) -> bool:
+        """Sleep before the next attempt; False when time is up."""
+        delay = self._next * self._random.random()
+        if self._clock.monotonic() + delay >= self._end:
+            return False
+        self._next = min(self._next * 2, self._longest)
+        self._clock.sleep(delay)
+        return True
--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -15,12 +15,14 @@
 import eventlet  # noqa: E402
 import eventlet.queue  # noqa: E402
 import eventlet.semaphore  # noqa: E402
+import eventlet.wsgi  # noqa: E402
 
 Event = eventlet.Event
 Queue = eventlet.queue.LightQueue
 Semaphore = eventlet.semaphore.Semaphore
 Timeout = eventlet.Timeout
 listen = eventlet.listen
+serve_wsgi = eventlet.wsgi.server
 sleep = eventlet.sleep
 spawn = eventlet.spawn
 spawn_after = eventlet.spawn_after
--- /dev/null
+++ b/skylarktally/_platform.py
@@ -0,0 +1,113 @@
+"""HTTP client that the clients of the platform's services share."""
+
+from collections.abc import Mapping
+import json
+from typing import Any, NamedTuple
+
+from returns import result
+import urllib3
+
+from skylarktally import _errors
+from skylarktally import _limits
+
+_CONNECTIONS_LIMIT = 8
+# Errors raised before any byte of the request was sent.
+_NOT_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+
+
+class Response(NamedTuple):
+    """A complete answer of the platform."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def read_json(self) -> Any:
+        """Decode the body."""
+        return json.loads(self.body)
+
+
+class PlatformClient:
+    """Sends requests within the process's limits, each at most once."""
+
+    def __init__(self, address: str, limits: _limits.Limits) -> None:
+        self._url = f'http://{address}'
+        self._limits = limits
+        self._manager = urllib3.PoolManager(
+            maxsize=_CONNECTIONS_LIMIT,
+            retries=False,
+            timeout=urllib3.Timeout(
+                connect=limits.connect_timeout.total_seconds(),
+                read=limits.response_timeout.total_seconds(),
+            ),
+        )
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> result.Result[Response, _errors.Failure]:
+        """Send a request and return its answer, of any status below 500.
+
+        PLATFORM_UNAVAILABLE and RATE_LIMITED mean that it had no effect;
+        OUTCOME_UNKNOWN, only for methods other than GET, that it may have.
+        """
+        reading = method == 'GET'
+        bucket = self._limits.reads if reading else self._limits.writes
+        return bucket.acquire().bind(
+            lambda _: self._exchange(method, path, body, headers)
+        )
+
+    def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str] | None,
+    ) -> result.Result[Response, _errors.Failure]:
+        try:
+            answer = self._manager.request(
+                method, self._url + path, body=body, headers=headers
+            )
+        except _NOT_SENT as error:
+            return _fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE, str(error))
+        except urllib3.exceptions.HTTPError as error:
+            # The other idle connections may have gone silent as well.
+            self._manager.clear()
+            return _fail(_choose_kind(method), str(error))
+        if answer.status == 429:
+            return _fail(_errors.ErrorKind.RATE_LIMITED, 'platform limit')
+        if answer.status == 503:
+            return _fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE, 'status 503')
+        if answer.status >= 500:
+            return _fail(_choose_kind(method), f'status {answer.status}')
+        return result.Success(
+            Response(answer.status, answer.headers, answer.data)
+        )
+
+
+def explain_status(
+    response: Response,
+) -> result.Result[Any, _errors.Failure]:
+    """Turn an answer that the protocol does not foresee into a failure."""
+    return _fail(
+        _errors.ErrorKind.INTERNAL,
+        f'platform answered {response.status}: {response.body[:200]!r}',
+    )
+
+
+def _choose_kind(method: str) -> _errors.ErrorKind:
+    if method == 'GET':
+        return _errors.ErrorKind.PLATFORM_UNAVAILABLE
+    return _errors.ErrorKind.OUTCOME_UNKNOWN
+
+
+def _fail(
+    kind: _errors.ErrorKind, message: str
+) -> result.Result[Any, _errors.Failure]:
+    return result.Failure(_errors.Failure(kind, message))
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,97 @@
+"""Fakes at the interfaces: a manual clock and a table with faults."""
+
+import datetime
+
+from returns import result
+
+from skylarktally import _errors
+from skylarktally import _table
+from standins import table as standin_table
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+
+class ManualClock:
+    """Clock that only advances when told to, or by its own sleeps."""
+
+    def __init__(self):
+        self.elapsed = datetime.timedelta()
+
+    def now(self):
+        return _START + self.elapsed
+
+    def monotonic(self):
+        return self.elapsed
+
+    def sleep(self, delay):
+        self.elapsed += max(delay, datetime.timedelta())
+
+    def advance(self, seconds):
+        self.elapsed += datetime.timedelta(seconds=seconds)
+
+
+class FaultyTable:
+    """Table over the stand-in's rows, with faults set by the test.
+
+    ``faults`` holds one entry for each coming commit: None, 'drop' (lost
+    on the way), 'lose' (applied, answer lost), 'duplicate' (applied twice,
+    second answer returned), 'delay' (answer lost, applied by
+    ``deliver``), 'refuse' (PLATFORM_UNAVAILABLE) or 'limit' (RATE_LIMITED).
+    While ``down`` every call is refused.
+    """
+
+    def __init__(self, rows=None):
+        self.rows = rows or standin_table.RowStore()
+        self.faults = []
+        self.delayed = []
+        self.down = False
+        self.commits = 0
+        self.reads = 0
+
+    def commit(self, transaction):
+        self.commits += 1
+        fault = self.faults.pop(0) if self.faults else None
+        if self.down or fault == 'refuse':
+            return _fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+        if fault == 'limit':
+            return _fail(_errors.ErrorKind.RATE_LIMITED)
+        if fault == 'delay':
+            self.delayed.append(transaction)
+        if fault in ('lose', 'duplicate'):
+            self._apply(transaction)
+        if fault in ('drop', 'lose', 'delay'):
+            return _fail(_errors.ErrorKind.OUTCOME_UNKNOWN)
+        return self._apply(transaction)
+
+    def deliver(self):
+        """Apply the oldest transaction that was delayed."""
+        return self._apply(self.delayed.pop(0))
+
+    def read(self, key):
+        self.reads += 1
+        if self.down:
+            return _fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+        row = self.rows.read(key)
+        return result.Success(row and _table.Row(**row))
+
+    def scan(self, prefix, after='', limit=1000):
+        self.reads += 1
+        if self.down:
+            return _fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+        found = self.rows.scan(prefix, after, limit)
+        return result.Success([_table.Row(**row) for row in found])
+
+    def _apply(self, transaction):
+        body = self.rows.commit(
+            {
+                'conditions': [c._asdict() for c in transaction.conditions],
+                'writes': [w._asdict() for w in transaction.writes],
+            }
+        )
+        if body['committed']:
+            return result.Success(body['version'])
+        return _fail(_errors.ErrorKind.CONFLICT)
+
+
+def _fail(kind):
+    return result.Failure(_errors.Failure(kind, kind.value))
--- /dev/null
+++ b/tests/test_platform_clients.py
@@ -0,0 +1,198 @@
+"""Guards the clients' view of the platform protocol, over real sockets."""
+
+import datetime
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+from returns import result
+import urllib3
+
+from skylarktally import _clock
+from skylarktally import _errors
+from skylarktally import _fleet
+from skylarktally import _instances
+from skylarktally import _journal
+from skylarktally import _limits
+from skylarktally import _objects
+from skylarktally import _resources
+from skylarktally import _table
+
+pytestmark = pytest.mark.processes
+
+
+def format_address(bound):
+    return f'127.0.0.1:{bound.getsockname()[1]}'
+
+
+def find_free_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return format_address(probe)
+
+
+@pytest.fixture(scope='module')
+def address():
+    found = find_free_address()
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'standins.platform', f'--address={found}'],
+        stderr=subprocess.DEVNULL,
+    )
+    for _ in range(100):
+        try:
+            urllib3.request(
+                'GET', f'http://{found}/standin/record', retries=False
+            )
+            break
+        except urllib3.exceptions.HTTPError:
+            time.sleep(0.1)
+    yield found
+    process.terminate()
+    process.wait(10)
+
+
+@pytest.fixture(autouse=True)
+def healthy(address):
+    yield
+    set_faults(address, down=False, delay_seconds=0, lose_answers=0)
+
+
+def set_faults(address, **faults):
+    urllib3.request('PUT', f'http://{address}/standin/faults', json=faults)
+
+
+@pytest.fixture
+def limits():
+    return _limits.Limits(
+        _clock.SystemClock(),
+        100,
+        100,
+        response_timeout=datetime.timedelta(seconds=0.5),
+    )
+
+
+def make(client, address, limits):
+    return client(address, _clock.SystemClock(), limits)
+
+
+def insert(key, value):
+    return _table.Transaction(
+        key, (_table.Condition(key, 0),), (_table.Write(key, value),)
+    )
+
+
+def test_table_commits_once_and_reads_in_order(address, limits):
+    table = make(_table.HttpTable, address, limits)
+    names = ['t/b', 't/a', 't/ü /?']
+    versions = [table.commit(insert(n, {'n': n})).unwrap() for n in names]
+    assert sorted(set(versions)) == versions
+    conflict = table.commit(insert('t/a', {})).failure()
+    assert conflict.kind is _errors.ErrorKind.CONFLICT
+    assert 't/a' in conflict.message
+    rows = table.scan('t/').unwrap()
+    assert [row.key for row in rows] == sorted(names)
+    assert table.scan('t/', after='t/a', limit=1).unwrap()[0].key == 't/b'
+    assert table.read('t/ü /?').unwrap().value == {'n': 't/ü /?'}
+    assert table.read('t/none').unwrap() is None
+
+
+@pytest.mark.parametrize(
+    'faults, commit_kind, read_kind, applied',
+    [
+        ({'down': True}, 'platform_unavailable', 'platform_unavailable', 0),
+        ({'lose_answers': 1}, 'outcome_unknown', 'platform_unavailable', 1),
+        ({'delay_seconds': 1}, 'outcome_unknown', 'platform_unavailable', 1),
+    ],
+)
+def test_faults_tell_applied_from_unknown(
+    address, limits, faults, commit_kind, read_kind, applied
+):
+    table = make(_table.HttpTable, address, limits)
+    key = f'faults/{next(iter(faults))}'
+    set_faults(address, **faults)
+    commit = table.commit(insert(key, {}))
+    assert commit.failure().kind.value == commit_kind
+    assert table.read(key).failure().kind.value == read_kind
+    set_faults(address, down=False, delay_seconds=0, lose_answers=0)
+    time.sleep(1)
+    assert (table.read(key).unwrap() is not None) == bool(applied)
+
+
+def test_refused_connection_means_not_applied(limits):
+    table = make(_table.HttpTable, find_free_address(), limits)
+    failure = table.commit(insert('k', {})).failure()
+    assert failure.kind is _errors.ErrorKind.PLATFORM_UNAVAILABLE
+
+
+def test_objects_keep_a_racing_write(address, limits):
+    objects = make(_objects.HttpObjects, address, limits)
+    tag = objects.write('s/1', b'one').unwrap()
+    assert objects.read('s/1').unwrap() == (b'one', tag)
+    objects.write('s/1', b'two', if_match=tag).unwrap()
+    late = objects.write('s/1', b'three', if_match=tag).failure()
+    assert late.kind is _errors.ErrorKind.CONFLICT
+    assert objects.read('s/1').unwrap().data == b'two'
+    assert objects.delete('s/1') == result.Success(None)
+    assert objects.read('s/1').unwrap() is None
+
+
+def test_reboot_runs_once_per_operation_id(address, limits):
+    instances = make(_instances.HttpInstances, address, limits)
+    with socket.socket() as worker:
+        worker.bind(('127.0.0.1', 0))
+        worker.listen()
+        worker.settimeout(5)
+        entry = dict.fromkeys(_instances.ListedInstance._fields, 1)
+        entry.update(name='w1', state='live')
+        entry['address'] = format_address(worker)
+        urllib3.request(
+            'PUT',
+            f'http://{address}/standin/instances',
+            json={'instances': [entry]},
+        )
+        states = [
+            instances.reboot('w1', 'op').unwrap().state for _ in range(2)
+        ]
+        assert states == ['running', 'running']
+        assert instances.list().unwrap().instances[0].state == 'leaving'
+        connection, _ = worker.accept()
+        assert connection.recv(100).startswith(b'POST /standin/reboot ')
+        connection.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+        worker.settimeout(0.5)
+        with pytest.raises(TimeoutError):
+            worker.accept()
+        connection.close()
+    assert instances.reboot('w1', 'op').unwrap().state == 'done'
+    missing = instances.drain('w2', 'op').failure()
+    assert missing.kind is _errors.ErrorKind.NOT_FOUND
+
+
+def test_journal_resolves_every_lost_answer(address, limits):
+    table = make(_table.HttpTable, address, limits)
+    fleet = _fleet.Fleet()
+    clock = _clock.SystemClock()
+    journal = _journal.Journal(table, fleet, clock, 'author')
+    set_faults(address, lose_answers=0.5, seed=7)
+    for count in range(1, 11):
+        pool = _resources.Resource(
+            kind='pool',
+            name='p',
+            spec={'n': count},
+            status={},
+            resource_version=0,
+        )
+        change = _resources.Change(kind='pool', name='p', value=pool)
+        outcome = journal.propose([change], count - 1)
+        while outcome != result.Success(count):
+            # Only a definite refusal may be repeated by the caller.
+            kind = outcome.failure().kind
+            assert kind is _errors.ErrorKind.PLATFORM_UNAVAILABLE
+            outcome = journal.propose([change], count - 1)
+    set_faults(address, lose_answers=0)
+    replica = _fleet.Fleet()
+    follower = _journal.Journal(table, replica, clock, 'follower')
+    assert follower.refresh() == result.Success(10)
+    found = replica.find(_resources.Kind.POOL, 'p')
+    assert (found['spec'], found['resource_version']) == ({'n': 10}, 10)
