--- /dev/null
+++ b/skylarktally/_claims.py
@@ -0,0 +1,287 @@
+"""At-most-once execution: claims, issued keys and recorded answers."""
+
+import base64
+import collections
+import datetime
+import enum
+import hashlib
+import hmac
+import secrets
+from typing import Any, NamedTuple, Protocol
+import uuid
+
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _errors
+from skylarktally import _limits
+
+# Marks a key issued by a router; keys of callers never start with it.
+ISSUED_PREFIX = 'skylarktally-key-1.'
+_COMMIT_ATTEMPTS = 3
+
+
+class AnswerState(enum.Enum):
+    """What a router knows about the run of a request key."""
+
+    ABSENT = 'absent'
+    RUNNING = 'running'
+    RECORDED = 'recorded'
+
+
+class RecordedAnswer(NamedTuple):
+    """The answer of a request key, whole if the state is RECORDED."""
+
+    state: AnswerState
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+
+
+ABSENT = RecordedAnswer(AnswerState.ABSENT)
+RUNNING = RecordedAnswer(AnswerState.RUNNING)
+
+
+class ClaimStatus(enum.Enum):
+    """Result of a claim."""
+
+    GRANTED = 'granted'
+    # Another request had the key first.
+    HELD = 'held'
+    # The key was issued by another router, which alone may run it.
+    ELSEWHERE = 'elsewhere'
+
+
+class ClaimState(NamedTuple):
+    """Result of a claim, with the owner unless it is granted."""
+
+    status: ClaimStatus
+    owner: str = ''
+    incarnation: int = 0
+    # Peer address of the owner of a HELD key; empty for this router.
+    owner_address: str = ''
+
+
+class Table(Protocol):
+    """The part of the table client that claims use."""
+
+    def commit(self, transaction: Any) -> result.Result[int, Any]:
+        """Apply a transaction."""
+
+    def read(self, key: str) -> result.Result[Any, Any]:
+        """Return a row or None."""
+
+
+class Owner(NamedTuple):
+    """The router that claims keys."""
+
+    name: str
+    incarnation: int
+    peer_address: str
+
+
+class _Condition(NamedTuple):
+    key: str
+    version: int
+
+
+class _Write(NamedTuple):
+    key: str
+    value: dict[str, Any] | None
+
+
+class _Transaction(NamedTuple):
+    id: str
+    conditions: tuple[_Condition, ...]
+    writes: tuple[_Write, ...]
+
+
+class Claims:
+    """Keys that this router may run, and the answers it gave."""
+
+    def __init__(
+        self,
+        table: Table,
+        clock: _clock.Clock,
+        owner: Owner,
+        limits: _limits.ServingLimits,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._owner = owner
+        self._limits = limits
+        # Only this incarnation has to recognize its keys.
+        self._secret = secrets.token_bytes(32)
+        # Keys in use, by the time they were claimed, oldest first.
+        self._used: dict[str, datetime.timedelta] = {}
+        # Claimed rows whose request was refused before it ran.
+        self._abandoned: dict[str, datetime.timedelta] = {}
+        self._answers: collections.OrderedDict[str, RecordedAnswer] = (
+            collections.OrderedDict()
+        )
+
+    def issue_key(self) -> str:
+        """Return a key that only this incarnation of the router runs."""
+        # The age is judged by the clock that also ages the memory of
+        # used keys, so a step of the wall clock cannot revive a key.
+        issued = self._clock.monotonic() // datetime.timedelta(microseconds=1)
+        name = base64.urlsafe_b64encode(self._owner.name.encode()).decode()
+        nonce = secrets.token_hex(8)
+        text = f'{name}.{self._owner.incarnation}.{issued}.{nonce}'
+        return f'{ISSUED_PREFIX}{text}.{self._sign(text)}'
+
+    def _sign(self, text: str) -> str:
+        return hmac.new(
+            self._secret, text.encode(), hashlib.sha256
+        ).hexdigest()
+
+    def find_issuer(self, key: str) -> ClaimState | None:
+        """Return the issuer of a key that only another router may run."""
+        if not key.startswith(ISSUED_PREFIX):
+            return None
+        text = key[len(ISSUED_PREFIX) :].rpartition('.')[0]
+        try:
+            name, incarnation, _issued, _nonce = text.split('.')
+            owner = base64.urlsafe_b64decode(name).decode()
+            issuer = ClaimState(ClaimStatus.ELSEWHERE, owner, int(incarnation))
+        except (ValueError, OverflowError):
+            return None
+        own = (owner, issuer.incarnation) == self._owner[:2]
+        return None if own else issuer
+
+    def claim(self, key: str) -> result.Result[ClaimState, _errors.Failure]:
+        """Claim a key for one run.
+
+        :returns: failures mean that the request must not run:
+            PLATFORM_UNAVAILABLE, RATE_LIMITED, INVALID_REQUEST or
+            KEY_EXPIRED
+        """
+        self._forget_old()
+        if key.startswith(ISSUED_PREFIX):
+            return self._claim_issued(key)
+        if key in self._used:
+            return result.Success(ClaimState(ClaimStatus.HELD))
+        # Set before the first I/O, so that a second request with the
+        # key at this router does not claim as well.
+        self._used[key] = self._clock.monotonic()
+        claimed = self._claim_row(key)
+        if not _is_granted(claimed):
+            self._used.pop(key, None)
+        return claimed
+
+    def _claim_issued(
+        self, key: str
+    ) -> result.Result[ClaimState, _errors.Failure]:
+        issuer = self.find_issuer(key)
+        if issuer is not None:
+            return result.Success(issuer)
+        text, _, signature = key[len(ISSUED_PREFIX) :].rpartition('.')
+        if not hmac.compare_digest(signature, self._sign(text)):
+            return _refuse(_errors.ErrorKind.INVALID_REQUEST, 'bad key')
+        # The signature shows that the fields are those of issue_key.
+        microseconds = int(text.split('.')[2])
+        start = datetime.timedelta(microseconds=microseconds)
+        if self._clock.monotonic() - start >= self._limits.key_age:
+            return _refuse(
+                _errors.ErrorKind.KEY_EXPIRED, 'the issued key is too old'
+            )
+        if key in self._used:
+            return result.Success(ClaimState(ClaimStatus.HELD))
+        self._used[key] = self._clock.monotonic()
+        return result.Success(ClaimState(ClaimStatus.GRANTED))
+
+    def _claim_row(
+        self, key: str
+    ) -> result.Result[ClaimState, _errors.Failure]:
+        row_key = 'claim/' + hashlib.sha256(key.encode()).hexdigest()
+        value = {
+            'owner': self._owner.name,
+            'incarnation': self._owner.incarnation,
+            'owner_address': self._owner.peer_address,
+            'claimed_at': self._clock.now().isoformat(),
+        }
+        transaction = _Transaction(
+            uuid.uuid4().hex,
+            (_Condition(row_key, 0),),
+            (_Write(row_key, value),),
+        )
+        for _ in range(_COMMIT_ATTEMPTS):
+            committed = self._table.commit(transaction)
+            if isinstance(committed, result.Success):
+                return result.Success(ClaimState(ClaimStatus.GRANTED))
+            kind = committed.failure().kind
+            if kind not in (
+                _errors.ErrorKind.CONFLICT,
+                _errors.ErrorKind.OUTCOME_UNKNOWN,
+            ):
+                return result.Failure(committed.failure())
+            read = self._table.read(row_key)
+            if not isinstance(read, result.Success):
+                break
+            row = read.unwrap()
+            if row is not None:
+                return result.Success(self._judge_row(key, row.value, value))
+        return _refuse(
+            _errors.ErrorKind.PLATFORM_UNAVAILABLE, 'the claim is undecided'
+        )
+
+    def _judge_row(
+        self, key: str, found: dict[str, Any], written: dict[str, Any]
+    ) -> ClaimState:
+        # A row of this incarnation but of an earlier claim stands for a
+        # request that may have run longer ago than the memory goes.
+        if found == written or (
+            found['incarnation'] == self._owner.incarnation
+            and found['owner'] == self._owner.name
+            and self._abandoned.pop(key, None) is not None
+        ):
+            return ClaimState(ClaimStatus.GRANTED)
+        return ClaimState(
+            ClaimStatus.HELD,
+            found['owner'],
+            found['incarnation'],
+            found['owner_address'],
+        )
+
+    def abandon(self, key: str) -> None:
+        """Note that a claimed request was refused and did not run."""
+        self._used.pop(key, None)
+        if not key.startswith(ISSUED_PREFIX):
+            self._abandoned[key] = self._clock.monotonic()
+
+    def record(self, key: str, answer: RecordedAnswer) -> None:
+        """Keep the answer of a key for requests that repeat it."""
+        if len(answer.body) > self._limits.answer_bytes:
+            return
+        self._answers[key] = answer
+        while len(self._answers) > self._limits.answers:
+            self._answers.popitem(last=False)
+
+    def find(self, key: str) -> RecordedAnswer:
+        """Return what this router knows about a key."""
+        answer = self._answers.get(key)
+        if answer is not None:
+            return answer
+        return RUNNING if key in self._used else ABSENT
+
+    def _forget_old(self) -> None:
+        oldest = self._clock.monotonic() - self._limits.key_age
+        for memory in (self._used, self._abandoned):
+            while memory:
+                key = next(iter(memory))
+                if memory[key] > oldest:
+                    break
+                del memory[key]
+                self._answers.pop(key, None)
+
+
+def _is_granted(claimed: result.Result[ClaimState, Any]) -> bool:
+    if not isinstance(claimed, result.Success):
+        return False
+    return claimed.unwrap().status is ClaimStatus.GRANTED
+
+
+def _refuse(
+    kind: _errors.ErrorKind, message: str
+) -> result.Result[Any, _errors.Failure]:
+    return result.Failure(_errors.Failure(kind, message))
--- /dev/null
+++ b/skylarktally/_connections.py
@@ -0,0 +1,202 @@
+"""Pooled connections to workers and to other routers."""
+
+import collections
+import datetime
+from http import client
+from typing import Any
+
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _errors
+from skylarktally import _limits
+from skylarktally import _loop
+
+
+class _WholeLines:
+    """Reader of header lines that refuses a line cut short."""
+
+    def __init__(self, stream: Any) -> None:
+        self.stream = stream
+
+    def readline(self, size: int = -1) -> bytes:
+        line: bytes = self.stream.readline(size)
+        if not line.endswith(b'\n'):
+            raise client.IncompleteRead(line)
+        return line
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.stream, name)
+
+
+class WholeResponse(client.HTTPResponse):
+    """Response whose head and chunk sizes cannot end early unnoticed.
+
+    The base class takes the end of the stream for the end of the headers
+    and reads a chunk size of 0 out of a size line cut after a zero.
+    """
+
+    # Whether bytes past the end of the answer had been read.
+    leftover = False
+
+    def begin(self) -> None:
+        """Read the status line and the headers."""
+        stream = self.fp
+        if self.headers is None:
+            self.fp = _WholeLines(stream)
+        try:
+            super().begin()
+        finally:
+            if self.fp is not None:
+                self.fp = stream
+
+    def _close_conn(self) -> None:
+        self.leftover = _holds_bytes(self.fp)
+        super()._close_conn()  # type: ignore[misc]
+
+    def _read_next_chunk_size(self) -> int:
+        line = self.fp.readline(1026)
+        digits = line.split(b';', 1)[0].strip()
+        if not line.endswith(b'\n') or not digits.isalnum():
+            raise client.IncompleteRead(line)
+        return int(digits, 16)
+
+    def _read_and_discard_trailer(self) -> None:
+        while True:
+            line = self.fp.readline(65537)
+            if not line.endswith(b'\n'):
+                raise client.IncompleteRead(line)
+            if line in (b'\r\n', b'\n'):
+                return
+
+
+def _holds_bytes(stream: Any) -> bool:
+    """Tell whether a buffered socket reader has bytes, without waiting."""
+    if stream is None or stream.closed:
+        return False
+    stream.raw._sock.settimeout(0)
+    try:
+        return bool(stream.peek(1))
+    except (OSError, ValueError):
+        return True
+
+
+class Connection(client.HTTPConnection):
+    """One connection with the address it belongs to."""
+
+    response_class = WholeResponse
+
+    def __init__(self, address: str, connect_timeout: float) -> None:
+        host, port = address.rsplit(':', 1)
+        super().__init__(host, int(port), timeout=connect_timeout)
+        self.address = address
+        self.idle_since = datetime.timedelta()
+        self.reused = False
+
+    def connect(self) -> None:
+        """Open the cooperative socket."""
+        self.sock = _loop.connect(
+            str(self.host), int(self.port or 0), self.timeout or 1
+        )
+
+    def getresponse(self) -> WholeResponse:
+        """Read the head of the answer."""
+        response = super().getresponse()
+        assert isinstance(response, WholeResponse)  # noqa: S101
+        return response
+
+    def limit(self, timeout: datetime.timedelta) -> None:
+        """Set the longest time without progress on the socket."""
+        if self.sock is not None:
+            self.sock.settimeout(max(timeout.total_seconds(), 0.001))
+
+
+class Connections:
+    """Open connections by address, at most so many to each."""
+
+    def __init__(
+        self, clock: _clock.Clock, limits: _limits.ServingLimits
+    ) -> None:
+        self._clock = clock
+        self._limits = limits
+        self._idle: dict[str, collections.deque[Connection]] = (
+            collections.defaultdict(collections.deque)
+        )
+        self.open_counts: collections.Counter[str] = collections.Counter()
+
+    def open(
+        self, address: str, fresh: bool = False
+    ) -> result.Result[Connection, _errors.Failure]:
+        """Return a connection that no one else uses.
+
+        :param fresh: opens a new connection even if one is idle
+        :returns: a failure means that no byte reached the address
+        """
+        connection = None if fresh else self._take_idle(address)
+        if connection is not None:
+            return result.Success(connection)
+        if self.open_counts[address] >= self._limits.worker_connections:
+            if not self._drop_idle(address):
+                return _fail(
+                    _errors.ErrorKind.NO_CAPACITY, 'no free connection'
+                )
+        timeout = self._limits.connect_timeout.total_seconds()
+        connection = Connection(address, timeout)
+        self.open_counts[address] += 1
+        try:
+            connection.connect()
+        except OSError as error:
+            self.close(connection)
+            return _fail(
+                _errors.ErrorKind.WORKER_UNREACHABLE,
+                f'cannot connect to {address}: {error}',
+            )
+        return result.Success(connection)
+
+    def _take_idle(self, address: str) -> Connection | None:
+        idle = self._idle[address]
+        oldest = self._clock.monotonic() - self._limits.idle_connection
+        while idle:
+            connection = idle.pop()
+            # Unread bytes or an end of stream would be taken for the
+            # start of the next answer.
+            if connection.idle_since > oldest and not _loop.is_readable(
+                connection.sock
+            ):
+                connection.reused = True
+                return connection
+            self.close(connection)
+        return None
+
+    def _drop_idle(self, address: str) -> bool:
+        idle = self._idle[address]
+        if idle:
+            self.close(idle.popleft())
+        return self.open_counts[address] < self._limits.worker_connections
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep a connection whose last answer was read whole."""
+        connection.idle_since = self._clock.monotonic()
+        self._idle[connection.address].append(connection)
+
+    def close(self, connection: Connection) -> None:
+        """Close a connection for good."""
+        connection.close()
+        self.open_counts[connection.address] -= 1
+        if not self.open_counts[connection.address]:
+            del self.open_counts[connection.address]
+
+    def close_idle(self, everything: bool = False) -> None:
+        """Close connections that were idle for too long."""
+        oldest = self._clock.monotonic() - self._limits.idle_connection
+        for address, idle in list(self._idle.items()):
+            while idle and (everything or idle[0].idle_since <= oldest):
+                self.close(idle.popleft())
+            if not idle:
+                del self._idle[address]
+
+
+def _fail(
+    kind: _errors.ErrorKind, message: str
+) -> result.Result[Any, _errors.Failure]:
+    return result.Failure(_errors.Failure(kind, message))
--- /dev/null
+++ b/skylarktally/_forwarding.py
@@ -0,0 +1,166 @@
+"""Requests that another router has to answer, and repeated keys."""
+
+from collections.abc import Callable, Iterable
+import random
+from typing import Any, Protocol
+
+from returns import result
+
+from skylarktally import _claims
+from skylarktally import _clock
+from skylarktally import _errors
+from skylarktally import _exchange
+from skylarktally import _relay
+
+DIGEST_HEADER = 'Skylarktally-Request-Digest'
+
+
+class Router(Protocol):
+    """Another router, as membership knows it."""
+
+    name: str
+    zone: str
+    incarnation: int
+    serving_address: str
+
+
+class Peers(Protocol):
+    """The other routers and their recorded answers."""
+
+    def find_answer(
+        self, address: str, key: str
+    ) -> result.Result[Any, _errors.Failure]:
+        """Ask a router for the recorded answer of a request key."""
+
+    def list_routers(self, zone: str | None = None) -> list[Any]:
+        """List the live routers, of one zone or of all."""
+
+
+class Forwarder:
+    """Sends exchanges on to other routers."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        relay: _relay.Relay,
+        clock: _clock.Clock,
+        zone: str,
+        address: str,
+        source: random.Random,
+    ) -> None:
+        self._peers = peers
+        self._relay = relay
+        self._clock = clock
+        self._zone = zone
+        self._address = address
+        self._random = source
+
+    def list_other_zones(self) -> list[Router]:
+        """List the routers of other zones in random order."""
+        routers = [
+            x for x in self._peers.list_routers() if x.zone != self._zone
+        ]
+        self._random.shuffle(routers)
+        return routers
+
+    def forward_to_issuer(
+        self, exchange: _exchange.Exchange, issuer: _claims.ClaimState
+    ) -> result.Result[_relay.Answer, _errors.Failure]:
+        """Send a request to the only router that may run its key."""
+        for router in self._peers.list_routers():
+            if (router.name, router.incarnation) == (
+                issuer.owner,
+                issuer.incarnation,
+            ):
+                return self.forward(exchange, [router])
+        return _fail(
+            _errors.ErrorKind.OUTCOME_UNKNOWN,
+            'the router that issued the key is gone',
+        )
+
+    def forward(
+        self, exchange: _exchange.Exchange, routers: Iterable[Router]
+    ) -> result.Result[_relay.Answer, _errors.Failure]:
+        """Send a request to the first router that takes it.
+
+        :raises BodyError: when the caller's body cannot be read
+        """
+        message = 'no other router can be reached'
+        for router in routers:
+            sent = self._relay.send(exchange, self._describe(exchange, router))
+            if isinstance(sent, result.Success):
+                return result.Success(sent.unwrap())
+            failure = sent.failure()
+            message = failure.message
+            if failure.may_have_run:
+                return _fail(_errors.ErrorKind.OUTCOME_UNKNOWN, message)
+        return _fail(_errors.ErrorKind.NO_CAPACITY, message)
+
+    def _describe(
+        self, exchange: _exchange.Exchange, router: Router
+    ) -> _relay.Target:
+        left = exchange.deadline - self._clock.monotonic()
+        milliseconds = max(int(left.total_seconds() * 1000), 1)
+        headers = [
+            ('Skylarktally-Forwarded', self._address),
+            ('Skylarktally-Timeout-Ms', str(milliseconds)),
+            ('Skylarktally-Idempotent', str(exchange.idempotent).lower()),
+        ]
+        if exchange.key is not None:
+            headers.append(('Idempotency-Key', exchange.key))
+        if exchange.authorization is not None:
+            headers.append(('Authorization', exchange.authorization))
+        return _relay.Target(
+            router.serving_address, exchange.path, tuple(headers)
+        )
+
+    def find_repeated(
+        self,
+        exchange: _exchange.Exchange,
+        state: _claims.ClaimState,
+        find_own: Callable[[str], _claims.RecordedAnswer],
+    ) -> result.Result[_claims.RecordedAnswer, _errors.Failure]:
+        """Return the recorded answer of a key that is already claimed."""
+        key = exchange.key or ''
+        if state.owner_address:
+            asked = self._peers.find_answer(state.owner_address, key)
+            if not isinstance(asked, result.Success):
+                return _fail(
+                    _errors.ErrorKind.DUPLICATE_REQUEST,
+                    'the router that claimed the key does not answer',
+                )
+            answer = read_answer(asked.unwrap())
+        else:
+            answer = find_own(key)
+        if answer.state is not _claims.AnswerState.RECORDED:
+            return _fail(
+                _errors.ErrorKind.DUPLICATE_REQUEST,
+                f'the key is in use; its answer is {answer.state.value}',
+            )
+        if dict(answer.headers).get(DIGEST_HEADER) != (
+            exchange.compute_digest()
+        ):
+            return _fail(
+                _errors.ErrorKind.CONFLICT,
+                'the key was used for another request',
+            )
+        return result.Success(answer)
+
+
+def read_answer(answer: Any) -> _claims.RecordedAnswer:
+    """Convert an answer of the peer protocol."""
+    state = getattr(answer.state, 'value', answer.state)
+    headers = answer.headers or {}
+    pairs = headers.items() if isinstance(headers, dict) else headers
+    return _claims.RecordedAnswer(
+        _claims.AnswerState(state),
+        answer.status or 0,
+        tuple(pairs),
+        answer.body or b'',
+    )
+
+
+def _fail(
+    kind: _errors.ErrorKind, message: str
+) -> result.Result[Any, _errors.Failure]:
+    return result.Failure(_errors.Failure(kind, message))
--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -5,6 +5,10 @@
 at import; the warning is of no use to an operator and is filtered here.
 """
 
+from collections.abc import Callable
+import select
+import socket
+from typing import Any
 import warnings
 
 warnings.filterwarnings(
@@ -13,9 +17,14 @@
 warnings.filterwarnings('ignore', message='(?s).*Eventlet is deprecated.*')
 
 import eventlet  # noqa: E402
+from eventlet.green import socket as green_socket  # noqa: E402
+from eventlet import hubs  # noqa: E402
 import eventlet.queue  # noqa: E402
 import eventlet.semaphore  # noqa: E402
+from eventlet import wsgi  # noqa: E402, H306
 
+GreenPool = eventlet.GreenPool
+HttpProtocol = wsgi.HttpProtocol
 Event = eventlet.Event
 Queue = eventlet.queue.LightQueue
 Semaphore = eventlet.semaphore.Semaphore
@@ -32,3 +41,42 @@
     Each binary calls this before it imports anything that opens sockets.
     """
     eventlet.monkey_patch()
+
+
+def connect(host: str, port: int, timeout: float) -> socket.socket:
+    """Open a cooperative TCP connection; the timeout is in seconds."""
+    connection = green_socket.create_connection((host, port), timeout)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return connection
+
+
+def is_readable(connection: socket.socket) -> bool:
+    """Tell whether bytes or an end of stream wait on a connection."""
+    poller = select.poll()
+    poller.register(connection.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
+def wait_readable(connection: socket.socket, timeout: float) -> bool:
+    """Wait for bytes or an end of stream; False after the timeout."""
+    try:
+        hubs.trampoline(
+            connection.fileno(),
+            read=True,
+            timeout=timeout,
+            timeout_exc=TimeoutError,
+        )
+    except TimeoutError:
+        return False
+    return True
+
+
+def serve(
+    listener: socket.socket,
+    application: Callable[..., Any],
+    **options: Any,
+) -> None:
+    """Serve a WSGI application until the calling green thread is killed."""
+    wsgi.server(
+        listener, application, log_output=False, debug=False, **options
+    )
--- /dev/null
+++ b/skylarktally/_pipeline.py
@@ -0,0 +1,369 @@
+"""The request path: parse, authenticate, admit, claim, dispatch, relay."""
+
+from collections.abc import Callable
+import datetime
+import logging
+import random
+from typing import Any, Protocol
+import uuid
+
+from returns import result
+
+from skylarktally import _claims
+from skylarktally import _clock
+from skylarktally import _connections
+from skylarktally import _dispatch
+from skylarktally import _errors
+from skylarktally import _exchange
+from skylarktally import _forwarding
+from skylarktally import _limits
+from skylarktally import _loop
+from skylarktally import _metrics
+from skylarktally import _parsing
+from skylarktally import _pools
+from skylarktally import _relay
+from skylarktally import _replies
+from skylarktally import _retries
+from skylarktally import _slots
+from skylarktally import _worker_calls
+
+log = logging.getLogger(__name__)
+
+_MAINTENANCE_PERIOD = datetime.timedelta(seconds=0.1)
+# Failures that another zone may not have.
+_FORWARDED_KINDS = (
+    _errors.ErrorKind.NO_CAPACITY,
+    _errors.ErrorKind.QUEUE_FULL,
+    _errors.ErrorKind.DEADLINE_EXCEEDED,
+)
+
+Authenticate = Callable[[str | None], result.Result[Any, _errors.Failure]]
+
+
+class Settings(Protocol):
+    """What the request path reads of the settings."""
+
+    name: str
+    zone: str
+    serving_address: str
+    limits: _limits.ServingLimits
+
+
+class Pipeline:
+    """WSGI application of the serving port."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        fleet: _pools.Fleet,
+        clock: _clock.Clock,
+        claims: _claims.Claims,
+        peers: _forwarding.Peers,
+        metrics: _metrics.ServingMetrics,
+        authenticate: Authenticate | None = None,
+    ) -> None:
+        """Create the pipeline.
+
+        :param authenticate: judges the Authorization header; None when
+            the platform's load balancer authenticates the callers
+        """
+        limits = settings.limits
+        source = random.Random()  # noqa: S311
+        self._clock = clock
+        self._limits = limits
+        self._claims = claims
+        self._metrics = metrics
+        self._authenticate = authenticate
+        self._parser = _parsing.Parser(fleet, clock, limits)
+        self._connections = _connections.Connections(clock, limits)
+        calls = _worker_calls.WorkerCalls(self._connections)
+        holder = f'{settings.name}-{uuid.uuid4().hex}'
+        self._slots = _slots.SlotLeases(clock, limits, holder, calls)
+        self._pools = _pools.Pools(
+            fleet, settings.zone, clock, limits, self._slots, source
+        )
+        relay = _relay.Relay(self._connections, calls, clock, limits)
+        self._retries = _retries.RetryPolicy(clock, limits, source)
+        self._dispatcher = _dispatch.Dispatcher(
+            clock, limits, self._slots, relay, calls, self._retries, metrics
+        )
+        self._forwarder = _forwarding.Forwarder(
+            peers,
+            relay,
+            clock,
+            settings.zone,
+            settings.serving_address,
+            source,
+        )
+        self._running = 0
+        self._draining = False
+        self._maintenance: Any = None
+
+    def application(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> _replies.Body:
+        """Answer one request of a caller."""
+        if self._maintenance is None:
+            self._maintenance = _loop.spawn(self._maintain)
+        self._running += 1
+        try:
+            reply = self._answer(environ)
+        except BaseException:
+            self._note_end()
+            raise
+        start_response(reply.status, reply.headers)
+        return _replies.Body(reply, self._note_end)
+
+    def _note_end(self) -> None:
+        self._running -= 1
+
+    def _answer(self, environ: dict[str, Any]) -> _replies.Reply:
+        if self._draining:
+            kind = _errors.ErrorKind.SHUTTING_DOWN
+            failure = _errors.Failure(kind, 'the router is shutting down')
+            return self._refuse(failure, uuid.uuid4().hex)
+        if (
+            environ['RAW_PATH_INFO'] == '/v1/request-keys'
+            and environ['REQUEST_METHOD'] == 'POST'
+        ):
+            key = self._claims.issue_key()
+            return _replies.create_json(200, {'key': key})
+        parsed = self._parser.parse(environ).bind(self._check_caller)
+        if not isinstance(parsed, result.Success):
+            return self._refuse(parsed.failure(), uuid.uuid4().hex)
+        return self._serve(parsed.unwrap())
+
+    def _check_caller(
+        self, exchange: _exchange.Exchange
+    ) -> result.Result[_exchange.Exchange, _errors.Failure]:
+        if self._authenticate is None:
+            return result.Success(exchange)
+        judged = self._authenticate(exchange.authorization)
+        return judged.map(lambda _: exchange)
+
+    def _serve(self, exchange: _exchange.Exchange) -> _replies.Reply:
+        start = self._clock.monotonic()
+        try:
+            exchange.body.load_first()
+            served = self._route(exchange)
+        except _exchange.BodyError as error:
+            # Bytes that were sent on may have started a task.
+            kind = error.kind
+            if exchange.sent:
+                kind = _errors.ErrorKind.OUTCOME_UNKNOWN
+            served = result.Failure(_errors.Failure(kind, str(error)))
+        passed = self._clock.monotonic() - start
+        urgency = exchange.job.urgency
+        self._metrics.seconds.labels(urgency).observe(passed.total_seconds())
+        if isinstance(served, result.Success):
+            outcome = _errors.Outcome.COMPLETE
+            reply = served.unwrap()
+        else:
+            failure = served.failure()
+            outcome = failure.find_answer().outcome
+            reply = self._refuse(failure, exchange.request_id)
+        self._metrics.requests.labels(
+            exchange.pool, urgency, outcome.value
+        ).inc()
+        return reply
+
+    def _refuse(
+        self, failure: _errors.Failure, request_id: str
+    ) -> _replies.Reply:
+        self._metrics.refusals.labels(failure.kind.value).inc()
+        return _replies.create_error(failure, request_id)
+
+    def _route(
+        self, exchange: _exchange.Exchange
+    ) -> result.Result[_replies.Reply, _errors.Failure]:
+        """Serve here, or send on to the router that has to serve."""
+        issuer = None
+        if exchange.key is not None and not exchange.idempotent:
+            issuer = self._claims.find_issuer(exchange.key)
+        if issuer is not None:
+            if exchange.forwarded:
+                kind = _errors.ErrorKind.OUTCOME_UNKNOWN
+                message = 'the router that issued the key is gone'
+                return result.Failure(_errors.Failure(kind, message))
+            self._metrics.forwarded.labels('issuer').inc()
+            sent = self._forwarder.forward_to_issuer(exchange, issuer)
+            return sent.map(lambda x: _pass_on(x, exchange))
+        served = self._admit(exchange)
+        if isinstance(served, result.Success):
+            return served
+        return self._forward_on_shortage(exchange, served.failure())
+
+    def _forward_on_shortage(
+        self, exchange: _exchange.Exchange, failure: _errors.Failure
+    ) -> result.Result[_replies.Reply, _errors.Failure]:
+        """Try another zone, unless the request ran or is bound here."""
+        bound = exchange.key is not None and not exchange.idempotent
+        if (
+            failure.kind not in _FORWARDED_KINDS
+            or bound
+            or exchange.forwarded
+            or exchange.sent
+            or self._clock.monotonic() >= exchange.deadline
+        ):
+            return result.Failure(failure)
+        routers = self._forwarder.list_other_zones()
+        if not routers:
+            return result.Failure(failure)
+        self._metrics.forwarded.labels('capacity').inc()
+        sent = self._forwarder.forward(exchange, routers[:2])
+        return sent.map(lambda x: _pass_on(x, exchange))
+
+    def _admit(
+        self, exchange: _exchange.Exchange
+    ) -> result.Result[_replies.Reply, _errors.Failure]:
+        pool = self._pools.find(exchange.pool)
+        self._retries.note_request(exchange.pool)
+        admitted = pool.queue.admit(
+            exchange.job.urgency, exchange.deadline, pool.selection.slots
+        )
+        if not isinstance(admitted, result.Success):
+            return result.Failure(admitted.failure())
+        if exchange.idempotent:
+            return self._dispatcher.dispatch(
+                exchange, pool, admitted.unwrap(), self._pools
+            ).map(lambda x: _deliver(x, exchange))
+        claimed = self._claims.claim(exchange.key or '')
+        if not isinstance(claimed, result.Success):
+            return result.Failure(claimed.failure())
+        state = claimed.unwrap()
+        if state.status is not _claims.ClaimStatus.GRANTED:
+            return self._forwarder.find_repeated(
+                exchange, state, self._claims.find
+            ).map(lambda x: _repeat(x, exchange))
+        return self._run_once(exchange, pool, admitted.unwrap())
+
+    def _run_once(
+        self, exchange: _exchange.Exchange, pool: Any, waiter: Any
+    ) -> result.Result[_replies.Reply, _errors.Failure]:
+        """Dispatch a claimed request and record its answer."""
+        key = exchange.key or ''
+        digest = exchange.compute_digest()
+        dispatched = self._dispatcher.dispatch(
+            exchange, pool, waiter, self._pools
+        )
+        if not isinstance(dispatched, result.Success):
+            failure = dispatched.failure()
+            if failure.find_answer().outcome is _errors.Outcome.NOT_RUN:
+                self._claims.abandon(key)
+            return result.Failure(failure)
+        delivery = dispatched.unwrap()
+        answer = delivery.answer
+        if answer.complete:
+            headers = (
+                *answer.headers,
+                ('Skylarktally-Instance', delivery.instance),
+                (_forwarding.DIGEST_HEADER, digest),
+            )
+            self._claims.record(
+                key,
+                _claims.RecordedAnswer(
+                    _claims.AnswerState.RECORDED,
+                    answer.status,
+                    headers,
+                    answer.first,
+                ),
+            )
+        return result.Success(_deliver(delivery, exchange))
+
+    def _maintain(self) -> None:
+        """Renew leases, close idle connections and probe workers."""
+        while True:
+            try:
+                self._slots.maintain(self._pools.is_current)
+                self._connections.close_idle()
+                self._start_probes()
+            except Exception:
+                log.exception('maintenance of the request path failed')
+            self._clock.sleep(_MAINTENANCE_PERIOD)
+
+    def _start_probes(self) -> None:
+        for pool in self._pools.list_states():
+            for name in pool.selection.outliers.list_due():
+                _loop.spawn(self._dispatcher.probe_ejected, pool, name)
+
+    def observe(self) -> dict[str, Any]:
+        """Return the observations of this router."""
+        return self._pools.observe()
+
+    def drain(self) -> None:
+        """Refuse new requests and return when none is running."""
+        self._draining = True
+        while self._running:
+            self._clock.sleep(_MAINTENANCE_PERIOD)
+        if self._maintenance is not None:
+            self._maintenance.kill()
+        self._slots.return_all()
+        self._connections.close_idle(everything=True)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for operators."""
+        return {
+            'running': self._running,
+            'draining': self._draining,
+            'leases': self._slots.count_held(),
+            'connections': dict(self._connections.open_counts),
+            **self.observe(),
+        }
+
+
+def _list_common_headers(
+    exchange: _exchange.Exchange, outcome: str = 'complete'
+) -> list[tuple[str, str]]:
+    return [
+        ('Skylarktally-Outcome', outcome),
+        ('Skylarktally-Request-Id', exchange.request_id),
+    ]
+
+
+def _build_reply(
+    answer: _relay.Answer,
+    headers: list[tuple[str, str]],
+    body: Any,
+    close: Callable[[], None],
+) -> _replies.Reply:
+    if answer.length is not None:
+        headers = [*headers, ('Content-Length', str(answer.length))]
+    status = _replies.format_status(answer.status, answer.reason)
+    return _replies.Reply(status, headers, body, close)
+
+
+def _deliver(
+    delivery: _dispatch.Delivery, exchange: _exchange.Exchange
+) -> _replies.Reply:
+    headers = [
+        *delivery.answer.headers,
+        *_list_common_headers(exchange),
+        ('Skylarktally-Instance', delivery.instance),
+    ]
+    return _build_reply(
+        delivery.answer, headers, delivery.iterate(), delivery.close
+    )
+
+
+def _pass_on(
+    answer: _relay.Answer, exchange: _exchange.Exchange
+) -> _replies.Reply:
+    """Return another router's answer, with its outcome."""
+    headers = [
+        x for x in answer.headers if x[0].lower() != 'skylarktally-request-id'
+    ]
+    headers.append(('Skylarktally-Request-Id', exchange.request_id))
+    return _build_reply(answer, headers, answer.iterate(), answer.close)
+
+
+def _repeat(
+    answer: _claims.RecordedAnswer, exchange: _exchange.Exchange
+) -> _replies.Reply:
+    """Return the recorded answer of an earlier request of the key."""
+    headers = [
+        *(x for x in answer.headers if x[0] != _forwarding.DIGEST_HEADER),
+        *_list_common_headers(exchange),
+        ('Content-Length', str(len(answer.body))),
+    ]
+    status = _replies.format_status(answer.status)
+    return _replies.Reply(status, headers, [answer.body])
--- /dev/null
+++ b/skylarktally/_relay.py
@@ -0,0 +1,377 @@
+"""One attempt: a request to a worker and its answer back."""
+
+from collections.abc import Iterator
+import datetime
+from http import client
+from typing import NamedTuple
+from urllib import parse
+
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _connections
+from skylarktally import _errors
+from skylarktally import _exchange
+from skylarktally import _limits
+from skylarktally import _loop
+from skylarktally import _retries
+from skylarktally import _worker_calls
+
+_NO_BODY_STATUSES = (204, 304)
+_HOP_HEADERS = {
+    'connection',
+    'content-length',
+    'date',
+    'keep-alive',
+    'proxy-authenticate',
+    'proxy-connection',
+    'request-key',
+    'task-started',
+    'te',
+    'trailer',
+    'transfer-encoding',
+    'upgrade',
+}
+
+
+class TruncatedAnswer(Exception):
+    """The answer ended before its end; the caller must not see an end."""
+
+
+class AttemptFailure(NamedTuple):
+    """Why an attempt got no answer that can be relayed."""
+
+    failure_class: _retries.FailureClass
+    message: str
+    # Whether a byte of the request may have been processed.
+    may_have_run: bool
+    # The worker answered on no connection.
+    dead: bool = False
+    # The connection went silent while the worker answered a probe.
+    silent: bool = False
+    # Counts against the worker.
+    blamed: bool = True
+    retry_after: datetime.timedelta | None = None
+
+
+class Target(NamedTuple):
+    """Where an attempt goes, with the headers that it needs there."""
+
+    address: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    # Key under which the worker knows the task; empty for a router.
+    task_key: str = ''
+
+
+class Answer:
+    """An answer whose head and first piece have arrived."""
+
+    def __init__(
+        self,
+        response: _connections.WholeResponse,
+        connection: _connections.Connection,
+        connections: _connections.Connections,
+        method: str,
+        limits: _limits.ServingLimits,
+    ) -> None:
+        self.status = response.status
+        self.reason = response.reason
+        self.headers = [
+            (name, value)
+            for name, value in response.getheaders()
+            if name.lower() not in _HOP_HEADERS
+        ]
+        self._response = response
+        self._connection = connection
+        self._connections = connections
+        self._limits = limits
+        self.bodyless = (
+            method == 'HEAD' or response.status in _NO_BODY_STATUSES
+        )
+        self.length = None if self.bodyless else response.length
+        self._read_bytes = 0
+        self.complete = False
+        self._closed = False
+        self.first = b''
+
+    def load_first(self) -> None:
+        """Read a small answer whole, or the first piece of another."""
+        piece = self._limits.piece_bytes
+        if self.length is None or self.length > piece:
+            self.first = self._read()
+            return
+        parts = []
+        while not self.complete:
+            parts.append(self._read())
+        self.first = b''.join(parts)
+
+    def _read(self) -> bytes:
+        """Return the next bytes; empty only at the true end."""
+        if self.bodyless or self._read_bytes == self.length:
+            self._finish()
+            return b''
+        data = self._response.read1(self._limits.piece_bytes)
+        self._read_bytes += len(data)
+        if not data and self.length is not None:
+            raise TruncatedAnswer('the body is shorter than its length')
+        if not data or self._read_bytes == self.length:
+            self._finish()
+        return data
+
+    def _finish(self) -> None:
+        self.complete = True
+        self.close()
+
+    def iterate(self) -> Iterator[bytes]:
+        """Yield the body.
+
+        :raises TruncatedAnswer: when the end is missing
+        """
+        if self.first:
+            yield self.first
+        self._connection.limit(self._limits.progress_timeout)
+        while not self.complete:
+            try:
+                data = self._read()
+            except (OSError, client.HTTPException) as error:
+                raise TruncatedAnswer(repr(error)) from error
+            if data:
+                yield data
+
+    def close(self) -> None:
+        """Keep the connection if the answer is whole, else close it."""
+        if self._closed:
+            return
+        self._closed = True
+        self._response.close()
+        if (
+            self.complete
+            and not self._response.will_close
+            and not self._response.leftover
+        ):
+            self._connections.give_back(self._connection)
+        else:
+            self._connections.close(self._connection)
+
+
+class Relay:
+    """Sends requests to workers and other routers."""
+
+    def __init__(
+        self,
+        connections: _connections.Connections,
+        calls: _worker_calls.WorkerCalls,
+        clock: _clock.Clock,
+        limits: _limits.ServingLimits,
+    ) -> None:
+        self._connections = connections
+        self._calls = calls
+        self._clock = clock
+        self._limits = limits
+
+    def send(
+        self, exchange: _exchange.Exchange, target: Target
+    ) -> result.Result[Answer, AttemptFailure]:
+        """Make one attempt.
+
+        :raises BodyError: when the caller's body cannot be read
+        """
+        opened = self._connections.open(target.address)
+        if not isinstance(opened, result.Success):
+            failure = opened.failure()
+            unreachable = _errors.ErrorKind.WORKER_UNREACHABLE
+            dead = failure.kind is unreachable
+            return result.Failure(
+                AttemptFailure(
+                    _retries.FailureClass.NOT_STARTED,
+                    failure.message,
+                    may_have_run=False,
+                    dead=dead,
+                    blamed=dead,
+                )
+            )
+        connection = opened.unwrap()
+        try:
+            attempt = self._attempt(exchange, target, connection)
+        except (OSError, client.HTTPException, TruncatedAnswer) as error:
+            attempt = _fail(repr(error))
+        except BaseException:
+            self._connections.close(connection)
+            raise
+        if not isinstance(attempt, result.Success):
+            self._connections.close(connection)
+        return attempt
+
+    def _attempt(
+        self,
+        exchange: _exchange.Exchange,
+        target: Target,
+        connection: _connections.Connection,
+    ) -> result.Result[Answer, AttemptFailure]:
+        self._put_head(exchange, target, connection)
+        connection.limit(self._limits.progress_timeout)
+        exchange.sent = True
+        self._send_body(exchange, connection)
+        waited = self._wait_for_answer(exchange, target, connection)
+        if waited is not None:
+            return result.Failure(waited)
+        connection.limit(self._limits.response_timeout)
+        response = connection.getresponse()
+        fault = _check_head(response, exchange.method, target.task_key)
+        if fault is not None:
+            return _fail(fault)
+        if (
+            response.status == 409
+            and response.getheader('Task-Started') == 'false'
+        ):
+            return _refuse(response)
+        answer = Answer(
+            response,
+            connection,
+            self._connections,
+            exchange.method,
+            self._limits,
+        )
+        answer.load_first()
+        return result.Success(answer)
+
+    def _put_head(
+        self,
+        exchange: _exchange.Exchange,
+        target: Target,
+        connection: _connections.Connection,
+    ) -> None:
+        path = target.path
+        if exchange.query:
+            path += '?' + exchange.query
+        connection.putrequest(exchange.method, path, skip_accept_encoding=True)
+        for name, value in (*exchange.headers, *target.headers):
+            connection.putheader(name, value)
+        if exchange.body.length is None:
+            connection.putheader('Transfer-Encoding', 'chunked')
+        else:
+            connection.putheader('Content-Length', str(exchange.body.length))
+
+    def _send_body(
+        self,
+        exchange: _exchange.Exchange,
+        connection: _connections.Connection,
+    ) -> None:
+        chunked = exchange.body.length is None
+        try:
+            connection.endheaders(
+                exchange.body.iterate(), encode_chunked=chunked
+            )
+        except OSError:
+            # A worker that refuses may close before it has read the
+            # body; its answer is then waiting to be read.
+            if not _loop.wait_readable(connection.sock, 0.1):
+                raise
+
+    def _wait_for_answer(
+        self,
+        exchange: _exchange.Exchange,
+        target: Target,
+        connection: _connections.Connection,
+    ) -> AttemptFailure | None:
+        """Wait for the first byte, with checks for a silent connection."""
+        start = self._clock.monotonic()
+        while True:
+            left = exchange.deadline - self._clock.monotonic()
+            if left <= datetime.timedelta():
+                waited = self._clock.monotonic() - start
+                usual = datetime.timedelta(
+                    seconds=4 * exchange.job.expected_seconds
+                )
+                blamed = waited > max(usual, self._limits.response_timeout)
+                return _describe('the deadline passed', blamed=blamed)
+            wait = min(left, self._limits.response_timeout)
+            if _loop.wait_readable(connection.sock, wait.total_seconds()):
+                return None
+            if not target.task_key or wait == left:
+                continue
+            fault = self._check_silence(target, connection)
+            if fault is not None:
+                return fault
+
+    def _check_silence(
+        self, target: Target, connection: _connections.Connection
+    ) -> AttemptFailure | None:
+        """Ask on a new connection whether the task still runs."""
+        called = self._calls.call(
+            target.address,
+            'GET',
+            '/v1/tasks/' + parse.quote(target.task_key, safe=''),
+            None,
+            self._limits.probe_timeout,
+            fresh=True,
+        )
+        if not isinstance(called, result.Success):
+            failure = called.failure()
+            if failure.kind is _errors.ErrorKind.NO_CAPACITY:
+                return None
+            return _describe(failure.message, dead=True)
+        reply = called.unwrap()
+        if reply.status == 200 and reply.data.get('end') is None:
+            return None
+        # The answer may have arrived during the probe.
+        if _loop.wait_readable(connection.sock, 0.05):
+            return None
+        return _describe('the connection is silent', silent=True, blamed=False)
+
+
+def _check_head(
+    response: client.HTTPResponse, method: str, task_key: str
+) -> str | None:
+    """Return why an answer cannot be trusted, or None."""
+    echoed = response.getheader('Request-Key')
+    if task_key and echoed is not None and echoed != task_key:
+        return 'the answer belongs to another request'
+    if response.status < 200:
+        return f'unexpected status {response.status}'
+    lengths = response.headers.get_all('Content-Length') or []
+    if len(lengths) + (response.chunked is True) > 1:
+        return 'the answer has more than one length'
+    bodyless = method == 'HEAD' or response.status in _NO_BODY_STATUSES
+    if not bodyless and response.length is None and not response.chunked:
+        return 'the answer has no length, so its end is unknown'
+    return None
+
+
+def _refuse(
+    response: client.HTTPResponse,
+) -> result.Result[Answer, AttemptFailure]:
+    seconds = response.getheader('Retry-After') or ''
+    retry_after = None
+    if seconds.isdecimal():
+        retry_after = datetime.timedelta(seconds=min(int(seconds), 3600))
+    return result.Failure(
+        AttemptFailure(
+            _retries.FailureClass.NOT_STARTED,
+            'the worker refused the task',
+            may_have_run=False,
+            blamed=False,
+            retry_after=retry_after,
+        )
+    )
+
+
+def _describe(
+    message: str,
+    dead: bool = False,
+    silent: bool = False,
+    blamed: bool = True,
+) -> AttemptFailure:
+    return AttemptFailure(
+        _retries.FailureClass.TRANSPORT,
+        message,
+        may_have_run=True,
+        dead=dead,
+        silent=silent,
+        blamed=blamed,
+    )
+
+
+def _fail(message: str) -> result.Result[Answer, AttemptFailure]:
+    return result.Failure(_describe(message))
--- /dev/null
+++ b/skylarktally/_worker_calls.py
@@ -0,0 +1,70 @@
+"""Calls of a router to the interface of a worker, other than tasks."""
+
+import datetime
+from http import client
+import json
+from typing import Any, NamedTuple
+
+from returns import result
+
+from skylarktally import _connections
+from skylarktally import _errors
+
+
+class Reply(NamedTuple):
+    """A whole answer of a worker."""
+
+    status: int
+    data: dict[str, Any]
+
+
+class WorkerCalls:
+    """Sends small JSON requests over the pooled connections."""
+
+    def __init__(self, connections: _connections.Connections) -> None:
+        self._connections = connections
+
+    def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        data: dict[str, Any] | None,
+        timeout: datetime.timedelta,
+        fresh: bool = False,
+    ) -> result.Result[Reply, _errors.Failure]:
+        """Return the worker's answer, or WORKER_UNREACHABLE.
+
+        :param fresh: uses a new connection, as a probe must
+        """
+        opened = self._connections.open(address, fresh)
+        if not isinstance(opened, result.Success):
+            return result.Failure(opened.failure())
+        connection = opened.unwrap()
+        try:
+            reply = _exchange(connection, method, path, data, timeout)
+        except (OSError, client.HTTPException, ValueError) as error:
+            self._connections.close(connection)
+            message = f'{method} {path} at {address}: {error!r}'
+            kind = _errors.ErrorKind.WORKER_UNREACHABLE
+            return result.Failure(_errors.Failure(kind, message))
+        if connection.sock is None or fresh:
+            self._connections.close(connection)
+        else:
+            self._connections.give_back(connection)
+        return result.Success(reply)
+
+
+def _exchange(
+    connection: _connections.Connection,
+    method: str,
+    path: str,
+    data: dict[str, Any] | None,
+    timeout: datetime.timedelta,
+) -> Reply:
+    connection.limit(timeout)
+    body = b'' if data is None else json.dumps(data).encode()
+    connection.request(method, path, body)
+    response = connection.getresponse()
+    text = response.read()
+    return Reply(response.status, json.loads(text) if text else {})
--- /dev/null
+++ b/tests/serving.py
@@ -0,0 +1,296 @@
+"""Fakes and servers on loopback for the tests of the request path."""
+
+import datetime
+import socket
+from typing import Any, NamedTuple
+
+from returns import result
+
+from skylarktally import _claims
+from skylarktally import _clock
+from skylarktally import _connections
+from skylarktally import _errors
+from skylarktally import _limits
+from skylarktally import _loop
+from skylarktally import _metrics
+from skylarktally import _pipeline
+from skylarktally import _resources
+from standins import worker as worker_standin
+
+POOL = 'desk'
+
+
+class ManualClock:
+    """Clock that moves only when told to."""
+
+    def __init__(self):
+        self.time = datetime.timedelta(hours=1)
+
+    def now(self):
+        start = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+        return start + self.time
+
+    def monotonic(self):
+        return self.time
+
+    def sleep(self, delay):
+        self.time += delay
+
+    def advance(self, seconds):
+        self.time += datetime.timedelta(seconds=seconds)
+
+
+class FakeFleet:
+    """Instances and jobs without a log."""
+
+    def __init__(self):
+        self.version = 1
+        self.instances = {}
+        self.jobs = {}
+
+    def find(self, kind, name):
+        assert kind is _resources.Kind.JOB
+        return self.jobs.get(name)
+
+    def find_instances(self, pool=None, zone=None):
+        return [
+            x
+            for x in self.instances.values()
+            if pool in (None, x.pool) and zone in (None, x.zone)
+        ]
+
+    def put_instance(self, name, address, **fields):
+        values = {
+            'pool': POOL,
+            'zone': 'a',
+            'rack': 'r1',
+            'cores': 32,
+            'memory_bytes': 64 << 30,
+            'accelerators': 0,
+            'slots': 8,
+            'connections': 64,
+            'phase': _resources.Phase.SERVING,
+            'epoch': 1,
+        }
+        values.update(fields)
+        self.instances[name] = _resources.Instance(
+            name=name, address=address, **values
+        )
+        self.version += 1
+
+    def put_job(self, name, pool=POOL, **spec):
+        self.jobs[name] = {
+            'kind': 'job',
+            'name': name,
+            'spec': {'pool': pool, **spec},
+            'status': {},
+            'resource_version': 1,
+        }
+        self.version += 1
+
+
+class Row(NamedTuple):
+    key: str
+    value: dict
+    version: int
+
+
+class FakeTable:
+    """Transactional table with scripted faults."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.down = False
+        # Commits that take effect but whose answer is lost.
+        self.lost_answers = 0
+        # Commits that are lost before they take effect.
+        self.lost_commits = 0
+
+    def _fail(self, kind):
+        return result.Failure(_errors.Failure(kind, kind.value))
+
+    def commit(self, transaction):
+        if self.down:
+            return self._fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+        if self.lost_commits:
+            self.lost_commits -= 1
+            return self._fail(_errors.ErrorKind.OUTCOME_UNKNOWN)
+        for key, version in transaction.conditions:
+            row = self.rows.get(key)
+            if (row.version if row else 0) != version:
+                return self._fail(_errors.ErrorKind.CONFLICT)
+        self.version += 1
+        for key, value in transaction.writes:
+            self.rows[key] = Row(key, value, self.version)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return self._fail(_errors.ErrorKind.OUTCOME_UNKNOWN)
+        return result.Success(self.version)
+
+    def read(self, key):
+        if self.down:
+            return self._fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+        return result.Success(self.rows.get(key))
+
+
+class FakePeers:
+    """Membership and peer calls between routers of one test."""
+
+    def __init__(self):
+        self.routers = []
+
+    def list_routers(self, zone=None):
+        return [x for x in self.routers if zone in (None, x.zone)]
+
+    def find_answer(self, address, key):
+        for router in self.routers:
+            if router.settings.peer_address == address:
+                return result.Success(router.claims.find(key))
+        kind = _errors.ErrorKind.PEER_UNREACHABLE
+        return result.Failure(_errors.Failure(kind, address))
+
+
+class Settings(NamedTuple):
+    name: str
+    zone: str
+    serving_address: str
+    peer_address: str
+    limits: _limits.ServingLimits
+
+
+def listen():
+    """Return a listener on a free port and its address."""
+    listener = _loop.listen(('127.0.0.1', 0))
+    return listener, f'127.0.0.1:{listener.getsockname()[1]}'
+
+
+class Server:
+    """A WSGI application served on loopback until stopped."""
+
+    def __init__(self, application, **options):
+        self.listener, self.address = listen()
+        self.thread = _loop.spawn(
+            _loop.serve, self.listener, application, **options
+        )
+
+    def stop(self):
+        self.thread.kill()
+        self.listener.close()
+
+
+class Router:
+    """A pipeline on loopback with its own claims."""
+
+    def __init__(self, fleet, table, peers, name='r1', zone='a', **options):
+        limits = options.pop('limits', _limits.ServingLimits())
+        clock = options.pop('clock', _clock.SystemClock())
+        self.name = name
+        self.zone = zone
+        self.incarnation = 1
+        self.server = Server(self._call, **options)
+        self.serving_address = self.server.address
+        self.settings = Settings(
+            name, zone, self.serving_address, f'peer-{name}', limits
+        )
+        owner = _claims.Owner(
+            name, self.incarnation, self.settings.peer_address
+        )
+        self.claims = _claims.Claims(table, clock, owner, limits)
+        self.metrics = _metrics.ServingMetrics(_metrics.create_registry())
+        self.pipeline = _pipeline.Pipeline(
+            self.settings, fleet, clock, self.claims, peers, self.metrics
+        )
+        peers.routers.append(self)
+
+    def _call(self, environ, start_response):
+        return self.pipeline.application(environ, start_response)
+
+    def stop(self):
+        self.pipeline.drain()
+        self.server.stop()
+
+
+class Reply(NamedTuple):
+    status: int
+    headers: Any
+    body: bytes
+
+    @property
+    def outcome(self):
+        return self.headers['Skylarktally-Outcome']
+
+
+def call(address, method, path, body=None, headers=None, timeout=20):
+    """Send one request and read its whole answer."""
+    connection = _connections.Connection(address, timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return Reply(response.status, response.headers, response.read())
+    finally:
+        connection.close()
+
+
+class WorkerServer:
+    """A stand-in worker on loopback, fenced for the pool."""
+
+    def __init__(self, fleet, name='w1', pool=POOL, **fields):
+        self.worker = worker_standin.Worker(name)
+        self.worker.fence = (fields.get('epoch', 1), pool)
+        self.server = Server(self.worker.application, keepalive=30)
+        fleet.put_instance(name, self.server.address, pool=pool, **fields)
+
+    def stop(self):
+        self.server.stop()
+
+
+def connect(address):
+    """Open a raw connection."""
+    host, port = address.rsplit(':', 1)
+    return _loop.connect(host, int(port), 5)
+
+
+def read_all(connection: socket.socket) -> bytes:
+    """Read until the peer closes."""
+    parts = []
+    while part := connection.recv(65536):
+        parts.append(part)
+    return b''.join(parts)
+
+
+class Cell:
+    """Workers and routers of one test, stopped at its end."""
+
+    def __init__(self):
+        self.fleet = FakeFleet()
+        self.table = FakeTable()
+        self.peers = FakePeers()
+        self.routers = []
+        self.workers = []
+        self.fleet.put_job('report', idempotent=True)
+        self.fleet.put_job('lien', idempotent=False)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_error):
+        for item in (*self.routers, *self.workers):
+            item.stop()
+
+    def add_worker(self, name=None, **fields):
+        name = name or f'w{len(self.workers) + 1}'
+        self.workers.append(WorkerServer(self.fleet, name, **fields))
+        return self.workers[-1].worker
+
+    def add_router(self, name=None, **options):
+        name = name or f'r{len(self.routers) + 1}'
+        router = Router(self.fleet, self.table, self.peers, name, **options)
+        self.routers.append(router)
+        return router
+
+    def call(self, method, path, body=None, headers=None, **options):
+        router = self.routers[0] if self.routers else self.add_router()
+        return call(
+            router.serving_address, method, path, body, headers, **options
+        )
