--- /dev/null
+++ b/skylarktally/_repairs.py
@@ -0,0 +1,143 @@
+"""Repair of workers that failed, flap or fail every task."""
+
+import collections
+import datetime
+import enum
+from collections.abc import Collection, Iterable
+from typing import NamedTuple
+
+from returns import result
+
+from skylarktally import _budgets
+from skylarktally import _resources
+
+_Phase = _resources.Phase
+
+# The same time after which another controller takes over a lease.
+SILENCE_LIMIT = datetime.timedelta(seconds=12)
+# A worker is judged by its tasks only after this many outcomes: five
+# failures in a row already eject it at the routers.
+MIN_FAILURES = 10
+FLAP_LIMIT = 3
+CORDON_SHARE = 0.2
+PROBES_TO_RETURN = 3
+# Least time in a cordon, doubled with each restart seen in the window.
+CORDON_TIME = datetime.timedelta(seconds=30)
+CORDON_TIME_LIMIT = datetime.timedelta(minutes=30)
+
+
+class Action(enum.Enum):
+    """What is to be done with an instance."""
+
+    FAIL = 'fail'
+    CORDON = 'cordon'
+    RETURN = 'return'
+
+
+class WorkerObservation(NamedTuple):
+    """What routers and probes saw of one worker in the last 10 minutes."""
+
+    instance: str
+    successes: int = 0
+    failures: int = 0
+    # Time since the worker last answered anything.
+    silent: datetime.timedelta = datetime.timedelta(0)
+    restarts: int = 0
+    # Probes answered since the last failed one.
+    probes_passed: int = 0
+
+
+class Repair(NamedTuple):
+    """One change of phase, with its cause."""
+
+    instance: str
+    action: Action
+    reason: str
+
+
+def plan_repairs(
+    instances: Collection[_resources.Instance],
+    observations: Iterable[WorkerObservation],
+    budgets: Iterable[_resources.Budget],
+    now: datetime.datetime,
+) -> list[Repair]:
+    """Plan which workers fail, are cordoned or return.
+
+    Losses are recorded whatever the budgets say. A cordon takes a serving
+    worker away: it needs the budget, and at most a fifth of the pool is
+    cordoned at a time.
+    """
+    seen = {o.instance: o for o in observations}
+    ledger = _budgets.Ledger(budgets, instances)
+    sizes = collections.Counter(i.pool for i in instances)
+    cordoned = collections.Counter(
+        i.pool for i in instances if i.phase is _Phase.CORDONED
+    )
+    repairs = []
+    suspects = []
+    for instance in sorted(instances):
+        observation = seen.get(instance.name)
+        if observation is None:
+            continue
+        repair = _judge(instance, observation, now)
+        if repair is None:
+            continue
+        if repair.action is Action.CORDON:
+            suspects.append((-observation.failures, instance, repair))
+            continue
+        if repair.action is Action.FAIL:
+            ledger.lose(instance)
+        repairs.append(repair)
+    for _, instance, repair in sorted(suspects):
+        if cordoned[instance.pool] + 1 > CORDON_SHARE * sizes[instance.pool]:
+            continue
+        if isinstance(ledger.stop(instance), result.Success):
+            cordoned[instance.pool] += 1
+            repairs.append(repair)
+    return repairs
+
+
+def _judge(
+    instance: _resources.Instance,
+    seen: WorkerObservation,
+    now: datetime.datetime,
+) -> Repair | None:
+    if instance.phase in (_Phase.SERVING, _Phase.CORDONED, _Phase.DRAINING):
+        if seen.silent >= SILENCE_LIMIT:
+            reason = f'silent for {seen.silent.total_seconds():.0f} s'
+            return Repair(instance.name, Action.FAIL, reason)
+    if instance.phase is _Phase.SERVING:
+        return _judge_serving(instance, seen)
+    if instance.phase in (_Phase.FAILED, _Phase.CORDONED):
+        return _judge_return(instance, seen, now)
+    return None
+
+
+def _judge_serving(
+    instance: _resources.Instance, seen: WorkerObservation
+) -> Repair | None:
+    if seen.restarts >= FLAP_LIMIT:
+        reason = f'restarted {seen.restarts} times within 10 minutes'
+        return Repair(instance.name, Action.CORDON, reason)
+    if seen.failures >= MIN_FAILURES and not seen.successes:
+        reason = f'failed all of its last {seen.failures} tasks'
+        return Repair(instance.name, Action.CORDON, reason)
+    return None
+
+
+def _judge_return(
+    instance: _resources.Instance,
+    seen: WorkerObservation,
+    now: datetime.datetime,
+) -> Repair | None:
+    if seen.probes_passed < PROBES_TO_RETURN:
+        return None
+    if instance.phase is _Phase.CORDONED and instance.since:
+        since = datetime.datetime.fromisoformat(instance.since)
+        hold = min(
+            CORDON_TIME * 2 ** min(seen.restarts, 10), CORDON_TIME_LIMIT
+        )
+        if now - since < hold:
+            return None
+    reason = f'{seen.probes_passed} probes passed in a row'
+    return Repair(instance.name, Action.RETURN, reason)
--- /dev/null
+++ b/skylarktally/_waves.py
@@ -0,0 +1,259 @@
+"""Maintenance waves: which instances stop next, and why others wait.
+
+The plan is a function of the recorded state, so that any controller can go
+on with it. The operation id of an instance's stop names the wave and the
+time of the stop; it stays on the instance after the stop.
+"""
+
+import datetime
+import enum
+from collections.abc import Collection, Iterable
+from typing import NamedTuple
+
+from returns import result
+
+from skylarktally import _budgets
+from skylarktally import _resources
+
+_Phase = _resources.Phase
+_BUSY = (_Phase.DRAINING, _Phase.STOPPING, _Phase.MAINTENANCE)
+
+# A loss this soon after the start of the stop is put down to the wave: the
+# drain, the reboot and ten minutes in service.
+EXPOSURE = datetime.timedelta(minutes=30)
+# An instance that has not come back by then is a loss.
+REBOOT_LIMIT = datetime.timedelta(minutes=15)
+# Time that the canaries serve before the others follow.
+CANARY_SOAK = datetime.timedelta(minutes=2)
+
+
+class State(enum.Enum):
+    """State of a wave as a whole."""
+
+    PAUSED = 'paused'
+    CANARY = 'canary'
+    RUNNING = 'running'
+    HALTED = 'halted'
+    COMPLETE = 'complete'
+
+
+class Wait(enum.Enum):
+    """Why an instance is not stopped yet."""
+
+    PAUSED = 'paused'
+    HALTED = 'halted'
+    CANARY = 'canary'
+    DOMAIN = 'domain'
+    PARALLEL = 'parallel'
+    BUDGET = 'budget'
+    BUSY = 'busy'
+    NOT_SERVING = 'not_serving'
+
+
+class Waiting(NamedTuple):
+    """Cause of an instance's wait, with a text for people."""
+
+    wait: Wait
+    text: str
+
+
+class WavePlan(NamedTuple):
+    """The next stops of a wave and the state of every instance in it."""
+
+    state: State
+    starts: tuple[str, ...]
+    active: tuple[str, ...]
+    done: tuple[str, ...]
+    failed: tuple[str, ...]
+    # In the order in which they are to be stopped.
+    waiting: dict[str, Waiting]
+    halted_reason: str = ''
+
+
+class _Progress(NamedTuple):
+    pending: list[_resources.Instance]
+    active: list[_resources.Instance]
+    done: list[_resources.Instance]
+    failed: list[_resources.Instance]
+
+
+def format_operation(wave: str, at: datetime.datetime) -> str:
+    """Build the operation id of a stop that the wave starts."""
+    return f'wave/{wave}/{at.isoformat()}'
+
+
+def read_start(
+    wave: str, operation_id: str | None
+) -> datetime.datetime | None:
+    """Return when the wave stopped the instance, None when it did not."""
+    prefix = f'wave/{wave}/'
+    if not operation_id or not operation_id.startswith(prefix):
+        return None
+    try:
+        return datetime.datetime.fromisoformat(operation_id[len(prefix) :])
+    except ValueError:
+        return None
+
+
+def plan_wave(
+    wave: _resources.Wave,
+    instances: Collection[_resources.Instance],
+    budgets: Iterable[_resources.Budget],
+    now: datetime.datetime,
+    halted_reason: str = '',
+) -> WavePlan:
+    """Plan which instances of the wave stop now.
+
+    :param instances: all instances of the fleet
+    :param halted_reason: as recorded in the status of the wave; a halt
+        holds until an operator clears it, whatever became of the losses
+    """
+    progress = _read_progress(wave, instances, now)
+    reason = halted_reason or _find_halt(wave, progress)
+    state = _find_state(wave, progress, reason, now)
+    plan = WavePlan(
+        state,
+        (),
+        tuple(i.name for i in progress.active),
+        tuple(i.name for i in progress.done),
+        tuple(i.name for i in progress.failed),
+        {},
+        reason,
+    )
+    ledger = _budgets.Ledger(budgets, instances)
+    return _choose_starts(wave, plan, progress, ledger)
+
+
+def _rank(instance: _resources.Instance) -> tuple[str, str, str]:
+    return (instance.zone, instance.rack, instance.name)
+
+
+def _read_progress(
+    wave: _resources.Wave,
+    instances: Iterable[_resources.Instance],
+    now: datetime.datetime,
+) -> _Progress:
+    progress = _Progress([], [], [], [])
+    members = [i for i in instances if i.pool in wave.pools]
+    for instance in sorted(members, key=_rank):
+        start = read_start(wave.name, instance.operation_id)
+        if start is None:
+            progress.pending.append(instance)
+        elif _is_lost(instance, start, now):
+            progress.failed.append(instance)
+        elif instance.phase in _BUSY and not instance.target_pool:
+            progress.active.append(instance)
+        else:
+            progress.done.append(instance)
+    return progress
+
+
+def _is_lost(
+    instance: _resources.Instance,
+    start: datetime.datetime,
+    now: datetime.datetime,
+) -> bool:
+    since = _read_since(instance)
+    if instance.phase in (_Phase.FAILED, _Phase.CORDONED):
+        return since is None or since - start < EXPOSURE
+    if instance.phase in (_Phase.STOPPING, _Phase.MAINTENANCE):
+        return since is not None and now - since > REBOOT_LIMIT
+    return False
+
+
+def _read_since(instance: _resources.Instance) -> datetime.datetime | None:
+    if not instance.since:
+        return None
+    return datetime.datetime.fromisoformat(instance.since)
+
+
+def _find_halt(wave: _resources.Wave, progress: _Progress) -> str:
+    """Return why the wave must halt, empty when it need not."""
+    limit = wave.halt_after_failures
+    if len(progress.done) < wave.canary:
+        limit = 1
+    if not progress.failed or len(progress.failed) < limit:
+        return ''
+    names = ', '.join(i.name for i in progress.failed[:5])
+    return f'{len(progress.failed)} instances lost within the wave: {names}'
+
+
+def _find_state(
+    wave: _resources.Wave,
+    progress: _Progress,
+    reason: str,
+    now: datetime.datetime,
+) -> State:
+    if reason:
+        return State.HALTED
+    if not progress.pending and not progress.active:
+        return State.COMPLETE
+    if wave.paused:
+        return State.PAUSED
+    if not _has_soaked(wave, progress, now):
+        return State.CANARY
+    return State.RUNNING
+
+
+def _has_soaked(
+    wave: _resources.Wave, progress: _Progress, now: datetime.datetime
+) -> bool:
+    """Tell whether enough canaries have served for the soak time."""
+    soaked = 0
+    for instance in progress.done:
+        since = _read_since(instance)
+        if since is None or now - since >= CANARY_SOAK:
+            soaked += 1
+    return soaked >= wave.canary
+
+
+def _choose_starts(
+    wave: _resources.Wave,
+    plan: WavePlan,
+    progress: _Progress,
+    ledger: _budgets.Ledger,
+) -> WavePlan:
+    starts: list[str] = []
+    waiting: dict[str, Waiting] = {}
+    zone = progress.active[0].zone if progress.active else None
+    room = wave.max_parallel - len(progress.active)
+    if plan.state is State.CANARY:
+        taken = len(progress.active) + len(progress.done)
+        room = min(room, wave.canary - taken)
+    for instance in progress.pending:
+        wait = _find_wait(plan, instance, zone, room - len(starts), ledger)
+        if wait is not None:
+            waiting[instance.name] = wait
+            continue
+        starts.append(instance.name)
+        zone = instance.zone
+    return plan._replace(starts=tuple(starts), waiting=waiting)
+
+
+def _find_wait(
+    plan: WavePlan,
+    instance: _resources.Instance,
+    zone: str | None,
+    room: int,
+    ledger: _budgets.Ledger,
+) -> Waiting | None:
+    """Return why the instance waits; spend the budget when it does not."""
+    if plan.state is State.HALTED:
+        return Waiting(Wait.HALTED, f'wave halted: {plan.halted_reason}')
+    if plan.state is State.PAUSED:
+        return Waiting(Wait.PAUSED, 'wave paused by an operator')
+    if instance.phase in _BUSY:
+        text = f'{instance.phase.value} for another operation'
+        return Waiting(Wait.BUSY, text)
+    if instance.phase is not _Phase.SERVING:
+        return Waiting(Wait.NOT_SERVING, f'instance {instance.phase.value}')
+    if room <= 0:
+        if plan.state is State.CANARY:
+            return Waiting(Wait.CANARY, 'canaries have not served long enough')
+        return Waiting(Wait.PARALLEL, 'max_parallel instances are stopped')
+    if zone is not None and instance.zone != zone:
+        return Waiting(Wait.DOMAIN, f'instances of zone {zone} go first')
+    spent = ledger.stop(instance)
+    if isinstance(spent, result.Success):
+        return None
+    return Waiting(Wait.BUDGET, spent.failure().message)
