Let the demo hold a deployment and read the workers' records

Cause: an operator who tries the commands needs a running deployment, and the demo read fields that the worker's record does not have.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -28,6 +28,9 @@
 _KEEP = flags.DEFINE_string(
     'keep', None, 'Folder that keeps the settings and logs of the processes.'
 )
+_HOLD = flags.DEFINE_bool(
+    'hold', False, 'Only start and declare; stop at the end of the input.'
+)
 
 
 def main(arguments: list[str]) -> None:
@@ -38,13 +41,8 @@
     with tempfile.TemporaryDirectory() as scratch:
         directory = pathlib.Path(_KEEP.value or scratch)
         directory.mkdir(parents=True, exist_ok=True)
-        checks = _scenario.run(
-            str(_DEPLOYMENT.value),
-            directory,
-            _SECONDS.value,
-            _RATE.value,
-            seed,
-        )
+        plan = _scenario.Plan(_SECONDS.value, _RATE.value, seed, _HOLD.value)
+        checks = _scenario.run(str(_DEPLOYMENT.value), directory, plan)
     width = max(len(check.name) for check in checks)
     print()
     for check in checks:
--- a/demo/_callers.py
+++ b/demo/_callers.py
@@ -111,7 +111,7 @@
         seconds = spec['expected_seconds']
         url = (
             f'http://{entry.serving_address}/v1/pools/{spec["pool"]}'
-            f'/jobs/{job["name"]}/work?seconds={seconds}&key={key}'
+            f'/jobs/{job["name"]}/desk?seconds={seconds}'
         )
         body = f'{key} {job["name"]}'.encode()
         try:
--- a/demo/_checks.py
+++ b/demo/_checks.py
@@ -38,7 +38,7 @@
             unreadable.append(worker.name)
             continue
         for run in answer['runs']:
-            runs[run['request_key']].append({**run, 'worker': worker.name})
+            runs[run['key']].append({**run, 'worker': worker.name})
     return Records(dict(runs), unreadable)
 
 
@@ -124,6 +124,6 @@
         run
         for runs in records.runs.values()
         for run in runs
-        if run['worker'] == worker and run['end'] is None
+        if run['worker'] == worker and run['interrupted']
     ]
     return Check(f'requests cut off on {worker}', str(len(cut)), not cut)
--- a/demo/_operator.py
+++ b/demo/_operator.py
@@ -42,8 +42,8 @@
         # The last entry is never the one that the scenario kills.
         self._entries = list(reversed(deployment.entries))
         self._directory = directory
-        self._token_file = directory / 'operator.token'
-        self._token_file.write_text(deployment.operator_token)
+        self.token_file = directory / 'operator.token'
+        self.token_file.write_text(deployment.operator_token)
 
     def forget_entry(self, name: str) -> None:
         """Take an entry out, as the balancer does after its health check."""
@@ -59,7 +59,7 @@
                 '-m',
                 'skylarktally.ctl',
                 f'--api={self._entries[0].api_address}',
-                f'--token-file={self._token_file}',
+                f'--token-file={self.token_file}',
                 *arguments,
             ],
             capture_output=True,
--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -3,7 +3,7 @@
 import pathlib
 import sys
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 import urllib3
 
@@ -20,18 +20,31 @@
 _POLL_SECONDS = 0.1
 
 
-def run(
-    path: str,
-    directory: pathlib.Path,
-    seconds: float,
-    rate: float,
-    seed: int,
-) -> list[_checks.Check]:
-    """Run a deployment for some seconds and return the checks."""
-    deployment = _deployment.read_deployment(path, seed)
+class Plan(NamedTuple):
+    """What the demo is asked to do."""
+
+    seconds: float
+    # Mean number of requests a second.
+    rate: float
+    seed: int
+    # Start and declare only, and stop at the end of the input.
+    hold: bool
+
+
+def run(path: str, directory: pathlib.Path, plan: Plan) -> list[_checks.Check]:
+    """Run a deployment as planned and return the checks."""
+    deployment = _deployment.read_deployment(path, plan.seed)
     processes = _processes.Processes(directory)
     try:
-        return _run_started(deployment, processes, seconds, rate, seed)
+        failed = _start(deployment, processes)
+        if failed:
+            return failed
+        operator = _operator.Operator(deployment, processes.directory)
+        declared = _declare(deployment, operator)
+        if plan.hold:
+            _hold(deployment, operator)
+            return [declared]
+        return [declared, *_run_load(deployment, processes, operator, plan)]
     finally:
         _print('stopping all processes')
         killed = processes.stop_all()
@@ -39,19 +52,28 @@
             _print(f'had to kill: {", ".join(killed)}')
 
 
-def _run_started(
+def _hold(
+    deployment: _deployment.Deployment, operator: _operator.Operator
+) -> None:
+    """Tell how to reach the deployment and wait for the end of the input."""
+    entry = deployment.entries[-1]
+    _print(f'resource API    {entry.api_address}')
+    _print(f'operator token  {operator.token_file}')
+    _print(f'serving port    {entry.serving_address}')
+    _print(f'caller token    {deployment.caller_token}')
+    _print(f'state dump      http://{entry.admin_address}/debug/state')
+    _print('press Ctrl-D to stop')
+    sys.stdin.read()
+
+
+def _run_load(
     deployment: _deployment.Deployment,
     processes: _processes.Processes,
-    seconds: float,
-    rate: float,
-    seed: int,
+    operator: _operator.Operator,
+    plan: Plan,
 ) -> list[_checks.Check]:
-    failed = _start(deployment, processes)
-    if failed:
-        return failed
-    operator = _operator.Operator(deployment, processes.directory)
-    checks = [_declare(deployment, operator)]
-    callers = _callers.Callers(deployment, seed)
+    seconds, rate = plan.seconds, plan.rate
+    callers = _callers.Callers(deployment, plan.seed)
     _print(f'sending {rate:.0f} requests a second for {seconds:.0f} s')
     load = _loop.spawn(callers.run, seconds, rate)
     _loop.sleep(seconds * 0.2)
@@ -70,7 +92,6 @@
     drained = stop.wait()
     records = _checks.read_records(deployment)
     return [
-        *checks,
         *_checks.check_calls(callers.calls, records),
         _checks.check_urgent(callers.calls, _URGENT_LIMIT_SECONDS),
         _checks.check_pools(records),
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -57,6 +57,8 @@
         self.start = time.time()
         self.end: float | None = None
         self.stopped = False
+        # Cut off by a reboot of the worker.
+        self.interrupted = False
         self.throttled = False
         self.checkpoints = 0
 
@@ -95,6 +97,7 @@
         self.up = False
         for task in self.running:
             task.stopped = True
+            task.interrupted = True
         _loop.spawn_after(self.reboot_seconds, self._boot)
 
     def count_free_slots(self) -> int:
@@ -293,7 +296,7 @@
         query = dict(parse.parse_qsl(environ.get('QUERY_STRING', '')))
         path = environ['RAW_PATH_INFO'].removeprefix('/v1/tasks')
         is_work = path.endswith('/work')
-        seconds = float(query.get('seconds', 0)) if is_work else 0.0
+        seconds = float(query.get('seconds', 0))
         seconds += self.faults.get('delay_seconds', 0)
         if self.faults.get('hang'):
             seconds = 3600.0
