Limit what callers send and test faults of workers on the wire

The first request path trusted the WSGI server's parsing and had no tests of faults. This adds a server that refuses heads and bodies whose end is ambiguous, closes idle connections to make room for new callers, and lingers after an early answer. Scripted workers cut, repeat, reorder or withhold their answers; a plain forwarder with retries is the baseline and must fail each check.

The choice of a worker now looks at workers with a free lease and with room in one set: preferring held leases sent sequential load to one worker, and a worker that failed once was never tried again.

--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -25,6 +25,7 @@
 
 GreenPool = eventlet.GreenPool
 HttpProtocol = wsgi.HttpProtocol
+STATE_IDLE = wsgi.STATE_IDLE
 Event = eventlet.Event
 Queue = eventlet.queue.LightQueue
 Semaphore = eventlet.semaphore.Semaphore
--- a/skylarktally/_outliers.py
+++ b/skylarktally/_outliers.py
@@ -28,6 +28,7 @@
         self.streak = 0
         self.ejections = 0
         self.until = datetime.timedelta()
+        self.last_failure = datetime.timedelta()
 
 
 class Outliers:
@@ -70,6 +71,7 @@
             return False
         record.failures += 1
         record.streak += 1
+        record.last_failure = self._clock.monotonic()
         if record.health is Health.EJECTED:
             return False
         enough = record.streak >= self._limits.eject_after
@@ -77,6 +79,16 @@
             return self._eject(name, record)
         return False
 
+    def rank(self, name: str) -> int:
+        """Return the failures in a row, or 0 some time after the last.
+
+        Without an end to it, a worker that failed once would stay behind
+        all others and never show that it works again.
+        """
+        record = self.records[name]
+        past = self._clock.monotonic() - record.last_failure
+        return record.streak if past < self._limits.eject_first else 0
+
     def _eject(self, name: str, record: Record) -> bool:
         share = self._limits.ejected_share
         most = math.floor(len(self.records) * share)
--- a/skylarktally/_selection.py
+++ b/skylarktally/_selection.py
@@ -81,9 +81,8 @@
         self.workers: dict[str, Worker] = {}
         # Slots of all workers that are not ejected.
         self.slots = 0
-        # Workers with a free lease, and those that may grant one more.
-        self._leased = NameSet()
-        self._roomy = NameSet()
+        # Workers with a free lease, or that may grant one more.
+        self._usable = NameSet()
         self._full: list[tuple[datetime.timedelta, str]] = []
 
     def load(self, instances: list[_resources.Instance]) -> None:
@@ -91,8 +90,7 @@
         fresh = {x.name: x for x in instances}
         for name in set(self.workers) - set(fresh):
             self.slots -= self.workers.pop(name).counted_slots
-            self._leased.put(name, False)
-            self._roomy.put(name, False)
+            self._usable.put(name, False)
         for name, instance in fresh.items():
             worker = self.workers.setdefault(name, Worker(instance))
             worker.instance = instance
@@ -116,25 +114,25 @@
         free = self._leases.count_free(worker.instance)
         full = worker.full_until > self._clock.monotonic()
         room = worker.running + free < worker.instance.slots
-        self._leased.put(name, usable and free > 0)
-        self._roomy.put(name, usable and room and not full)
+        self._usable.put(name, usable and (free > 0 or room and not full))
 
     def choose(self, excluded: Collection[str] = ()) -> Worker | None:
         """Return the better of two random workers, or None."""
         now = self._clock.monotonic()
         while self._full and self._full[0][0] <= now:
             self.update(heapq.heappop(self._full)[1])
-        for names in (self._leased, self._roomy):
-            picks = names.sample(2 + len(excluded), self._random)
-            picks = [x for x in picks if x not in excluded][:2]
-            if picks:
-                return self.workers[min(picks, key=self._rank)]
-        return None
-
-    def _rank(self, name: str) -> tuple[int, float]:
+        picks = self._usable.sample(2 + len(excluded), self._random)
+        picks = [x for x in picks if x not in excluded][:2]
+        if not picks:
+            return None
+        return self.workers[min(picks, key=self._rank)]
+
+    def _rank(self, name: str) -> tuple[int, float, bool]:
         worker = self.workers[name]
         load = worker.running / max(worker.instance.slots, 1)
-        return self.outliers.records[name].streak, load
+        # A free lease saves a round trip to the worker.
+        unleased = self._leases.count_free(worker.instance) == 0
+        return self.outliers.rank(name), load, unleased
 
     def note_start(self, worker: Worker) -> None:
         """Count a task that is about to be sent."""
--- /dev/null
+++ b/skylarktally/_server.py
@@ -0,0 +1,362 @@
+"""HTTP server of the serving port, with limits on what callers send."""
+
+from collections.abc import Callable
+import functools
+import re
+import socket
+from typing import Any
+
+from skylarktally import _errors
+from skylarktally import _limits
+from skylarktally import _loop
+from skylarktally import _replies
+
+_LENGTH = re.compile('[0-9]{1,18}')
+_CHUNK_SIZE = re.compile(b'[0-9A-Fa-f]{1,8}(?:;[^\r\n]*)?\r\n')
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_LONGEST_LINE = 8192
+_CLOSE = 'skylarktally.close_after_answer'
+# A caller gets this long to read an answer that came before the end of
+# its body; closing at once would reset the connection and lose it.
+_LINGER_SECONDS = 2.0
+_LINGER_BYTES = 1024 * 1024
+
+
+class _Refused(Exception):
+    def __init__(self, kind: _errors.ErrorKind, message: str) -> None:
+        super().__init__(message)
+        self.failure = _errors.Failure(kind, message)
+
+
+class _HeaderReader:
+    """Reader of header lines that counts their bytes."""
+
+    def __init__(self, stream: Any, limit: int) -> None:
+        self._stream = stream
+        self._left = limit
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return a line of the head, or refuse a head that is too long."""
+        line: bytes = self._stream.readline(self._left + 1)
+        self._left -= len(line)
+        if self._left < 0:
+            raise _Refused(
+                _errors.ErrorKind.HEADERS_TOO_LARGE, 'the head is too long'
+            )
+        if not line.endswith(b'\n'):
+            # The base class would take a head cut short for a whole one.
+            raise ConnectionResetError
+        return line
+
+
+class ChunkedInput:
+    """Chunked body that refuses sizes and ends that are malformed."""
+
+    def __init__(self, stream: Any, send_continue: Callable[[], None]) -> None:
+        self._stream = stream
+        self._send_continue: Callable[[], None] | None = send_continue
+        self._left = 0
+        self.finished = False
+
+    def read(self, size: int) -> bytes:
+        """Return at most that many bytes; empty only at the true end.
+
+        :raises ValueError: when the encoding is malformed
+        """
+        if self._send_continue is not None:
+            self._send_continue()
+            self._send_continue = None
+        if self.finished:
+            return b''
+        if not self._left:
+            self._left = self._read_size()
+            if not self._left:
+                self._read_trailer()
+                return b''
+        data: bytes = self._stream.read1(min(size, self._left))
+        if not data:
+            raise ValueError('the body is cut short')
+        self._left -= len(data)
+        if not self._left and self._stream.read(2) != b'\r\n':
+            raise ValueError('a chunk does not end with its size')
+        return data
+
+    def _read_size(self) -> int:
+        line = self._stream.readline(1024)
+        if not _CHUNK_SIZE.fullmatch(line):
+            raise ValueError('malformed chunk size')
+        return int(line.split(b';', 1)[0], 16)
+
+    def _read_trailer(self) -> None:
+        for _ in range(32):
+            line = self._stream.readline(1024)
+            if line == b'\r\n':
+                self.finished = True
+                return
+            if not line.endswith(b'\r\n'):
+                break
+        raise ValueError('malformed trailer')
+
+
+class _FixedInput:
+    """Body of a known length; an early end is left to the reader."""
+
+    def __init__(
+        self, stream: Any, length: int, send_continue: Callable[[], None]
+    ) -> None:
+        self._stream = stream
+        self._left = length
+        self._send_continue: Callable[[], None] | None = send_continue
+
+    @property
+    def finished(self) -> bool:
+        return self._left == 0
+
+    def read(self, size: int) -> bytes:
+        """Return at most that many bytes as soon as some arrive."""
+        if self._send_continue is not None and self._left:
+            self._send_continue()
+            self._send_continue = None
+        data: bytes = self._stream.read1(min(size, self._left))
+        self._left -= len(data)
+        return data
+
+
+class Protocol(_loop.HttpProtocol):
+    """Handler of one client connection."""
+
+    rfile: Any
+
+    def __init__(
+        self, limits: _limits.ServingLimits, connection: Any, server: Any
+    ) -> None:
+        self.limits = limits
+        self.head_timeout: Any = None
+        super().__init__(connection, server)
+
+    def _read_request_line(self) -> bytes:
+        try:
+            # Waits for the first byte under the keep-alive time; the
+            # head that follows has its own limit.
+            self.connection.settimeout(self.server.keepalive)
+            if not self.rfile.peek(1):
+                return b''
+            self.head_timeout = _loop.Timeout(
+                self.limits.header_timeout.total_seconds()
+            )
+            self.rfile_of_body = self.rfile
+            self.connection.settimeout(self.server.socket_timeout)
+            line: bytes = self.rfile.readline(_LONGEST_LINE + 1)
+            if len(line) > _LONGEST_LINE:
+                self._refuse_head(
+                    _errors.ErrorKind.HEADERS_TOO_LARGE,
+                    'the request line is too long',
+                )
+                return b''
+            return line
+        except (OSError, _loop.Timeout):
+            return b''
+
+    def handle_one_request(self) -> None:
+        """Handle one request, or refuse its head."""
+        self.head_timeout = None
+        try:
+            super().handle_one_request()
+        except _loop.Timeout as timeout:
+            if timeout is not self.head_timeout:
+                raise
+            self._refuse_head(
+                _errors.ErrorKind.REQUEST_TIMEOUT, 'the head took too long'
+            )
+        except ConnectionError:
+            self.close_connection = True
+        finally:
+            self._cancel_head_timeout()
+
+    def _cancel_head_timeout(self) -> None:
+        if self.head_timeout is not None:
+            self.head_timeout.cancel()
+
+    def parse_request(self) -> bool:
+        """Parse the head and check what frames the body."""
+        body_stream = self.rfile_of_body
+        left = self.limits.header_bytes - len(self.raw_requestline)
+        self.rfile = _HeaderReader(body_stream, left)
+        try:
+            if left < 0:
+                raise _Refused(
+                    _errors.ErrorKind.HEADERS_TOO_LARGE, 'the head is too long'
+                )
+            parsed: bool = super().parse_request()
+            if parsed:
+                self._check_framing()
+        except _Refused as refused:
+            self._refuse_head(refused.failure.kind, refused.failure.message)
+            return False
+        finally:
+            self.rfile = body_stream
+        self._cancel_head_timeout()
+        return parsed
+
+    def _check_framing(self) -> None:
+        """Refuse a request whose end two readers could see differently."""
+        lengths = self.headers.get_all('Content-Length') or []
+        encodings = self.headers.get_all('Transfer-Encoding') or []
+        fault = None
+        if self.request_version != 'HTTP/1.1':
+            # Without chunks a truncated answer would look complete.
+            fault = 'only HTTP/1.1 is served'
+        elif len(lengths) + len(encodings) > 1:
+            fault = 'more than one body length'
+        elif lengths and not _LENGTH.fullmatch(lengths[0]):
+            fault = 'malformed Content-Length'
+        elif encodings and encodings[0].strip().lower() != 'chunked':
+            fault = 'unknown Transfer-Encoding'
+        elif self.headers.defects or not all(
+            _HEADER_NAME.fullmatch(name) and '\n' not in value
+            for name, value in self.headers.items()
+        ):
+            fault = 'malformed headers'
+        if fault is not None:
+            raise _Refused(_errors.ErrorKind.INVALID_REQUEST, fault)
+
+    def _refuse_head(self, kind: _errors.ErrorKind, message: str) -> None:
+        self.close_connection = True
+        reply = _replies.create_error(_errors.Failure(kind, message), '')
+        lines = [f'HTTP/1.1 {reply.status}', 'Connection: close']
+        lines += [f'{name}: {value}' for name, value in reply.headers]
+        head = '\r\n'.join((*lines, '', '')).encode('latin-1')
+        try:
+            self.wfile.write(head + b''.join(reply.body))
+            self.wfile.flush()
+        except OSError:
+            return
+
+    def send_error(
+        self, code: int, message: str | None = None, explain: Any = None
+    ) -> None:
+        """Answer a request line that the base class refuses."""
+        kind = _errors.ErrorKind.INVALID_REQUEST
+        if code == 431:
+            kind = _errors.ErrorKind.HEADERS_TOO_LARGE
+        self._refuse_head(kind, message or 'bad request')
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment with a strict body."""
+        environ: dict[str, Any] = super().get_environ()
+        expects = self.headers.get('Expect', '').lower() == '100-continue'
+        send_continue = self._send_continue if expects else _do_nothing
+        stream = self.rfile_of_body
+        body: Any
+        if 'Transfer-Encoding' in self.headers:
+            body = ChunkedInput(stream, send_continue)
+        else:
+            length = int(self.headers.get('Content-Length') or 0)
+            body = _FixedInput(stream, length, send_continue)
+        environ['wsgi.input'] = self.body = body
+        environ[_CLOSE] = self._close_after_answer
+        # The base class must not read what remains of the body.
+        own = environ['eventlet.input']
+        own.chunked_input = False
+        own.content_length = 0
+        own.wfile = None
+        return environ
+
+    def _send_continue(self) -> None:
+        self.wfile.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        self.wfile.flush()
+
+    def _close_after_answer(self) -> None:
+        self.close_connection = True
+
+    def handle_one_response(self) -> None:
+        """Answer, and read on for a while if body is left."""
+        super().handle_one_response()
+        if not self.body.finished:
+            self.close_connection = True
+            self._linger()
+
+    def _linger(self) -> None:
+        try:
+            with _loop.Timeout(_LINGER_SECONDS, False):
+                self.wfile.flush()
+                self.connection.shutdown(socket.SHUT_WR)
+                left = _LINGER_BYTES
+                while left > 0 and (data := self.rfile.read1(left)):
+                    left -= len(data)
+        except (OSError, ValueError):
+            return
+
+
+def _do_nothing() -> None:
+    pass
+
+
+class ConnectionPool:
+    """Green threads of client connections, at most so many.
+
+    A connection that waits for its next request is closed to make room
+    for a new one, so that idle connections cannot keep callers out.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._threads: dict[Any, list[Any]] = {}
+
+    def spawn(self, process: Callable[..., None], connection: Any) -> Any:
+        """Handle an accepted connection, given as address, socket, state."""
+        if len(self._threads) >= self._limit:
+            self._drop_idle()
+        thread = _loop.spawn(self._run, process, connection)
+        self._threads[thread] = connection
+        thread.link(self._forget)
+        return thread
+
+    def _run(self, process: Callable[..., None], connection: Any) -> None:
+        if len(self._threads) > self._limit:
+            return
+        process(connection)
+
+    def _forget(self, thread: Any) -> None:
+        self._threads.pop(thread, None)
+
+    def _drop_idle(self) -> None:
+        for thread, connection in self._threads.items():
+            if connection[2] == _loop.STATE_IDLE:
+                thread.kill()
+                connection[1].close()
+                return
+
+    def waitall(self) -> None:
+        """Wait until every connection is closed."""
+        for thread in list(self._threads):
+            thread.wait()
+
+
+def serve(
+    listener: socket.socket,
+    application: Callable[..., Any],
+    limits: _limits.ServingLimits,
+) -> None:
+    """Serve callers until the calling green thread is killed."""
+
+    def answer(environ: dict[str, Any], start_response: Any) -> Any:
+        def start(
+            status: str, headers: list[tuple[str, str]], error: Any = None
+        ) -> Any:
+            if not environ['wsgi.input'].finished:
+                environ[_CLOSE]()
+            return start_response(status, headers, error)
+
+        return application(environ, start)
+
+    _loop.serve(
+        listener,
+        answer,
+        protocol=functools.partial(Protocol, limits),
+        custom_pool=ConnectionPool(limits.client_connections),
+        keepalive=limits.progress_timeout.total_seconds(),
+        socket_timeout=limits.progress_timeout.total_seconds(),
+        # Pieces of an answer are passed on as they arrive.
+        minimum_chunk_size=1,
+    )
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -62,7 +62,9 @@
 
     def describe(self) -> dict[str, Any]:
         """Return the JSON form of the run; times are in Unix seconds."""
-        return {k: v for k, v in vars(self).items() if k != 'stopped'}
+        run = {k: v for k, v in vars(self).items() if k != 'stopped'}
+        run['request_key'] = run.pop('key')
+        return run
 
 
 class Worker:
--- /dev/null
+++ b/tests/naive.py
@@ -0,0 +1,97 @@
+"""Baseline for the request path: plain forwarding, retry on any error."""
+
+import datetime
+from http import client
+import itertools
+import json
+
+from skylarktally import _connections
+
+_ATTEMPTS = 3
+_TIMEOUT = datetime.timedelta(seconds=1)
+
+
+class _NaiveConnection(_connections.Connection):
+    response_class = client.HTTPResponse
+
+    def getresponse(self):
+        return client.HTTPConnection.getresponse(self)
+
+
+class NaivePipeline:
+    """Round robin over the pool, pooled connections, no bookkeeping."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.turns = itertools.count()
+        self.idle = {}
+
+    def application(self, environ, start_response):
+        body = environ['wsgi.input'].read(int(environ['CONTENT_LENGTH'] or 0))
+        rest = environ['RAW_PATH_INFO'].split('/', 6)[-1]
+        workers = list(self.fleet.instances.values())
+        for _ in range(_ATTEMPTS):
+            worker = workers[next(self.turns) % len(workers)]
+            try:
+                return self._forward(
+                    worker, environ, rest, body, start_response
+                )
+            except Exception:  # noqa: S112
+                continue
+        start_response('503', [('Skylarktally-Outcome', 'not-run')])
+        return [b'']
+
+    def _take(self, address):
+        idle = self.idle.setdefault(address, [])
+        if idle:
+            return idle.pop()
+        connection = _NaiveConnection(address, 1)
+        connection.connect()
+        return connection
+
+    def _lease(self, worker):
+        connection = _NaiveConnection(worker.address, 1)
+        data = {
+            'holder': 'naive',
+            'epoch': worker.epoch,
+            'pool': worker.pool,
+            'slots': 1,
+            'ttl_seconds': 10,
+        }
+        connection.request('POST', '/v1/leases', json.dumps(data))
+        text = connection.getresponse().read()
+        connection.close()
+        return json.loads(text).get('lease_id', 'none')
+
+    def _forward(self, worker, environ, rest, body, start_response):
+        lease = self._lease(worker)
+        connection = self._take(worker.address)
+        headers = {
+            'Lease-Id': lease,
+            'Request-Key': environ.get('HTTP_IDEMPOTENCY_KEY', ''),
+        }
+        connection.limit(_TIMEOUT)
+        path = f'/v1/tasks/{rest}?{environ.get("QUERY_STRING", "")}'
+        connection.request(environ['REQUEST_METHOD'], path, body, headers)
+        response = connection.getresponse()
+        if response.status >= 500 or response.status == 409:
+            raise ValueError('retry')
+        start_response(
+            f'{response.status} X',
+            [
+                ('Skylarktally-Outcome', 'complete'),
+                ('Skylarktally-Instance', worker.name),
+            ],
+        )
+        return self._stream(connection, response)
+
+    def _stream(self, connection, response):
+        while True:
+            try:
+                piece = response.read(65536)
+            except Exception:
+                return
+            if not piece:
+                break
+            yield piece
+        self.idle[connection.address].append(connection)
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,165 @@
+"""Worker whose answers to tasks are scripted byte by byte."""
+
+from http import client
+import json
+import re
+import socket
+import struct
+from typing import Any, NamedTuple
+
+from skylarktally import _loop
+from tests import serving
+
+
+class Request(NamedTuple):
+    """A request as it arrived."""
+
+    method: str
+    path: str
+    headers: Any
+    body: bytes
+
+    @property
+    def token(self):
+        """The last segment of the path, which tells requests apart."""
+        return self.path.split('?')[0].rsplit('/', 1)[-1]
+
+
+def build_answer(body, status=200, cut=None, **headers):
+    """Return the bytes of an answer, cut after some bytes if given."""
+    lines = [f'HTTP/1.1 {status} X', f'Content-Length: {len(body)}']
+    lines += [f'{k.replace("_", "-")}: {v}' for k, v in headers.items()]
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body[:cut]
+
+
+def build_chunks(body, size=1000):
+    """Return a body in chunks, without the last one."""
+    pieces = [body[i : i + size] for i in range(0, len(body), size)]
+    return b''.join(b'%x\r\n%s\r\n' % (len(x), x) for x in pieces)
+
+
+CHUNKED_HEAD = b'HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+def build_body(token, size=1000):
+    """Return the one right answer to the request with this token."""
+    return (f'{token};' * size)[:size].encode()
+
+
+def reset(connection):
+    """Close a connection with a reset instead of an end of stream."""
+    linger = struct.pack('ii', 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
+class ScriptedWorker:
+    """Grants leases; answers tasks by a script, or rightly without one.
+
+    The script gets the worker, the connection and the request. It returns
+    True to have the request answered rightly after all, and False to have
+    the connection closed.
+    """
+
+    def __init__(self, fleet, name='w1', script=None, size=1000, **fields):
+        self.name = name
+        self.script = script
+        self.size = size
+        self.tasks = []
+        self.probes = 0
+        self.running = 0
+        self.peak_running = 0
+        self.open = 0
+        self.peak_open = 0
+        self.granted = 0
+        self.leases = set()
+        # Answer of the task probe: running, ended or absent.
+        self.probe_state = 'ended'
+        self.listener, self.address = serving.listen()
+        self.thread = _loop.spawn(self._accept)
+        self.threads = []
+        fleet.put_instance(name, self.address, **fields)
+
+    def stop(self):
+        for thread in (self.thread, *self.threads):
+            thread.kill()
+        self.listener.close()
+
+    def _accept(self):
+        while True:
+            connection, _ = self.listener.accept()
+            # Otherwise a second answer would wait for the next request.
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.threads.append(_loop.spawn(self._serve, connection))
+
+    def _serve(self, connection):
+        self.open += 1
+        self.peak_open = max(self.peak_open, self.open)
+        try:
+            stream = connection.makefile('rb')
+            while request := read_request(stream):
+                if not self._answer(connection, request):
+                    break
+        except (OSError, ValueError):
+            pass
+        finally:
+            self.open -= 1
+            connection.close()
+
+    def _answer(self, connection, request):
+        match = re.match('/v1/tasks/', request.path)
+        if match and 'Lease-Id' in request.headers:
+            return self._run(connection, request)
+        data: dict[str, Any] = {}
+        status = 200
+        if request.path == '/v1/leases':
+            # Counts leases as a worker does, but starts any task.
+            self.granted += 1
+            name = f'l{self.granted}'
+            data = {'lease_id': name, 'ttl_seconds': 10}
+            if len(self.leases) < 8:
+                self.leases.add(name)
+            else:
+                status = 409
+        elif request.method == 'DELETE':
+            self.leases.discard(request.token)
+        elif match:
+            self.probes += 1
+            status = 404 if self.probe_state == 'absent' else 200
+            data = {'end': 1 if self.probe_state == 'ended' else None}
+        text = json.dumps(data).encode()
+        connection.sendall(build_answer(text, status))
+        return True
+
+    def _run(self, connection, request):
+        self.tasks.append(request)
+        self.running += 1
+        self.peak_running = max(self.peak_running, self.running)
+        try:
+            if self.script and not self.script(self, connection, request):
+                return False
+        finally:
+            self.running -= 1
+        connection.sendall(build_answer(build_body(request.token, self.size)))
+        return True
+
+
+def read_request(stream):
+    """Read one request, or return None at the end of the stream."""
+    line = stream.readline()
+    if not line.strip():
+        return None
+    method, path, _ = line.decode().split(' ')
+    headers = client.parse_headers(stream)
+    body = b''
+    if headers.get('Transfer-Encoding') == 'chunked':
+        while size := int(stream.readline(), 16):
+            body += stream.read(size)
+            stream.readline()
+        stream.readline()
+    else:
+        length = int(headers.get('Content-Length', 0))
+        body = stream.read(length)
+        if len(body) < length:
+            raise ValueError('cut short')
+    return Request(method, path, headers, body)
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -4,6 +4,7 @@
 import socket
 from typing import Any, NamedTuple
 
+import pytest
 from returns import result
 
 from skylarktally import _claims
@@ -15,7 +16,9 @@
 from skylarktally import _metrics
 from skylarktally import _pipeline
 from skylarktally import _resources
+from skylarktally import _server
 from standins import worker as worker_standin
+from tests import naive
 
 POOL = 'desk'
 
@@ -159,19 +162,25 @@
     limits: _limits.ServingLimits
 
 
-def listen():
-    """Return a listener on a free port and its address."""
-    listener = _loop.listen(('127.0.0.1', 0))
+def listen(address='127.0.0.1:0'):
+    """Return a listener, by default on a free port, and its address."""
+    host, port = address.rsplit(':', 1)
+    listener = _loop.listen((host, int(port)))
     return listener, f'127.0.0.1:{listener.getsockname()[1]}'
 
 
 class Server:
     """A WSGI application served on loopback until stopped."""
 
-    def __init__(self, application, **options):
-        self.listener, self.address = listen()
+    def __init__(
+        self, application, limits=None, address='127.0.0.1:0', **options
+    ):
+        self.listener, self.address = listen(address)
+        if limits is not None:
+            options['limits'] = limits
+        function = _loop.serve if limits is None else _server.serve
         self.thread = _loop.spawn(
-            _loop.serve, self.listener, application, **options
+            function, self.listener, application, **options
         )
 
     def stop(self):
@@ -182,13 +191,13 @@
 class Router:
     """A pipeline on loopback with its own claims."""
 
-    def __init__(self, fleet, table, peers, name='r1', zone='a', **options):
-        limits = options.pop('limits', _limits.ServingLimits())
-        clock = options.pop('clock', _clock.SystemClock())
+    def __init__(self, fleet, table, peers, name='r1', zone='a', limits=None):
+        limits = limits or _limits.ServingLimits()
+        clock = _clock.SystemClock()
         self.name = name
         self.zone = zone
         self.incarnation = 1
-        self.server = Server(self._call, **options)
+        self.server = Server(self._call, limits)
         self.serving_address = self.server.address
         self.settings = Settings(
             name, zone, self.serving_address, f'peer-{name}', limits
@@ -211,6 +220,18 @@
         self.server.stop()
 
 
+class NaiveRouter:
+    """The baseline on loopback."""
+
+    def __init__(self, fleet):
+        self.pipeline = naive.NaivePipeline(fleet)
+        self.server = Server(self.pipeline.application)
+        self.serving_address = self.server.address
+
+    def stop(self):
+        self.server.stop()
+
+
 class Reply(NamedTuple):
     status: int
     headers: Any
@@ -232,6 +253,12 @@
         connection.close()
 
 
+def run_all(functions):
+    """Run functions at the same time and return their results."""
+    threads = [_loop.spawn(x) for x in functions]
+    return [x.wait() for x in threads]
+
+
 class WorkerServer:
     """A stand-in worker on loopback, fenced for the pool."""
 
@@ -262,7 +289,9 @@
 class Cell:
     """Workers and routers of one test, stopped at its end."""
 
-    def __init__(self):
+    def __init__(self, limits=None, naive=False):
+        self.limits = limits
+        self.naive = naive
         self.fleet = FakeFleet()
         self.table = FakeTable()
         self.peers = FakePeers()
@@ -283,12 +312,36 @@
         self.workers.append(WorkerServer(self.fleet, name, **fields))
         return self.workers[-1].worker
 
+    def add_scripted(self, **options):
+        from tests import scripted
+
+        name = f'w{len(self.workers) + 1}'
+        worker = scripted.ScriptedWorker(self.fleet, name, **options)
+        self.workers.append(worker)
+        return worker
+
+    def expect_failure_if_naive(self, check):
+        """Run a check that the baseline must not pass."""
+        if not self.naive:
+            check()
+            return
+        with pytest.raises(AssertionError):
+            check()
+
     def add_router(self, name=None, **options):
+        options.setdefault('limits', self.limits)
+        if self.naive:
+            self.routers.append(NaiveRouter(self.fleet))
+            return self.routers[-1]
         name = name or f'r{len(self.routers) + 1}'
         router = Router(self.fleet, self.table, self.peers, name, **options)
         self.routers.append(router)
         return router
 
+    def burst(self, count, path):
+        """Send that many GET requests at the same time."""
+        return run_all([lambda: self.call('GET', path)] * count)
+
     def call(self, method, path, body=None, headers=None, **options):
         router = self.routers[0] if self.routers else self.add_router()
         return call(
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,146 @@
+"""Slots and connections of a worker under several routers."""
+
+import collections
+import datetime
+
+import pytest
+from returns import result
+
+from skylarktally import _limits
+from skylarktally import _loop
+from skylarktally import _resources
+from skylarktally import _slots
+from skylarktally import _worker_calls
+from tests import serving
+
+
+@pytest.mark.parametrize('naive', [False, True])
+def test_two_routers_race_for_one_worker(naive):
+    """Guards against more tasks or connections than a worker allows."""
+    with serving.Cell(naive=naive) as cell:
+        worker = cell.add_scripted(
+            script=lambda *_: _loop.sleep(0.02) or True, slots=8
+        )
+        routers = [cell.add_router() for _ in range(2)]
+        path = '/v1/pools/desk/jobs/report/t'
+
+        def send(router):
+            reply = serving.call(router.serving_address, 'GET', path)
+            return reply.status
+
+        statuses = serving.run_all(
+            [lambda r=r: send(r) for r in routers for _ in range(60)]
+        )
+
+        def check():
+            assert statuses == [200] * 120
+            assert worker.peak_running <= 8
+            assert worker.peak_open <= 64
+
+        cell.expect_failure_if_naive(check)
+
+
+def test_worker_record_never_exceeds_its_slots():
+    """Guards against a stand-in or router that overcommits a worker."""
+    with serving.Cell() as cell:
+        worker = cell.add_worker()
+        routers = [cell.add_router() for _ in range(2)]
+        path = '/v1/pools/desk/jobs/report/work?seconds=0.02&bytes=10'
+
+        def send(router):
+            reply = serving.call(router.serving_address, 'GET', path)
+            return reply.status, reply.outcome
+
+        replies = serving.run_all(
+            [lambda r=r: send(r) for r in routers for _ in range(100)]
+        )
+        assert collections.Counter(replies) == {(200, 'complete'): 200}
+        assert worker.peak_running == 8
+        assert len(worker.record) == 200
+
+
+class FakeCalls:
+    """Worker interface that grants every lease and notes the calls."""
+
+    def __init__(self, clock, delay=0.0):
+        self.clock = clock
+        self.delay = delay
+        self.calls = []
+
+    def call(self, address, method, path, data, timeout, fresh=False):
+        self.calls.append((method, path))
+        self.clock.advance(self.delay)
+        granted = {'lease_id': f'l{len(self.calls)}', 'ttl_seconds': 10}
+        return result.Success(_worker_calls.Reply(200, granted))
+
+
+INSTANCE = _resources.Instance(
+    'w1',
+    'desk',
+    'a',
+    'r1',
+    '127.0.0.1:1',
+    32,
+    1,
+    0,
+    8,
+    64,
+    _resources.Phase.SERVING,
+    1,
+)
+
+
+@pytest.mark.parametrize(
+    'delay, pause, usable',
+    [
+        (0.0, 7.9, True),
+        # Within 2 s of the expiry a task could arrive after it.
+        (0.0, 8.1, False),
+        (0.0, 60.0, False),
+        # The ttl counts from before the request was sent.
+        (5.0, 2.9, True),
+        (5.0, 3.1, False),
+    ],
+)
+def test_lease_lapses_while_router_is_paused(delay, pause, usable):
+    """Guards against a task under a lease that the worker may have ended."""
+    clock = serving.ManualClock()
+    calls = FakeCalls(clock, delay)
+    tenure = datetime.timedelta(seconds=100)
+    limits = _limits.ServingLimits(lease_tenure=tenure)
+    leases = _slots.SlotLeases(clock, limits, 'r1', calls)
+    leases.release(leases.request(INSTANCE).unwrap())
+    clock.advance(pause)
+    assert (leases.take(INSTANCE) is not None) == usable
+
+
+def test_lease_of_an_old_epoch_is_not_used():
+    """Guards against work sent to an instance that has been moved."""
+    clock = serving.ManualClock()
+    calls = FakeCalls(clock)
+    leases = _slots.SlotLeases(clock, _limits.ServingLimits(), 'r1', calls)
+    leases.release(leases.request(INSTANCE).unwrap())
+    moved = INSTANCE._replace(epoch=3, pool='other')
+    assert leases.take(moved) is None
+    assert leases.take(INSTANCE) is not None
+
+
+def test_leases_are_renewed_and_given_back():
+    """Guards against leases that lapse in use or are held unused."""
+    clock = serving.ManualClock()
+    calls = FakeCalls(clock)
+    leases = _slots.SlotLeases(clock, _limits.ServingLimits(), 'r1', calls)
+    busy = leases.request(INSTANCE).unwrap()
+    leases.release(leases.request(INSTANCE).unwrap())
+    for _ in range(40):
+        clock.advance(0.1)
+        leases.maintain(lambda fence: True)
+        _loop.sleep(0)
+    assert leases.is_usable(busy)
+    assert collections.Counter(x[0] for x in calls.calls) == {
+        'POST': 2,
+        # The idle one after 1 s; the busy one is renewed at 3.3 s.
+        'DELETE': 1,
+        'PUT': 1,
+    }
+    assert leases.count_held() == 1
