--- a/skylarktally/_server.py
+++ b/skylarktally/_server.py
@@ -154,7 +154,7 @@
                 )
                 return b''
             return line
-        except (OSError, _loop.Timeout):
+        except OSError:
             return b''
 
     def handle_one_request(self) -> None:
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,254 @@
+"""Limits on callers: heads, bodies, slow and idle connections."""
+
+import datetime
+import json
+import time
+
+import pytest
+
+from skylarktally import _limits
+from skylarktally import _loop
+from tests import serving
+
+PATH = '/v1/pools/desk/jobs/report/a'
+HOST = 'Host: x\r\n'
+LIMITS = _limits.ServingLimits(
+    header_timeout=datetime.timedelta(seconds=0.4),
+    progress_timeout=datetime.timedelta(seconds=0.6),
+    body_bytes=200000,
+    client_connections=20,
+)
+
+
+@pytest.fixture(params=['product', 'naive'])
+def cell(request):
+    with serving.Cell(limits=LIMITS, naive=request.param == 'naive') as cell:
+        cell.add_worker()
+        cell.add_router()
+        yield cell
+
+
+@pytest.fixture
+def product():
+    with serving.Cell(limits=LIMITS) as cell:
+        cell.add_worker()
+        cell.add_router()
+        yield cell
+
+
+def exchange(cell, data, wait=5.0):
+    """Send raw bytes and read until the router closes."""
+    connection = serving.connect(cell.routers[0].serving_address)
+    connection.settimeout(wait)
+    try:
+        connection.sendall(data)
+        return serving.read_all(connection)
+    except OSError:
+        return b''
+    finally:
+        connection.close()
+
+
+def count_runs(cell):
+    return len(cell.workers[0].worker.record)
+
+
+def build(headers, body='', line=f'POST {PATH} HTTP/1.1'):
+    close = 'Connection: close\r\n'
+    return f'{line}\r\n{HOST}{close}{headers}\r\n{body}'.encode()
+
+
+MALFORMED = {
+    'both': ('Content-Length: 5\r\nTransfer-Encoding: chunked\r\n', '0\r\n'),
+    'both-swapped': (
+        'Transfer-Encoding: chunked\r\nContent-Length: 5\r\n',
+        '0\r\n\r\n',
+    ),
+    'two-lengths': ('Content-Length: 5\r\nContent-Length: 6\r\n', 'abcdef'),
+    'same-length-twice': (
+        'Content-Length: 1\r\nContent-Length: 1\r\n',
+        'a',
+    ),
+    'length-list': ('Content-Length: 1, 1\r\n', 'a'),
+    'plus': ('Content-Length: +1\r\n', 'a'),
+    'minus': ('Content-Length: -1\r\n', 'a'),
+    'underscore': ('Content-Length: 1_0\r\n', 'abcdefghij'),
+    'hex': ('Content-Length: 0x1\r\n', 'a'),
+    'space-in-name': ('Content-Length : 1\r\n', 'a'),
+    'folded': ('Content-Length: 1\r\nX-A: b\r\n c\r\n', 'a'),
+    'unknown-encoding': ('Transfer-Encoding: gzip, chunked\r\n', '0\r\n\r\n'),
+    'two-encodings': (
+        'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n',
+        '0\r\n\r\n',
+    ),
+    'chunk-minus': ('Transfer-Encoding: chunked\r\n', '-1\r\na\r\n0\r\n\r\n'),
+    'chunk-plus': ('Transfer-Encoding: chunked\r\n', '+1\r\na\r\n0\r\n\r\n'),
+    'chunk-hex': ('Transfer-Encoding: chunked\r\n', '0x1\r\na\r\n0\r\n\r\n'),
+    'chunk-end': ('Transfer-Encoding: chunked\r\n', '1\r\naXX0\r\n\r\n'),
+    'chunk-bare-lf': ('Transfer-Encoding: chunked\r\n', '1\na\n0\n\n'),
+}
+
+
+@pytest.mark.parametrize('name', MALFORMED)
+def test_malformed_framing_is_refused(cell, name):
+    """Guards against a body whose end two readers see differently."""
+    answer = exchange(cell, build(*MALFORMED[name]), wait=2.0)
+
+    def check():
+        assert answer.startswith(b'HTTP/1.1 400 ')
+        assert b'Skylarktally-Outcome: not-run' in answer
+        assert count_runs(cell) == 0
+
+    cell.expect_failure_if_naive(check)
+
+
+@pytest.mark.parametrize(
+    'data, status',
+    [
+        (build('X-A: ' + 'a' * 9000 + '\r\n' + 'X-B: ' + 'b' * 9000), 431),
+        (build('X-A: ' + 'a' * 17000), 431),
+        (build('X-A: b\r\n' * 2500), 431),
+        (build('', line=f'GET {PATH}{"a" * 9000} HTTP/1.1'), 431),
+        (build('Content-Length: 200001\r\n'), 413),
+        (
+            build(
+                'Transfer-Encoding: chunked\r\n',
+                f'{50000:x}\r\n{"a" * 50000}\r\n' * 5 + '0\r\n\r\n',
+            ),
+            502,
+        ),
+        (build('', line=f'GET {PATH} HTTP/1.0'), 400),
+        (build('', line='GET /'), 400),
+    ],
+)
+def test_oversized_requests_are_refused(cell, data, status):
+    """Guards against memory that a caller can claim without limit."""
+    answer = exchange(cell, data, wait=2.0)
+
+    def check():
+        assert answer.startswith(f'HTTP/1.1 {status} '.encode())
+        # A body that grows beyond the limit on its way may have run.
+        outcome = b'unknown' if status == 502 else b'not-run'
+        assert b'Skylarktally-Outcome: ' + outcome in answer
+
+    cell.expect_failure_if_naive(check)
+
+
+@pytest.mark.parametrize(
+    'sent, status',
+    [
+        (f'GET {PATH} HTTP/1.1\r\nHost: x\r\n', 408),
+        (f'GET {PATH} HT', 408),
+        (build('Content-Length: 10\r\n', 'abc').decode(), 408),
+        (build('Transfer-Encoding: chunked\r\n', '5\r\nab').decode(), 408),
+    ],
+)
+def test_slow_sender_is_cut_off(cell, sent, status):
+    """Guards against callers that hold a connection or slot unfinished."""
+    start = time.monotonic()
+    answer = exchange(cell, sent.encode(), wait=1.5)
+    seconds = time.monotonic() - start
+
+    def check():
+        assert answer.startswith(f'HTTP/1.1 {status} '.encode())
+        assert seconds < 1.5
+        assert count_runs(cell) == 0
+
+    cell.expect_failure_if_naive(check)
+
+
+def test_drip_of_header_bytes_is_cut_off(cell):
+    """Guards against a head that never ends but always progresses."""
+    connection = serving.connect(cell.routers[0].serving_address)
+    connection.sendall(f'GET {PATH} HTTP/1.1\r\n'.encode())
+
+    def check():
+        with pytest.raises(OSError):
+            for _ in range(40):
+                connection.sendall(b'X-A: b\r\n')
+                _loop.sleep(0.05)
+
+    if cell.naive:
+        with pytest.raises(pytest.fail.Exception):
+            check()
+    else:
+        check()
+    connection.close()
+
+
+def test_cut_request_body_does_not_run(cell):
+    """Guards against a task that runs with half of its body."""
+    connection = serving.connect(cell.routers[0].serving_address)
+    connection.sendall(build('Content-Length: 10\r\n', 'abc'))
+    connection.shutdown(1)
+    answer = serving.read_all(connection)
+    connection.close()
+
+    def check():
+        assert count_runs(cell) == 0
+        assert b'Skylarktally-Outcome: not-run' in answer
+
+    cell.expect_failure_if_naive(check)
+
+
+def test_idle_connections_do_not_keep_callers_out(cell):
+    """Guards against a flood of idle connections."""
+    address = cell.routers[0].serving_address
+    idle = [serving.connect(address) for _ in range(60)]
+    _loop.sleep(0.1)
+
+    def check():
+        assert cell.call('GET', PATH, timeout=2).status == 200
+        # Each connection above the limit has cost an older one its place.
+        closed = sum(_loop.is_readable(x) for x in idle)
+        assert closed >= 40
+
+    cell.expect_failure_if_naive(check)
+    for connection in idle:
+        connection.close()
+
+
+def test_slow_reader_frees_the_slot(cell):
+    """Guards against a reader that holds a worker's slot for good."""
+    path = '/v1/pools/desk/jobs/report/work?bytes=30000000'
+    request = f'GET {path} HTTP/1.1\r\n{HOST}\r\n'.encode()
+    readers = []
+    for _ in range(8):
+        readers.append(serving.connect(cell.routers[0].serving_address))
+        readers[-1].sendall(request)
+    worker = cell.workers[0].worker
+
+    def check():
+        deadline = time.monotonic() + 4
+        while worker.running or not worker.record:
+            assert time.monotonic() < deadline
+            _loop.sleep(0.05)
+        assert cell.call('GET', PATH).status == 200
+
+    cell.expect_failure_if_naive(check)
+    for reader in readers:
+        reader.close()
+
+
+def test_early_refusal_is_readable(product):
+    """Guards against an answer lost in the reset of an unread body."""
+    head = f'POST /elsewhere HTTP/1.1\r\n{HOST}Content-Length: 150000\r\n\r\n'
+    answer = exchange(product, head.encode() + b'a' * 150000)
+    assert answer.startswith(b'HTTP/1.1 404 ')
+    error = json.loads(answer.split(b'\r\n\r\n', 1)[1])['error']
+    assert error['outcome'] == 'not-run'
+
+
+def test_connection_is_reused_after_an_answer(product):
+    """Guards against a connection that is out of step after a body."""
+    connection = serving.connect(product.routers[0].serving_address)
+    stream = connection.makefile('rb')
+    for body in (b'first', b'', b'third'):
+        head = f'POST {PATH} HTTP/1.1\r\n{HOST}Content-Length: {len(body)}'
+        connection.sendall(head.encode() + b'\r\n\r\n' + body)
+        length = 0
+        while (line := stream.readline()) not in (b'\r\n', b''):
+            if line.lower().startswith(b'content-length:'):
+                length = int(line.split(b':')[1])
+        assert json.loads(stream.read(length))['body'] == body.decode()
+    connection.close()
