Add the resource API

Cause: operators and teams need one place to declare resources, with clear errors and no half-applied writes. Conclusion: ready for the command line and the controller.

--- /dev/null
+++ b/skylarktally/_requests.py
@@ -0,0 +1,173 @@
+"""Requests and answers of the resource API: parsing and wording."""
+
+from collections.abc import Iterator
+import json
+import logging
+from typing import Any, NamedTuple
+import urllib.parse
+
+from returns import result
+
+from skylarktally import _declarations
+from skylarktally import _errors
+from skylarktally import _schemas
+from skylarktally import _tokens
+
+log = logging.getLogger(__name__)
+
+ErrorKind = _errors.ErrorKind
+
+_BODY_LIMIT = 2**20
+# A transaction holds at most 100 writes, three of which are the head, the
+# log entry and the entry that falls out of the retention.
+APPLY_LIMIT = 97
+
+
+class Reply(NamedTuple):
+    """Answer to one request."""
+
+    body: dict[str, Any] | Iterator[bytes]
+    status: int = 200
+
+
+Outcome = result.Result[Reply, _errors.Failure]
+
+
+class Request(NamedTuple):
+    """One authenticated request."""
+
+    method: str
+    parts: tuple[str, ...]
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: Any
+    identity: _tokens.Identity
+
+
+def fail(kind: ErrorKind, message: str) -> result.Result[Any, Any]:
+    """Return a failure of this kind."""
+    return result.Failure(_errors.Failure(kind, message))
+
+
+def read_version(text: str) -> result.Result[int | None, _errors.Failure]:
+    text = text.strip().strip('"')
+    if text == '*':
+        return result.Success(None)
+    if not text.isdecimal():
+        return fail(
+            ErrorKind.INVALID_REQUEST,
+            'If-Match must be a resource_version or *',
+        )
+    return result.Success(int(text))
+
+
+def log_refusal(environ: dict[str, Any], failure: _errors.Failure) -> None:
+    log.warning(
+        'refused %s %s from %s: %s',
+        environ['REQUEST_METHOD'],
+        environ.get('PATH_INFO', ''),
+        environ.get('REMOTE_ADDR', 'unknown'),
+        failure.message,
+    )
+
+
+def describe_failure(
+    failure: _errors.Failure, headers: list[tuple[str, str]]
+) -> Reply:
+    answer = failure.find_answer()
+    delay = answer.retry_after and answer.retry_after.total_seconds()
+    if delay:
+        headers.append(('Retry-After', str(max(round(delay), 1))))
+    error = {
+        'kind': failure.kind.value,
+        'outcome': answer.outcome.value,
+        'message': failure.message,
+        'retry_after_seconds': delay,
+    }
+    return Reply({'error': error}, answer.status)
+
+
+def _read_body(
+    environ: dict[str, Any],
+) -> result.Result[Any, _errors.Failure]:
+    length = environ.get('CONTENT_LENGTH') or '0'
+    if not length.isdecimal():
+        return fail(ErrorKind.INVALID_REQUEST, 'malformed Content-Length')
+    if int(length) > _BODY_LIMIT:
+        return fail(
+            ErrorKind.BODY_TOO_LARGE,
+            f'the body is larger than {_BODY_LIMIT} bytes',
+        )
+    if int(length) == 0:
+        return result.Success(None)
+    try:
+        return result.Success(
+            json.loads(environ['wsgi.input'].read(int(length)))
+        )
+    except (ValueError, RecursionError) as error:
+        return fail(ErrorKind.INVALID_REQUEST, f'malformed JSON: {error}')
+
+
+def parse_request(
+    environ: dict[str, Any], identity: _tokens.Identity
+) -> result.Result[Request, _errors.Failure]:
+    path = environ.get('PATH_INFO', '').strip('/')
+    query = urllib.parse.parse_qsl(environ.get('QUERY_STRING', ''))
+    headers = {
+        name[5:].lower().replace('_', '-'): value
+        for name, value in environ.items()
+        if name.startswith('HTTP_')
+    }
+    return _read_body(environ).map(
+        lambda body: Request(
+            environ['REQUEST_METHOD'],
+            tuple(path.split('/')),
+            dict(query),
+            headers,
+            body,
+            identity,
+        )
+    )
+
+
+def parse_apply(
+    body: Any,
+) -> result.Result[list[_declarations.Wanted], _errors.Failure]:
+    documents = body.get('resources') if isinstance(body, dict) else None
+    if not isinstance(documents, list) or not documents:
+        return fail(
+            ErrorKind.INVALID_REQUEST,
+            'the body must be {"resources": [...]} with one resource or more',
+        )
+    if len(documents) > APPLY_LIMIT:
+        return fail(
+            ErrorKind.INVALID_REQUEST,
+            f'{len(documents)} resources; one transaction holds at most '
+            f'{APPLY_LIMIT}',
+        )
+    wanted, problems = [], []
+    for index, document in enumerate(documents):
+        path = f'resources[{index}].'
+        found = _schemas.find_problems(document, path)
+        problems += found
+        if not found:
+            resource = _schemas.parse_resource(document, path).unwrap()
+            version = resource['resource_version'] or None
+            wanted.append(
+                _declarations.Wanted(resource, path, version, keep_pool=True)
+            )
+    if problems:
+        return result.Failure(_schemas.describe_problems(problems))
+    return result.Success(wanted)
+
+
+def describe_plan(
+    plan: _declarations.Plan, version: int, dry_run: bool
+) -> Reply:
+    return Reply(
+        {
+            'version': version,
+            'dry_run': dry_run,
+            'changes': [item._asdict() for item in plan.differences],
+        }
+    )
--- /dev/null
+++ b/skylarktally/_transitions.py
@@ -0,0 +1,279 @@
+"""Changes of phase of an instance, each one a log entry of its own.
+
+Every function takes the resource as it is in the log and returns it as it
+will be, with the epoch raised by one. None of them does any I/O.
+"""
+
+from collections.abc import Iterable
+import datetime
+from typing import Any, Protocol
+
+from returns import result
+
+from skylarktally import _budgets
+from skylarktally import _errors
+from skylarktally import _resources
+
+Kind = _resources.Kind
+Phase = _resources.Phase
+Resource = _resources.Resource
+ErrorKind = _errors.ErrorKind
+Changes = result.Result[list[_resources.Change], _errors.Failure]
+
+# What follows once a draining instance runs nothing.
+REBOOT = 'reboot'
+CORDON = 'cordon'
+
+
+class Replica(Protocol):
+    """The part of the fleet that is read here."""
+
+    def find(self, kind: Kind, name: str) -> Resource | None:
+        """Return one resource."""
+
+    def find_instances(
+        self, pool: str | None = None, zone: str | None = None
+    ) -> list[_resources.Instance]:
+        """Return the instances of a pool, of a zone or of both."""
+
+    def list(self, kind: Kind) -> list[Resource]:
+        """Return every resource of the kind."""
+
+
+def find_phase(resource: Resource) -> Phase:
+    """Return the phase in an instance's status."""
+    return Phase(resource['status'].get('phase', 'serving'))
+
+
+def advance(
+    resource: Resource,
+    phase: Phase,
+    now: datetime.datetime,
+    reason: str,
+    pool: str | None = None,
+    **updates: Any,
+) -> _resources.Change:
+    """Return the change to a phase, and to a pool if one is given."""
+    status = {
+        **resource['status'],
+        **updates,
+        'phase': phase.value,
+        'epoch': resource['status'].get('epoch', 1) + 1,
+        'since': now.isoformat(),
+        'reason': reason,
+    }
+    spec = {**resource['spec'], 'pool': pool or resource['spec']['pool']}
+    value = Resource(
+        kind=resource['kind'],
+        name=resource['name'],
+        spec=spec,
+        status=status,
+        resource_version=resource['resource_version'],
+    )
+    return _resources.Change(
+        kind=resource['kind'], name=resource['name'], value=value
+    )
+
+
+def serve(
+    resource: Resource,
+    now: datetime.datetime,
+    reason: str,
+    pool: str | None = None,
+) -> _resources.Change:
+    """Return the change to serving; ends whatever operation was open.
+
+    The operation id of the last stop stays: a wave reads from it which
+    instances it has maintained, and a repeated request finds it done.
+    """
+    return advance(
+        resource,
+        Phase.SERVING,
+        now,
+        reason,
+        pool,
+        target_pool=None,
+        then=None,
+        held=False,
+    )
+
+
+def list_budgets(
+    fleet: Replica, pools: Iterable[str] | None = None
+) -> list[_resources.Budget]:
+    """Return the declared budgets, of all pools or of some."""
+    wanted = None if pools is None else set(pools)
+    return [
+        _resources.Budget(name=item['name'], **item['spec'])
+        for item in fleet.list(Kind.BUDGET)
+        if wanted is None or item['spec']['pool'] in wanted
+    ]
+
+
+def _find_serving(
+    fleet: Replica, name: str
+) -> result.Result[Resource, _errors.Failure]:
+    resource = fleet.find(Kind.INSTANCE, name)
+    if resource is None:
+        missing = f'there is no instance {name!r}'
+        return result.Failure(_errors.Failure(ErrorKind.NOT_FOUND, missing))
+    phase = find_phase(resource)
+    if phase is not Phase.SERVING:
+        busy = f'instance {name!r} is in phase {phase.value}'
+        return result.Failure(_errors.Failure(ErrorKind.CONFLICT, busy))
+    return result.Success(resource)
+
+
+def _check_budget(
+    fleet: Replica, resource: Resource
+) -> result.Result[None, _errors.Failure]:
+    pool = resource['spec']['pool']
+    return _budgets.check_budget(
+        list_budgets(fleet, [pool]),
+        fleet.find_instances(pool=pool),
+        [resource['name']],
+    )
+
+
+def begin_stop(
+    fleet: Replica,
+    name: str,
+    operation_id: str,
+    reason: str,
+    now: datetime.datetime,
+    then: str = REBOOT,
+) -> Changes:
+    """Mark an instance as leaving and spend the budget of its pool on it.
+
+    Returns no change when the same operation has already marked it. Fails
+    with NOT_FOUND, CONFLICT or BUDGET_EXHAUSTED.
+    """
+    found = fleet.find(Kind.INSTANCE, name)
+    if found and found['status'].get('operation_id') == operation_id:
+        return result.Success([])
+    return _begin(
+        fleet, name, reason, now, operation_id=operation_id, then=then
+    )
+
+
+def _begin(
+    fleet: Replica,
+    name: str,
+    reason: str,
+    now: datetime.datetime,
+    **updates: Any,
+) -> Changes:
+    serving = _find_serving(fleet, name)
+    if not isinstance(serving, result.Success):
+        return result.Failure(serving.failure())
+    resource = serving.unwrap()
+    allowed = _check_budget(fleet, resource)
+    if not isinstance(allowed, result.Success):
+        return result.Failure(allowed.failure())
+    return result.Success(
+        [advance(resource, Phase.DRAINING, now, reason, **updates)]
+    )
+
+
+def _check_move(
+    fleet: Replica, name: str, pool: str
+) -> _errors.Failure | None:
+    found = fleet.find(Kind.INSTANCE, name)
+    if fleet.find(Kind.POOL, pool) is None:
+        missing = f'there is no pool {pool!r}'
+        return _errors.Failure(ErrorKind.NOT_FOUND, missing)
+    source = found and fleet.find(Kind.POOL, found['spec']['pool'])
+    if not source:
+        return None
+    left = len(fleet.find_instances(pool=source['name'])) - 1
+    if left < source['spec'].get('floor', 0):
+        return _errors.Failure(
+            ErrorKind.BUDGET_EXHAUSTED,
+            f'pool {source["name"]!r} would keep {left} instances, its '
+            f'floor is {source["spec"]["floor"]}',
+        )
+    return None
+
+
+def begin_move(
+    fleet: Replica,
+    name: str,
+    pool: str,
+    reason: str,
+    now: datetime.datetime,
+) -> Changes:
+    """Mark an instance as leaving its pool for another one.
+
+    Returns no change when it is already in that pool or on its way there.
+    Fails with NOT_FOUND, CONFLICT or BUDGET_EXHAUSTED, also when the pool
+    that it leaves would go below its floor.
+    """
+    found = fleet.find(Kind.INSTANCE, name)
+    if found:
+        target = found['status'].get('target_pool')
+        if (target or found['spec']['pool']) == pool:
+            return result.Success([])
+    refused = _check_move(fleet, name, pool)
+    if refused:
+        return result.Failure(refused)
+    return _begin(fleet, name, reason, now, target_pool=pool, then=None)
+
+
+def finish_drain(
+    resource: Resource, now: datetime.datetime, boot_id: str
+) -> _resources.Change:
+    """Return the step after an instance has come to run nothing.
+
+    :param boot_id: of the worker before its reboot, so that any controller
+        can tell the worker that has come back from the one that left
+    """
+    status = resource['status']
+    target = status.get('target_pool')
+    if target:
+        return serve(resource, now, f'moved to {target}', target)
+    if status.get('then') == CORDON:
+        return advance(
+            resource,
+            Phase.CORDONED,
+            now,
+            'drained by an operator',
+            then=None,
+            held=True,
+        )
+    return advance(
+        resource, Phase.STOPPING, now, 'runs no task', boot_id=boot_id
+    )
+
+
+def fail(
+    resource: Resource, now: datetime.datetime, reason: str
+) -> _resources.Change:
+    """Return the change to failed; a move that was open is given up."""
+    return advance(
+        resource,
+        Phase.FAILED,
+        now,
+        reason,
+        target_pool=None,
+        then=None,
+    )
+
+
+def return_to_service(
+    fleet: Replica, name: str, reason: str, now: datetime.datetime
+) -> Changes:
+    """Return an instance to service, or undo a drain that has not ended.
+
+    Fails with CONFLICT for an instance that the platform is rebooting.
+    """
+    resource = fleet.find(Kind.INSTANCE, name)
+    if resource is None:
+        missing = f'there is no instance {name!r}'
+        return result.Failure(_errors.Failure(ErrorKind.NOT_FOUND, missing))
+    phase = find_phase(resource)
+    if phase is Phase.SERVING:
+        return result.Success([])
+    if phase not in (Phase.DRAINING, Phase.FAILED, Phase.CORDONED):
+        busy = f'instance {name!r} is in phase {phase.value}'
+        return result.Failure(_errors.Failure(ErrorKind.CONFLICT, busy))
+    return result.Success([serve(resource, now, reason)])
