Add the command line

Cause: operators need to apply, watch, drain and move from a shell. Change: ctl calls the first controller that answers, prints tables or JSON, waits with progress and maps errors to exit codes.

--- /dev/null
+++ b/skylarktally/ctl.py
@@ -0,0 +1,155 @@
+"""Command line of the resource API.
+
+Commands: apply FILE, get KIND [NAME], delete KIND NAME, watch, drain NAME,
+move NAME POOL, return NAME, explain KIND NAME, dump ADMIN_ADDRESS,
+check-settings FILE, reference.
+
+Exit codes: 0 done, 1 refused, 2 wrong use, 3 conflict with another change,
+4 no controller or table could be reached, 5 still waiting at the time limit.
+"""
+
+from collections.abc import Callable
+import datetime
+import sys
+from typing import Any
+
+from absl import app
+from absl import flags
+from returns import result
+
+from skylarktally import _client
+from skylarktally import _clock
+from skylarktally import _commands
+from skylarktally import _errors
+from skylarktally import _reference
+from skylarktally import _settings
+
+FLAGS = flags.FLAGS
+flags.DEFINE_multi_string(
+    'api', [], 'Address of a controller; repeat it to name alternatives.'
+)
+flags.DEFINE_string('token-file', '', 'File that holds the bearer token.')
+flags.DEFINE_enum('output', 'table', ['table', 'json'], 'Form of results.')
+flags.DEFINE_bool('dry-run', False, 'apply: show the difference only.')
+flags.DEFINE_integer('after', None, 'watch: version to continue after.')
+flags.DEFINE_integer('limit', 0, 'watch: stop after so many messages.')
+flags.DEFINE_enum(
+    'then', 'reboot', ['reboot', 'cordon'], 'drain: what follows it.'
+)
+flags.DEFINE_bool('wait', False, 'drain and move: wait for the end.')
+flags.DEFINE_float('timeout', 900.0, 'Time limit of --wait in seconds.')
+flags.DEFINE_enum(
+    'process',
+    'controller',
+    ['controller', 'router'],
+    'check-settings: the process that the file is for.',
+)
+
+Command = Callable[..., int]
+# Name of a command, and the numbers of arguments that it takes.
+_ARGUMENTS = {
+    'apply': (1,),
+    'get': (1, 2),
+    'delete': (2,),
+    'watch': (0,),
+    'drain': (1,),
+    'move': (2,),
+    'return': (1,),
+    'explain': (2,),
+    'dump': (1,),
+    'check-settings': (1,),
+    'reference': (0,),
+}
+
+
+def _check_settings(screen: _commands.Screen, path: str) -> int:
+    kind: type[_settings.Settings] = _settings.ControllerSettings
+    if FLAGS.process == 'router':
+        kind = _settings.RouterSettings
+    checked = _settings.load_settings(kind, path)
+    issues = [issue._asdict() for issue in checked.issues]
+    screen.show(issues, lambda: map(str, checked.issues))
+    if checked.settings is None:
+        return _commands.REFUSED
+    screen.report(f'{path} can be used')
+    return _commands.DONE
+
+
+def _dump_state(screen: _commands.Screen, address: str) -> int:
+    outcome = _client.Client([address], '').call('GET', '/debug/state')
+    if not isinstance(outcome, result.Success):
+        return _commands.explain_failure(screen, outcome.failure())
+    screen._replace(as_json=True).show(outcome.unwrap(), list)
+    return _commands.DONE
+
+
+def _show_reference() -> int:
+    sys.stdout.write(_reference.describe_kinds())
+    return _commands.DONE
+
+
+def _read_token() -> result.Result[str, _errors.Failure]:
+    path = FLAGS['token-file'].value
+    if not path:
+        return result.Success('')
+    try:
+        with open(path, encoding='utf-8') as file:
+            return result.Success(file.read().strip())
+    except (OSError, UnicodeDecodeError) as error:
+        kind = _errors.ErrorKind.INVALID_REQUEST
+        return result.Failure(_errors.Failure(kind, str(error)))
+
+
+def _call_api(
+    screen: _commands.Screen, token: str, name: str, arguments: list[str]
+) -> int:
+    client = _client.Client(FLAGS.api, token)
+    clock = _clock.SystemClock()
+    limit = datetime.timedelta(seconds=FLAGS.timeout)
+    wait = _commands.Wait(clock, limit if FLAGS.wait else None)
+    extra: dict[str, tuple[Command, tuple[Any, ...]]] = {
+        'apply': (_commands.apply_file, (FLAGS['dry-run'].value,)),
+        'get': (_commands.get_resources, ('',)[: 2 - len(arguments)]),
+        'delete': (_commands.delete_resource, ()),
+        'watch': (_commands.watch_changes, (clock, FLAGS.after, FLAGS.limit)),
+        'drain': (_commands.drain_instance, (FLAGS.then, wait)),
+        'move': (_commands.move_instance, (wait,)),
+        'return': (_commands.return_instance, ()),
+        'explain': (_commands.explain_resource, ()),
+    }
+    command, rest = extra[name]
+    return command(client, screen, *arguments, *rest)
+
+
+def _run(argv: list[str]) -> int:
+    screen = _commands.Screen(FLAGS.output == 'json', sys.stdout, sys.stderr)
+    name, arguments = (argv[1:2] or [''])[0], argv[2:]
+    if len(arguments) not in _ARGUMENTS.get(name, ()):
+        commands = ', '.join(_ARGUMENTS)
+        screen.report(f'error: usage: see --help; commands are {commands}')
+        return _commands.USAGE
+    match name:
+        case 'check-settings':
+            return _check_settings(screen, *arguments)
+        case 'dump':
+            return _dump_state(screen, *arguments)
+        case 'reference':
+            return _show_reference()
+    token = _read_token()
+    if not isinstance(token, result.Success):
+        return _commands.explain_failure(screen, token.failure())
+    return _call_api(screen, token.unwrap(), name, arguments)
+
+
+def main() -> None:
+    """Run the command that the arguments name."""
+    FLAGS.set_gnu_getopt(True)
+    try:
+        app.run(_run)
+    except KeyboardInterrupt:
+        # The usual end of a watch.
+        sys.exit(130)
+
+
+if __name__ == '__main__':
+    main()
