--- a/skylarktally/_channels.py
+++ b/skylarktally/_channels.py
@@ -6,6 +6,7 @@
 reflected. They are not encrypted.
 """
 
+import collections
 from collections.abc import Iterable
 import hashlib
 import hmac
@@ -38,8 +39,8 @@
         is_client: bool,
         record_bytes: int,
     ) -> None:
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        # Where the bytes of records are counted.
+        self.counts: collections.Counter[str] = collections.Counter()
         self._connection = connection
         self._key = key
         self._labels = (b'C', b'S') if is_client else (b'S', b'C')
@@ -62,7 +63,7 @@
         self._sent += 1
         record = _LENGTH.pack(len(data)) + mac + data
         self._connection.sendall(record)
-        self.sent_bytes += len(record)
+        self.counts['sent_bytes'] += len(record)
 
     def flush(self) -> None:
         """Do nothing: records are sent when written."""
@@ -84,7 +85,7 @@
         if not hmac.compare_digest(mac, header[_LENGTH.size :]):
             raise AuthenticationError('record was altered')
         self._received += 1
-        self.received_bytes += len(header) + size
+        self.counts['received_bytes'] += len(header) + size
         self._buffer = memoryview(data)
 
     def _seal(self, label: bytes, number: int, data: bytes) -> bytes:
--- a/skylarktally/_gossip.py
+++ b/skylarktally/_gossip.py
@@ -87,6 +87,8 @@
         self._push_due = False
         self._pushing: set[str] = set()
         self._fetching = False
+        # True once a whole state is in force, possibly that of version 0.
+        self.loaded = False
         self.counts = {'calls': 0, 'failures': 0, 'pushes': 0, 'snapshots': 0}
         fleet.subscribe(self._schedule_push)
 
@@ -97,21 +99,26 @@
         if address is not None:
             self.exchange(address)
 
-    def exchange(self, address: str) -> bool:
-        """Exchange state with the peer at an address until both agree."""
+    def exchange(self, address: str) -> int | None:
+        """Exchange state with the peer at an address until both agree.
+
+        :returns: the peer's version, -1 if it has none in force yet, or
+            None when it did not answer
+        """
+        peer_version = None
         for _ in range(_ROUNDS):
             before = self._fleet.version
             reply = self._sync(address)
             if reply is None:
-                return False
-            peer_version = reply.log_version or 0
+                return None
+            peer_version = _read_version(reply.log_version)
             if peer_version <= self._fleet.version:
                 self._push(address, peer_version)
-                return True
+                break
             if self._fleet.version == before:
                 # The peer no longer has the entry that follows.
-                return self._fetch_snapshot(address)
-        return True
+                return peer_version if self._fetch_snapshot(address) else None
+        return peer_version
 
     def _sync(self, address: str) -> ttypes.SyncReply | None:
         self.counts['calls'] += 1
@@ -120,7 +127,7 @@
             ttypes.SyncRequest(
                 sender=_messages.write_member(self._membership.own),
                 members=self._choose_members(False, {}),
-                log_version=self._fleet.version,
+                log_version=self._get_version(),
             ),
         )
         if not isinstance(answer, result.Success):
@@ -146,14 +153,14 @@
         if sender is not None:
             self._membership.merge(sender)
         self._merge_members(listed)
-        version = request.log_version or 0
+        version = _read_version(request.log_version)
         return ttypes.SyncReply(
             responder=_messages.write_member(self._membership.own),
             members=self._choose_members(
                 is_new,
                 {(m.name, m.incarnation): m.heartbeat or 0 for m in listed},
             ),
-            log_version=self._fleet.version,
+            log_version=self._get_version(),
             entries=self._read_entries(version),
         )
 
@@ -162,6 +169,9 @@
         self._apply(_messages.read_entries(entries))
         return self._fleet.version
 
+    def _get_version(self) -> int:
+        return self._fleet.version if self.loaded else -1
+
     def _choose_members(
         self, full: bool, listed: dict[tuple[str, int], int]
     ) -> list[ttypes.Member]:
@@ -284,3 +294,7 @@
                 # A peer that stopped within the range cannot read the rest.
                 return
             after = reached
+
+
+def _read_version(version: int | None) -> int:
+    return -1 if version is None else version
--- /dev/null
+++ b/skylarktally/_handlers.py
@@ -0,0 +1,73 @@
+"""What the request path and the peers ask of a router."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+from skylarktally import _claims
+from skylarktally import _dumps
+from skylarktally._gen.peer import ttypes
+from skylarktally import _gossip
+from skylarktally import _membership
+from skylarktally import _peers
+from skylarktally import _snapshots
+
+
+class PeerHandler:
+    """Answers the calls of peers and controllers."""
+
+    def __init__(
+        self,
+        gossip: _gossip.Gossip,
+        snapshots: _snapshots.Snapshots,
+        claims: _claims.Claims,
+        observe: Callable[[], dict[str, Any]],
+    ) -> None:
+        self._gossip = gossip
+        self._snapshots = snapshots
+        self._claims = claims
+        self._observe = observe
+
+    def sync(self, request: ttypes.SyncRequest) -> ttypes.SyncReply:
+        """Exchange counters and versions."""
+        return self._gossip.handle_sync(request)
+
+    def push_log(self, entries: list[ttypes.LogEntry]) -> int:
+        """Apply log entries and return the version afterwards."""
+        return self._gossip.handle_push(entries)
+
+    def fetch_snapshot(self) -> ttypes.Snapshot:
+        """Return the whole resource state, of version -1 if there is none."""
+        if not self._gossip.loaded:
+            return ttypes.Snapshot(log_version=-1, body='[]')
+        return self._snapshots.build()
+
+    def find_answer(self, request_key: str) -> ttypes.Answer:
+        """Return the recorded answer of a request key."""
+        answer = self._claims.find(request_key)
+        return ttypes.Answer(
+            state=answer.state.value,
+            status=answer.status,
+            headers=dict(answer.headers),
+            body=answer.body,
+        )
+
+    def get_observations(self) -> str:
+        """Return the observations, a JSON object."""
+        return json.dumps(self._observe(), default=_dumps.encode_value)
+
+
+class Routers:
+    """The other routers, as the request path asks for them."""
+
+    def __init__(
+        self, membership: _membership.Membership, calls: _peers.PeerCalls
+    ) -> None:
+        self._membership = membership
+        self.find_answer = calls.find_answer
+
+    def list_routers(
+        self, zone: str | None = None
+    ) -> list[_membership.Member]:
+        """List the other routers that are alive, of one zone or of all."""
+        return self._membership.list_alive(zone)
--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -26,6 +26,8 @@
 import eventlet.wsgi  # noqa: E402
 from eventlet import wsgi  # noqa: E402
 
+AF_INET = socket.AF_INET
+AF_INET6 = socket.AF_INET6
 GreenPool = eventlet.GreenPool
 HttpProtocol = wsgi.HttpProtocol
 Event = eventlet.Event
--- a/skylarktally/_membership.py
+++ b/skylarktally/_membership.py
@@ -152,16 +152,22 @@
         members = [self.own, *(h.member for h in self._list_live())]
         return [m for m in members if zone is None or m.zone == zone]
 
-    def list_usable(self, zone: str | None = None) -> list[Member]:
-        """Return other members that are alive and not leaving."""
+    def list_alive(self, zone: str | None = None) -> list[Member]:
+        """Return the other members that are alive, leaving ones included."""
         return [
             heard.member
             for heard in self._list_live()
-            if not heard.member.leaving
+            if self._find_state(heard) is State.ALIVE
             and (zone is None or heard.member.zone == zone)
-            and self._find_state(heard) is State.ALIVE
         ]
 
+    def count_states(self) -> dict[str, int]:
+        """Return the number of other members in each state."""
+        counts = {state.value: 0 for state in State}
+        for heard in self._others.values():
+            counts[self._find_state(heard).value] += 1
+        return counts
+
     def list_recent(self) -> list[Heard]:
         """Return other members that are not dead, last heard first."""
         return sorted(
--- a/skylarktally/_peers.py
+++ b/skylarktally/_peers.py
@@ -1,5 +1,6 @@
 """Client and server of the peer protocol, over thrift."""
 
+import collections
 import datetime
 import logging
 import socket
@@ -78,7 +79,7 @@
         self._frame_bytes = frame_bytes
         self._idle: dict[str, list[_Connection]] = {}
         self._open = 0
-        self.counts = {'calls': 0, 'failures': 0, 'connections': 0}
+        self.counts = collections.Counter(calls=0, failures=0, connections=0)
 
     def sync(
         self, address: str, request: ttypes.SyncRequest
@@ -200,6 +201,7 @@
                 opened.close()
             raise
         self.counts['connections'] += 1
+        channel.counts = self.counts
         return _Connection(channel, self._frame_bytes)
 
     def _make_room(self) -> None:
@@ -263,7 +265,9 @@
         self._limit = limit
         self._frame_bytes = frame_bytes
         self._open = 0
-        self.counts = {'connections': 0, 'refused': 0, 'unauthenticated': 0}
+        self.counts = collections.Counter(
+            connections=0, refused=0, unauthenticated=0
+        )
 
     def serve(self, listener: socket.socket) -> None:
         """Accept connections until the calling green thread is killed."""
@@ -308,6 +312,7 @@
                 self.counts['unauthenticated'] += 1
                 return None
             self.counts['connections'] += 1
+            channel.counts = self.counts
             return channel
         return None
 
--- a/skylarktally/_settings.py
+++ b/skylarktally/_settings.py
@@ -13,6 +13,7 @@
 import json5
 
 from skylarktally import _fields
+from skylarktally import _limits
 
 Token = _fields.Token
 split_address = _fields.split_address
@@ -75,6 +76,10 @@
         ),
     ] = 'INFO'
     platform_timeout: Annotated[_Duration, _SHORT] = _seconds(2)
+    # Share of this process in the platform's rates; the claims of 8 routers
+    # under load and the reads of 24 routers stay below the limits.
+    platform_writes_per_second: Annotated[int, _count(1, 300)] = 12
+    platform_reads_per_second: Annotated[int, _count(1, 2000)] = 20
     peer_timeout: Annotated[_Duration, _SHORT] = _seconds(1)
     snapshot_timeout: Annotated[_Duration, _SHORT] = _seconds(5)
     # Largest frame of the peer protocol; a snapshot of 3,200 workers has
@@ -96,7 +101,7 @@
     suspect_after: Annotated[_Duration, _LONG] = _seconds(4)
     dead_after: Annotated[_Duration, _LONG] = _seconds(8)
     # Bound of the member list in one message.
-    gossip_members_bytes: Annotated[int, _bytes(512, 1 << 20)] = 2048
+    gossip_members_bytes: Annotated[int, _bytes(256, 1 << 20)] = 1024
     sync_entries: Annotated[int, _count(1, 2000, 'log entries')] = 200
     table_poll_interval: Annotated[_Duration, _SHORT] = _seconds(2)
     peer_server_connections: Annotated[int, _count(1, 4096)] = 256
@@ -117,7 +122,6 @@
     key_retention: Annotated[_Duration, _LONG] = _seconds(600)
     recorded_answer_bytes: Annotated[int, _bytes(0, 1 << 24)] = 64 << 10
     recorded_answers: Annotated[int, _count(0, 1000000)] = 10000
-    claims_per_second: Annotated[int, _count(1, 300)] = 100
 
     # Request path, section 7.
     request_timeout: Annotated[_Duration, _LONG] = _seconds(10)
@@ -127,7 +131,7 @@
     ejection_shortest: Annotated[_Duration, _LONG] = _seconds(1)
     ejection_longest: Annotated[_Duration, _LONG] = _seconds(30)
     ejection_share: Annotated[float, _SHARE] = 0.5
-    response_timeout: Annotated[_Duration, _LONG] = _seconds(5)
+    response_timeout: Annotated[_Duration, _LONG] = _seconds(2)
     connection_idle: Annotated[_Duration, _LONG] = _seconds(5)
     header_bytes: Annotated[int, _bytes(1024, 1 << 20)] = 16 << 10
     body_bytes: Annotated[int, _bytes(0, 1 << 34)] = 64 << 20
@@ -135,6 +139,35 @@
     header_timeout: Annotated[_Duration, _LONG] = _seconds(10)
     progress_timeout: Annotated[_Duration, _LONG] = _seconds(30)
 
+    @property
+    def limits(self) -> _limits.ServingLimits:
+        """Return the settings that the request path reads."""
+        per_router = self.connections_per_worker // self.routers_per_zone_limit
+        return _limits.ServingLimits(
+            lease_ttl=self.slot_lease_ttl,
+            lease_margin=self.slot_lease_margin,
+            lease_idle=self.slot_lease_idle,
+            worker_connections=per_router,
+            routers_per_zone=self.routers_per_zone_limit,
+            response_timeout=self.response_timeout,
+            idle_connection=self.connection_idle,
+            queue_limit=self.queue_limit,
+            default_deadline=self.request_timeout,
+            retry_ratio=self.retry_ratio,
+            eject_after=self.ejection_failures,
+            eject_first=self.ejection_shortest,
+            eject_longest=self.ejection_longest,
+            ejected_share=self.ejection_share,
+            body_bytes=self.body_bytes,
+            header_bytes=self.header_bytes,
+            client_connections=self.client_connections,
+            header_timeout=self.header_timeout,
+            progress_timeout=self.progress_timeout,
+            answer_bytes=self.recorded_answer_bytes,
+            answers=self.recorded_answers,
+            key_age=self.key_retention,
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ControllerSettings(Settings):
@@ -294,6 +327,9 @@
     if settings.slot_lease_margin * 2 > settings.slot_lease_ttl:
         path = 'slot_lease_margin_seconds'
         yield 'error', path, 'must be at most half of slot_lease_ttl_seconds'
+    if settings.connections_per_worker < settings.routers_per_zone_limit:
+        path = 'connections_per_worker'
+        yield 'error', path, 'leaves no connection to each router of a zone'
     if settings.ejection_shortest > settings.ejection_longest:
         path = 'ejection_shortest_seconds'
         yield 'error', path, 'must not exceed ejection_longest_seconds'
--- /dev/null
+++ b/skylarktally/router.py
@@ -0,0 +1,31 @@
+"""Router: accepts requests and relays them to workers.
+
+Run as ``python -m skylarktally.router --settings=FILE``.
+"""
+
+from skylarktally import _loop
+
+_loop.patch_standard_library()
+
+from absl import app  # noqa: E402
+
+from skylarktally import _clock  # noqa: E402
+from skylarktally import _launch  # noqa: E402
+from skylarktally import _router  # noqa: E402
+from skylarktally import _settings  # noqa: E402
+
+
+def serve(arguments: list[str]) -> None:
+    """Serve until a signal asks for a graceful shutdown."""
+    del arguments
+    settings = _launch.load(_settings.RouterSettings)
+    _router.Router(settings, _clock.SystemClock()).run()
+
+
+def main() -> None:
+    """Run the binary."""
+    app.run(serve)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Comparisons, measurements and benchmarks."""
