--- a/skylarktally/_placement.py
+++ b/skylarktally/_placement.py
@@ -2,21 +2,25 @@
 
 Urgent runs go first and may have deferrable ones checkpointed, throttled
 or stopped. Deferrable runs fill what is left. Half of a pool's instances
-are kept free of work that can be neither stopped nor checkpointed, so that
-urgent work always finds an instance that can be cleared for it.
+are kept free of deferrable work that cannot be stopped, so that urgent
+work finds an instance that can be cleared for it. The 5.5 s in which an
+urgent run must start hold a planning pass (1 s), a checkpoint (stopped
+after 3 s) and the start of the run.
 """
 
 import collections
 import datetime
-import enum
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
+from skylarktally import _boards
+from skylarktally import _preemption
 from skylarktally import _resources
 from skylarktally import _sizes
 
-# Share of the declared cores that a throttled run keeps.
-THROTTLED_SHARE = 0.25
+_RunState = _sizes.RunState
+# An idempotent run in one of these states starts again.
+_REPEATABLE = (_RunState.CHECKPOINTED, _RunState.STOPPED, _RunState.LOST)
 
 
 class Assignment(NamedTuple):
@@ -26,14 +30,8 @@
     run: int
     instance: str
     resumes: bool = False
-
-
-class Relief(enum.Enum):
-    """Ways of making room."""
-
-    THROTTLE = 'throttle'
-    CHECKPOINT = 'checkpoint'
-    STOP = 'stop'
+    # Number of preemptions on the instance that must end first.
+    preemptions: int = 0
 
 
 class Preemption(NamedTuple):
@@ -42,10 +40,18 @@
     job: str
     run: int
     instance: str
-    relief: Relief
+    relief: _preemption.Relief
     urgent_job: str
 
 
+class Restoration(NamedTuple):
+    """A throttled run that gets its processors back."""
+
+    job: str
+    run: int
+    instance: str
+
+
 class Unschedulable(NamedTuple):
     """A job that fits no instance of its pool even when it is empty."""
 
@@ -59,18 +65,24 @@
 class Placements(NamedTuple):
     """The changes to make now, and why the other runs wait."""
 
-    assignments: tuple[Assignment, ...]
-    preemptions: tuple[Preemption, ...]
-    unschedulable: tuple[Unschedulable, ...]
+    assignments: tuple[Assignment, ...] = ()
+    preemptions: tuple[Preemption, ...] = ()
+    restorations: tuple[Restoration, ...] = ()
+    unschedulable: tuple[Unschedulable, ...] = ()
     # Number of waiting runs and the cause, by job.
-    waiting: dict[str, tuple[int, str]]
-    sizes: dict[str, _sizes.Size]
+    waiting: dict[str, tuple[int, str]] = {}
+    sizes: dict[str, _sizes.Size] = {}
+
 
+class Cancellation(NamedTuple):
+    """A run to end for good because its job was cancelled."""
 
-class _Run(NamedTuple):
-    job: _resources.Job
+    job: str
     run: int
-    size: _sizes.Size
+    instance: str
+
+
+Reports = Mapping[str, Mapping[int, _sizes.Usage]]
 
 
 def place_jobs(
@@ -83,290 +95,218 @@
 
     :param usage: the last report on every run that was ever started
     """
-    reports: dict[str, dict[int, _sizes.Usage]] = collections.defaultdict(dict)
-    for report in usage:
-        reports[report.job][report.run] = report
-    by_pool: dict[str, list[_resources.Instance]] = {}
+    reports = index_usage(usage)
+    by_instance: dict[str, list[_sizes.Usage]] = collections.defaultdict(list)
+    for runs in reports.values():
+        for report in runs.values():
+            by_instance[report.instance].append(report)
+    members: dict[str, list[_resources.Instance]] = {}
     for instance in instances:
-        by_pool.setdefault(instance.pool, []).append(instance)
-    jobs_by_pool: dict[str, list[_resources.Job]] = {}
+        members.setdefault(instance.pool, []).append(instance)
+    jobs_of: dict[str, dict[str, _resources.Job]] = {}
     for job in jobs:
-        jobs_by_pool.setdefault(job.pool, []).append(job)
-    result = Placements((), (), (), {}, {})
-    for pool in sorted(jobs_by_pool):
-        board = _Board(by_pool.get(pool, []), jobs_by_pool[pool], reports)
-        part = board.place()
-        result = Placements(
-            result.assignments + part.assignments,
-            result.preemptions + part.preemptions,
-            result.unschedulable + part.unschedulable,
-            result.waiting | part.waiting,
-            result.sizes | part.sizes,
+        jobs_of.setdefault(job.pool, {})[job.name] = job
+    parts = [
+        _Pass(members.get(pool, []), jobs_of[pool], reports, now).place(
+            by_instance
         )
-    return result
+        for pool in sorted(jobs_of)
+    ]
+    return _join(parts)
 
 
-class _Board:
-    """Free capacity of one pool while its runs are placed."""
+def index_usage(usage: Iterable[_sizes.Usage]) -> Reports:
+    """Index reports by job and run; the last one of a run counts."""
+    reports: dict[str, dict[int, _sizes.Usage]] = {}
+    for report in usage:
+        reports.setdefault(report.job, {})[report.run] = report
+    return reports
+
+
+def plan_cancellations(
+    cancelled: Iterable[str], reports: Reports
+) -> list[Cancellation]:
+    """List the runs to end, at a cost in proportion to their number."""
+    return [
+        Cancellation(job, report.run, report.instance)
+        for job in cancelled
+        for report in reports.get(job, {}).values()
+        if report.occupies
+    ]
+
+
+def _join(parts: Collection[Placements]) -> Placements:
+    waiting: dict[str, tuple[int, str]] = {}
+    sizes: dict[str, _sizes.Size] = {}
+    for part in parts:
+        waiting.update(part.waiting)
+        sizes.update(part.sizes)
+    return Placements(
+        tuple(a for part in parts for a in part.assignments),
+        tuple(p for part in parts for p in part.preemptions),
+        tuple(r for part in parts for r in part.restorations),
+        tuple(u for part in parts for u in part.unschedulable),
+        waiting,
+        sizes,
+    )
+
+
+class _Pass:
+    """One planning pass over one pool."""
 
     def __init__(
         self,
         instances: Collection[_resources.Instance],
-        jobs: Collection[_resources.Job],
-        reports: Mapping[str, Mapping[int, _sizes.Usage]],
+        jobs: Mapping[str, _resources.Job],
+        reports: Reports,
+        now: datetime.datetime,
     ) -> None:
-        self._all = instances
-        self._jobs = {job.name: job for job in jobs}
+        self._instances = instances
+        self._jobs = jobs
         self._reports = reports
         self._sizes = {
-            job.name: _sizes.estimate_size(
-                job, reports.get(job.name, {}).values()
+            name: _sizes.estimate_size(
+                job, reports.get(name, {}).values(), now
             )
-            for job in jobs
-        }
-        self._serving = {
-            i.name: i
-            for i in sorted(instances)
-            if i.phase is _resources.Phase.SERVING
+            for name, job in jobs.items()
         }
-        self._free = {n: _sizes.measure(i) for n, i in self._serving.items()}
-        self._running: dict[str, list[_sizes.Usage]] = {
-            n: [] for n in self._free
-        }
-        # Runs of a job by zone, by rack and by instance.
-        self._spread: collections.Counter[tuple[str, str, str]] = (
-            collections.Counter()
-        )
         self._assignments: list[Assignment] = []
         self._preemptions: list[Preemption] = []
+        self._restorations: list[Restoration] = []
         self._waiting: dict[str, tuple[int, str]] = {}
-        for job in jobs:
-            for report in reports.get(job.name, {}).values():
-                self._load(job, report)
-        self._open = self._choose_open()
-
-    def _load(self, job: _resources.Job, report: _sizes.Usage) -> None:
-        if report.state not in (
-            _sizes.RunState.RUNNING,
-            _sizes.RunState.THROTTLED,
-        ):
-            return
-        instance = self._serving.get(report.instance)
-        if instance is None:
-            return
-        size = self._sizes[job.name]
-        if report.state is _sizes.RunState.THROTTLED:
-            size = size._replace(cores=size.cores * THROTTLED_SHARE)
-        self._free[instance.name] = _sizes.add(
-            self._free[instance.name], size, -1
-        )
-        self._running[instance.name].append(report)
-        self._count_spread(job.name, instance)
 
-    def _count_spread(self, job: str, instance: _resources.Instance) -> None:
-        self._spread[job, 'zone', instance.zone] += 1
-        self._spread[job, 'rack', instance.rack] += 1
-        self._spread[job, 'instance', instance.name] += 1
-
-    def _choose_open(self) -> set[str]:
-        """Return the instances that may hold uninterruptible runs.
-
-        At most half of the pool when it has urgent work, those first that
-        hold such runs already, then in turn over racks.
-        """
-        if all(j.urgency != 'urgent' for j in self._jobs.values()):
-            return set(self._serving)
-        holding = [
-            name
-            for name, runs in self._running.items()
-            if any(_is_fixed(self._jobs[r.job]) for r in runs)
-        ]
-        others = [n for n in self._serving if n not in set(holding)]
-        limit = (len(self._serving) + 1) // 2
-        return set((holding + others)[: max(limit, 0)])
-
-    def place(self) -> Placements:
+    def place(
+        self, by_instance: Mapping[str, list[_sizes.Usage]]
+    ) -> Placements:
         """Place every pending run that there is room for."""
-        unschedulable = []
-        pending: list[tuple[bool, int, _sizes.Size, _Run]] = []
-        for job in self._jobs.values():
-            size = self._sizes[job.name]
-            missing = _sizes.find_missing(size, self._all)
-            if missing is not None:
-                unschedulable.append(Unschedulable(job.name, *missing))
-                continue
-            deferrable = job.urgency != 'urgent'
-            for turn, run in enumerate(self._list_pending(job)):
-                pending.append((deferrable, turn, size, _Run(job, run, size)))
-        # The n-th runs of all jobs come before the next ones, so that a
-        # job with many runs does not hold the others back; large ones
-        # first, because they fit fewer gaps.
-        pending.sort(
-            key=lambda p: (p[0], p[1], [-x for x in p[2]], p[3].job.name)
+        self._board = _boards.Board(
+            self._instances,
+            self._jobs,
+            self._sizes,
+            (r for i in self._instances for r in by_instance.get(i.name, ())),
         )
-        for deferrable, _, _, waiting in pending:
-            if self._place(waiting):
-                continue
-            if deferrable or not self._make_room(waiting):
-                self._wait(waiting)
+        self._rooms = _preemption.Rooms(self._board)
+        unschedulable = self._find_unschedulable()
+        skipped = {job.job for job in unschedulable}
+        for run in self._list_pending('urgent', skipped):
+            self._try(run, lambda r: self._place(r) or self._make_room(r))
+        self._restore()
+        for run in self._list_pending('deferrable', skipped):
+            self._try(run, self._place)
         return Placements(
             tuple(self._assignments),
             tuple(self._preemptions),
+            tuple(self._restorations),
             tuple(unschedulable),
             self._waiting,
             self._sizes,
         )
 
-    def _list_pending(self, job: _resources.Job) -> list[int]:
-        reports = self._reports.get(job.name, {})
+    def _find_unschedulable(self) -> list[Unschedulable]:
+        found = []
+        for name in sorted(self._jobs):
+            missing = _sizes.find_missing(self._sizes[name], self._instances)
+            if missing is not None:
+                found.append(Unschedulable(name, *missing))
+        return found
+
+    def _list_pending(
+        self, urgency: str, skipped: Collection[str]
+    ) -> list[_boards.Run]:
+        """List the runs to place, in their order.
+
+        The n-th runs of all jobs come before the next ones, so that a job
+        with many runs does not hold the others back. Large ones go first,
+        because they fit fewer gaps.
+        """
         pending = []
-        for run in range(job.runs):
-            report = reports.get(run)
+        for name, job in self._jobs.items():
+            if job.urgency == urgency and name not in skipped:
+                size = self._sizes[name]
+                order = tuple(-amount for amount in size)
+                for turn, number in enumerate(self._list_numbers(job)):
+                    run = _boards.Run(job, number, size)
+                    pending.append((turn, order, name, run))
+        pending.sort(key=lambda entry: entry[:3])
+        return [run for *_, run in pending]
+
+    def _list_numbers(self, job: _resources.Job) -> list[int]:
+        reports = self._reports.get(job.name, {})
+        numbers = []
+        for number in range(job.runs):
+            report = reports.get(number)
             if report is None:
-                pending.append(run)
-            elif job.idempotent and report.state in (
-                _sizes.RunState.CHECKPOINTED,
-                _sizes.RunState.LOST,
-            ):
-                pending.append(run)
-        return pending
-
-    def _place(self, run: _Run) -> bool:
-        fixed = _is_fixed(run.job)
-        best = None
-        for name, free in self._free.items():
-            if not _sizes.fits(run.size, free):
-                continue
-            if fixed and name not in self._open:
-                continue
-            score = self._score(run.job, name)
-            if best is None or score < best:
-                best = score
-        if best is None:
+                numbers.append(number)
+            elif job.idempotent and report.state in _REPEATABLE:
+                numbers.append(number)
+        return numbers
+
+    def _try(
+        self, run: _boards.Run, place: Callable[[_boards.Run], bool]
+    ) -> None:
+        """Place a run, or count it as waiting.
+
+        What can be cleared for a job only shrinks during its phase of the
+        pass: once one of its runs found no room, the others find none.
+        """
+        name = run.job.name
+        if name in self._waiting:
+            count, cause = self._waiting[name]
+            self._waiting[name] = (count + 1, cause)
+        elif not place(run):
+            self._waiting[name] = (1, self._explain_wait(run))
+
+    def _place(self, run: _boards.Run) -> bool:
+        name = self._board.find(run)
+        if name is None:
             return False
-        self._assign(run, best[-1])
+        self._assign(run, name, 0)
         return True
 
-    def _score(
-        self, job: _resources.Job, name: str
-    ) -> tuple[int, int, int, float, str]:
-        instance = self._serving[name]
-        return (
-            self._spread[job.name, 'zone', instance.zone],
-            self._spread[job.name, 'rack', instance.rack],
-            self._spread[job.name, 'instance', name],
-            -self._free[name].slots,
-            name,
-        )
-
-    def _assign(self, run: _Run, name: str) -> None:
-        self._free[name] = _sizes.add(self._free[name], run.size, -1)
-        self._count_spread(run.job.name, self._serving[name])
-        report = self._reports.get(run.job.name, {}).get(run.run)
-        resumes = (
-            report is not None and report.state is _sizes.RunState.CHECKPOINTED
+    def _assign(self, run: _boards.Run, name: str, preemptions: int) -> None:
+        self._board.take(run, name)
+        report = self._reports.get(run.job.name, {}).get(run.number)
+        resumes = report is not None and (
+            report.state is _RunState.CHECKPOINTED
         )
         self._assignments.append(
-            Assignment(run.job.name, run.run, name, resumes)
+            Assignment(run.job.name, run.number, name, resumes, preemptions)
         )
 
-    def _make_room(self, run: _Run) -> bool:
-        """Preempt deferrable runs on the instance where fewest suffice."""
-        best: tuple[int, int, str] | None = None
-        chosen: list[Preemption] = []
-        for name in self._free:
-            plan = self._plan_room(run, name)
-            if plan is None:
-                continue
-            stops = sum(p.relief is not Relief.THROTTLE for p in plan)
-            score = (stops, len(plan), name)
-            if best is None or score < best:
-                best, chosen = score, plan
-        if best is None:
+    def _make_room(self, run: _boards.Run) -> bool:
+        chosen = self._rooms.choose(run)
+        if chosen is None:
             return False
-        for preemption in chosen:
-            self._apply(preemption)
-        self._assign(run, best[-1])
+        name, plan = chosen
+        for report, relief in plan:
+            self._rooms.apply(report, relief)
+            self._preemptions.append(
+                Preemption(report.job, report.run, name, relief, run.job.name)
+            )
+        self._assign(run, name, len(plan))
         return True
 
-    def _plan_room(self, run: _Run, name: str) -> list[Preemption] | None:
-        free = self._free[name]
-        plan: list[Preemption] = []
-        ranked = sorted(
-            (
-                report
-                for report in self._running[name]
-                if self._jobs[report.job].urgency != 'urgent'
-            ),
-            # The youngest lose the least work.
-            key=lambda r: (r.started_at, r.job, r.run),
-            reverse=True,
-        )
-        only_cores = _sizes.fits(
-            run.size._replace(cores=0), free._replace(cores=0)
-        )
-        for report in ranked:
-            if _sizes.fits(run.size, free):
-                break
-            relief = self._find_relief(report, only_cores)
-            if relief is None:
+    def _restore(self) -> None:
+        """Give processors back to throttled runs where they are free."""
+        touched = {p.instance for p in self._preemptions}
+        for name, runs in self._board.running.items():
+            if name in touched:
                 continue
-            free = _sizes.add(free, self._find_gain(report, relief))
-            plan.append(
-                Preemption(report.job, report.run, name, relief, run.job.name)
-            )
-        return plan if _sizes.fits(run.size, free) else None
-
-    def _find_relief(
-        self, report: _sizes.Usage, only_cores: bool
-    ) -> Relief | None:
-        job = self._jobs[report.job]
-        if only_cores and report.state is _sizes.RunState.RUNNING:
-            return Relief.THROTTLE
-        if not job.idempotent:
-            return None
-        return Relief.CHECKPOINT if job.mode == 'batch' else Relief.STOP
-
-    def _find_gain(self, report: _sizes.Usage, relief: Relief) -> _sizes.Size:
-        size = self._sizes[report.job]
-        if relief is Relief.THROTTLE:
-            return _sizes.Size(size.cores * (1 - THROTTLED_SHARE), 0, 0, 0)
-        if report.state is _sizes.RunState.THROTTLED:
-            return size._replace(cores=size.cores * THROTTLED_SHARE)
-        return size
-
-    def _apply(self, preemption: Preemption) -> None:
-        name = preemption.instance
-        runs = self._running[name]
-        report = next(
-            r
-            for r in runs
-            if (r.job, r.run) == (preemption.job, preemption.run)
-        )
-        gain = self._find_gain(report, preemption.relief)
-        self._free[name] = _sizes.add(self._free[name], gain)
-        runs.remove(report)
-        if preemption.relief is Relief.THROTTLE:
-            runs.append(report._replace(state=_sizes.RunState.THROTTLED))
-        self._preemptions.append(preemption)
-
-    def _wait(self, run: _Run) -> None:
-        count, _ = self._waiting.get(run.job.name, (0, ''))
-        cause = self._explain_wait(run)
-        self._waiting[run.job.name] = (count + 1, cause)
-
-    def _explain_wait(self, run: _Run) -> str:
-        if not self._serving:
+            for report in runs:
+                slowed = report.state is _RunState.THROTTLED
+                if slowed and self._board.restore(report):
+                    self._restorations.append(
+                        Restoration(report.job, report.run, name)
+                    )
+
+    def _explain_wait(self, run: _boards.Run) -> str:
+        frees = self._board.free
+        if not frees:
             return 'no instance of the pool serves'
-        frees = self._free.values()
-        for field in _sizes.Size._fields:
-            most = max(getattr(free, field) for free in frees)
-            needed = getattr(run.size, field)
-            if needed > most:
-                return f'{field}: {needed:g} needed, {most:g} free'
+        scarce = _boards.find_scarce(run.size, frees.values())
+        if scarce is not None:
+            resource, needed, most = scarce
+            return f'{resource}: {needed:g} needed, {most:g} free'
+        if any(run.size.fits(free) for free in frees.values()):
+            return 'half of the instances are kept for urgent work'
         return 'no instance has all resources free at once'
-
-
-def _is_fixed(job: _resources.Job) -> bool:
-    """Tell whether a run can be neither stopped nor checkpointed."""
-    return job.urgency != 'urgent' and not job.idempotent
