Add the tool that measures what a router costs

Cause: the capacity page must rest on slopes measured on this code. Change: tools.measure_capacity starts 3 to 24 routers with 30 to 3,200 instances and reads processor time, memory and counters of one of them.

--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -12,6 +12,7 @@
 from typing import Any
 import uuid
 
+from prometheus_client import parser
 import urllib3
 
 from skylarktally import _clock
@@ -125,6 +126,20 @@
             return self.http.request('GET', url).status == 200
         return False
 
+    def find_pid(self, name: str) -> int:
+        """Return the process id of a router or of the platform."""
+        return self._processes[name].pid
+
+    def read_counters(self, name: str) -> dict[str, float]:
+        """Return the metrics of a router by name and label value."""
+        address = self.routers[name]['admin_address']
+        text = self.http.request('GET', f'http://{address}/metrics').data
+        return {
+            '/'.join([sample.name, *sample.labels.values()]): sample.value
+            for family in parser.text_string_to_metric_families(text.decode())
+            for sample in family.samples
+        }
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one of the processes."""
         self._processes[name].send_signal(number)
--- /dev/null
+++ b/tools/measure_capacity.py
@@ -0,0 +1,172 @@
+"""Measures what a router costs against instances, pools and members.
+
+Starts real processes on loopback at several sizes and prints processor
+time, memory, and bytes and calls a second of one router that serves no
+requests. docs/CAPACITY.md is worked out from these slopes.
+"""
+
+import os
+import pathlib
+import tempfile
+import time
+from typing import Any, NamedTuple
+
+from absl import app
+from absl import flags
+from returns import result
+
+from skylarktally import _journal
+from skylarktally import _resources
+from tools import cluster
+
+_SECONDS = flags.DEFINE_float(
+    'seconds', 10.0, 'How long each size is observed.', 1.0, 600.0
+)
+_INSTANCES = flags.DEFINE_multi_integer(
+    'instances', [30, 320, 1000, 3200], 'Numbers of instances to measure.'
+)
+_MEMBERS = flags.DEFINE_multi_integer(
+    'members', [3, 9, 24], 'Numbers of routers to measure.'
+)
+_TICKS = os.sysconf('SC_CLK_TCK')
+_PER_POOL = 12
+_PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+
+
+class Cost(NamedTuple):
+    """What one router used while it was observed."""
+
+    core_percent: float
+    megabytes: float
+    sent_bytes: float
+    received_bytes: float
+    calls: float
+    table_reads: float
+
+
+def build_instance(number: int) -> _resources.Change:
+    """Return a change that declares one instance."""
+    instance = _resources.Instance(
+        name=f'worker-{number}',
+        pool=f'pool-{number // _PER_POOL}',
+        zone=f'zone-{number % 8}',
+        rack=f'rack-{number // 4}',
+        address=f'127.200.{number // 250}.{number % 250}:8080',
+        cores=64,
+        memory_bytes=256 << 30,
+        accelerators=2,
+        slots=8,
+        connections=64,
+        phase=_resources.Phase.SERVING,
+        epoch=1,
+    )
+    value = _resources.write_instance(instance, {})
+    return _resources.Change(kind='instance', name=instance.name, value=value)
+
+
+def build_pool(number: int) -> _resources.Change:
+    """Return a change that declares one pool."""
+    name = f'pool-{number}'
+    value = _resources.Resource(
+        kind='pool',
+        name=name,
+        spec={'team': f'team-{number % 43}', 'weight': 1.0},
+        status={},
+        resource_version=0,
+    )
+    return _resources.Change(kind='pool', name=name, value=value)
+
+
+def commit(
+    journal: _journal.Journal, changes: list[_resources.Change]
+) -> None:
+    """Commit changes in transactions of the greatest size."""
+    for start in range(0, len(changes), _journal.CHANGES_LIMIT):
+        part = changes[start : start + _journal.CHANGES_LIMIT]
+        done = journal.transact(lambda _fleet, part=part: _succeed(part))
+        if not isinstance(done, result.Success):
+            raise RuntimeError(done.failure().message)
+
+
+def _succeed(changes: list[_resources.Change]) -> Any:
+    return result.Success(changes)
+
+
+def observe(deployment: cluster.Cluster, name: str, seconds: float) -> Cost:
+    """Measure one router for some seconds."""
+    pid = deployment.find_pid(name)
+    before, started = _read_processor(pid), time.monotonic()
+    counts = deployment.read_counters(name)
+    time.sleep(seconds)
+    after = deployment.read_counters(name)
+    took = time.monotonic() - started
+
+    def rate(key: str) -> float:
+        return (after.get(key, 0) - counts.get(key, 0)) / took
+
+    return Cost(
+        core_percent=(_read_processor(pid) - before) / took * 100,
+        megabytes=_read_resident(pid) / 1e6,
+        sent_bytes=rate('skylarktally_peer_calls_total/sent_bytes'),
+        received_bytes=rate('skylarktally_peer_calls_total/received_bytes'),
+        calls=rate('skylarktally_peer_calls_total/calls'),
+        table_reads=rate('skylarktally_platform_calls_total/GET'),
+    )
+
+
+def _read_processor(pid: int) -> float:
+    """Return the processor time of a process in seconds."""
+    text = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
+    fields = text.rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS
+
+
+def _read_resident(pid: int) -> int:
+    """Return the resident memory of a process in bytes."""
+    text = pathlib.Path(f'/proc/{pid}/statm').read_text(encoding='ascii')
+    return int(text.split()[1]) * _PAGE_BYTES
+
+
+def measure(routers: int, instances: int, seconds: float) -> Cost:
+    """Measure one router of a deployment of some size."""
+    with (
+        tempfile.TemporaryDirectory() as scratch,
+        cluster.Cluster(pathlib.Path(scratch)) as deployment,
+    ):
+        deployment.start_platform()
+        pools = range(instances // _PER_POOL + 1)
+        commit(
+            deployment.create_journal(),
+            [build_pool(number) for number in pools]
+            + [build_instance(number) for number in range(instances)],
+        )
+        for number in range(routers):
+            # Three routers a zone, as in the deployments of today.
+            zone = f'zone-{number // 3 % 8}'
+            deployment.add_router(f'router-{number}', zone)
+        deployment.start_routers()
+        time.sleep(3.0)
+        return observe(deployment, 'router-0', seconds)
+
+
+def main(_argv: list[str]) -> None:
+    """Print one line for each size."""
+    print(
+        'routers instances  core_%    MB  sent_B/s  received_B/s  calls/s'
+        '  table_reads/s'
+    )
+    sizes = [(3, count) for count in _INSTANCES.value]
+    sizes += [(count, 320) for count in _MEMBERS.value]
+    for routers, instances in sizes:
+        cost = measure(routers, instances, _SECONDS.value)
+        print(
+            f'{routers:7} {instances:9} {cost.core_percent:7.2f}'
+            f' {cost.megabytes:5.0f} {cost.sent_bytes:9.0f}'
+            f' {cost.received_bytes:13.0f} {cost.calls:8.2f}'
+            f' {cost.table_reads:14.2f}',
+            flush=True,
+        )
+
+
+if __name__ == '__main__':
+    app.run(main)
