--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -30,6 +30,7 @@
 AF_INET6 = socket.AF_INET6
 GreenPool = eventlet.GreenPool
 HttpProtocol = wsgi.HttpProtocol
+STATE_IDLE = wsgi.STATE_IDLE
 Event = eventlet.Event
 Queue = eventlet.queue.LightQueue
 Semaphore = eventlet.semaphore.Semaphore
