Forward shortages before the claim and test admission

A non-idempotent request was never sent to another zone, because its key could already be claimed here. A zone without usable workers is now noticed before the claim, and only a claimed or issued key binds a request to its router. A head that cannot be sent on is refused as invalid instead of counting against the worker.

--- a/skylarktally/_dispatch.py
+++ b/skylarktally/_dispatch.py
@@ -111,7 +111,7 @@
     ) -> result.Result[Delivery, _errors.Failure]:
         """Return the answer to relay, or the failure to report.
 
-        :raises BodyError: when the caller's body cannot be read
+        :raises RequestError: when the caller's body cannot be read
         """
         may_have_run = False
         while True:
--- a/skylarktally/_exchange.py
+++ b/skylarktally/_exchange.py
@@ -17,8 +17,8 @@
         """Return up to that many bytes."""
 
 
-class BodyError(Exception):
-    """The caller's body cannot be read to its end."""
+class RequestError(Exception):
+    """The request cannot be read to its end or sent on."""
 
     def __init__(self, kind: _errors.ErrorKind, message: str) -> None:
         super().__init__(message)
@@ -61,16 +61,16 @@
         try:
             data = self._stream.read(size) if size else b''
         except ValueError as error:
-            raise BodyError(
+            raise RequestError(
                 _errors.ErrorKind.INVALID_REQUEST, str(error)
             ) from error
         except OSError as error:
-            raise BodyError(
+            raise RequestError(
                 _errors.ErrorKind.REQUEST_TIMEOUT, f'body: {error}'
             ) from error
         self._taken += len(data)
         if self._taken > self._limit:
-            raise BodyError(
+            raise RequestError(
                 _errors.ErrorKind.BODY_TOO_LARGE,
                 f'the body is longer than {self._limit} bytes',
             )
@@ -78,7 +78,7 @@
             self._finished = not data
         elif not data and self._taken < self.length:
             # The server's input reads an early end of stream as empty.
-            raise BodyError(
+            raise RequestError(
                 _errors.ErrorKind.INVALID_REQUEST, 'the body is cut short'
             )
         else:
@@ -115,6 +115,8 @@
     forwarded: bool
     path: str
     authorization: str | None = None
+    # True once this router holds the claim of the key.
+    claimed: bool = False
     # True once a byte of it may have reached a worker or router.
     sent: bool = False
     attempts: int = 0
--- a/skylarktally/_forwarding.py
+++ b/skylarktally/_forwarding.py
@@ -83,7 +83,7 @@
     ) -> result.Result[_relay.Answer, _errors.Failure]:
         """Send a request to the first router that takes it.
 
-        :raises BodyError: when the caller's body cannot be read
+        :raises RequestError: when the caller's body cannot be read
         """
         message = 'no other router can be reached'
         for router in routers:
--- a/skylarktally/_pipeline.py
+++ b/skylarktally/_pipeline.py
@@ -146,12 +146,16 @@
         try:
             exchange.body.load_first()
             served = self._route(exchange)
-        except _exchange.BodyError as error:
+        except _exchange.RequestError as error:
             # Bytes that were sent on may have started a task.
             kind = error.kind
             if exchange.sent:
                 kind = _errors.ErrorKind.OUTCOME_UNKNOWN
             served = result.Failure(_errors.Failure(kind, str(error)))
+        except Exception:
+            log.exception('request %s failed', exchange.request_id)
+            kind = _errors.ErrorKind.INTERNAL
+            served = result.Failure(_errors.Failure(kind, 'internal error'))
         passed = self._clock.monotonic() - start
         urgency = exchange.job.urgency
         self._metrics.seconds.labels(urgency).observe(passed.total_seconds())
@@ -197,10 +201,11 @@
         self, exchange: _exchange.Exchange, failure: _errors.Failure
     ) -> result.Result[_replies.Reply, _errors.Failure]:
         """Try another zone, unless the request ran or is bound here."""
-        bound = exchange.key is not None and not exchange.idempotent
+        issued = (exchange.key or '').startswith(_claims.ISSUED_PREFIX)
         if (
             failure.kind not in _FORWARDED_KINDS
-            or bound
+            or exchange.claimed
+            or issued
             or exchange.forwarded
             or exchange.sent
             or self._clock.monotonic() >= exchange.deadline
@@ -218,6 +223,10 @@
     ) -> result.Result[_replies.Reply, _errors.Failure]:
         pool = self._pools.find(exchange.pool)
         self._retries.note_request(exchange.pool)
+        if not pool.selection.slots:
+            kind = _errors.ErrorKind.NO_CAPACITY
+            message = 'no worker of the pool serves in this zone'
+            return result.Failure(_errors.Failure(kind, message))
         admitted = pool.queue.admit(
             exchange.job.urgency, exchange.deadline, pool.selection.slots
         )
@@ -235,6 +244,7 @@
             return self._forwarder.find_repeated(
                 exchange, state, self._claims.find
             ).map(lambda x: _repeat(x, exchange))
+        exchange.claimed = True
         return self._run_once(exchange, pool, admitted.unwrap())
 
     def _run_once(
@@ -243,9 +253,14 @@
         """Dispatch a claimed request and record its answer."""
         key = exchange.key or ''
         digest = exchange.compute_digest()
-        dispatched = self._dispatcher.dispatch(
-            exchange, pool, waiter, self._pools
-        )
+        try:
+            dispatched = self._dispatcher.dispatch(
+                exchange, pool, waiter, self._pools
+            )
+        except _exchange.RequestError:
+            if not exchange.sent:
+                self._claims.abandon(key)
+            raise
         if not isinstance(dispatched, result.Success):
             failure = dispatched.failure()
             if failure.find_answer().outcome is _errors.Outcome.NOT_RUN:
--- a/skylarktally/_relay.py
+++ b/skylarktally/_relay.py
@@ -175,7 +175,7 @@
     ) -> result.Result[Answer, AttemptFailure]:
         """Make one attempt.
 
-        :raises BodyError: when the caller's body cannot be read
+        :raises RequestError: when the request cannot be read or sent on
         """
         opened = self._connections.open(target.address)
         if not isinstance(opened, result.Success):
@@ -209,7 +209,12 @@
         target: Target,
         connection: _connections.Connection,
     ) -> result.Result[Answer, AttemptFailure]:
-        self._put_head(exchange, target, connection)
+        try:
+            self._put_head(exchange, target, connection)
+        except (ValueError, client.HTTPException) as error:
+            raise _exchange.RequestError(
+                _errors.ErrorKind.INVALID_REQUEST, str(error)
+            ) from error
         connection.limit(self._limits.progress_timeout)
         exchange.sent = True
         self._send_body(exchange, connection)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,241 @@
+"""Queues, early refusal, urgency, leaving instances and shutdown."""
+
+import datetime
+import time
+
+import pytest
+
+from skylarktally import _admission
+from skylarktally import _limits
+from skylarktally import _loop
+from skylarktally import _resources
+from tests import serving
+
+WORK = '/v1/pools/{}/jobs/{}/work?seconds={}&bytes=1'
+
+
+def seconds(value):
+    return datetime.timedelta(seconds=value)
+
+
+def create_queue(held=0.1, running=8, **limits):
+    """Return a queue whose tasks hold a slot that many seconds."""
+    clock = serving.ManualClock()
+    queue = _admission.PoolQueue(clock, _limits.ServingLimits(**limits))
+    for _ in range(running + 1):
+        queue.note_start()
+    queue.note_end(seconds(held))
+    return clock, queue
+
+
+@pytest.mark.parametrize(
+    'waiting, urgency, deadline, refusal',
+    [
+        (0, 'urgent', 1.0, None),
+        # 79 ahead, 8 at a time, 0.1 s each: 1 s.
+        (79, 'urgent', 1.01, None),
+        (79, 'urgent', 0.99, 'deadline_exceeded'),
+        (100, 'deferrable', 1.0, 'deadline_exceeded'),
+        (256, 'urgent', 100.0, 'queue_full'),
+        # Deferrable requests do not delay an urgent one.
+        (-200, 'urgent', 0.1, None),
+        (-256, 'deferrable', 100.0, 'queue_full'),
+        (-256, 'urgent', 100.0, None),
+    ],
+)
+def test_early_refusal(waiting, urgency, deadline, refusal):
+    """Guards against requests that wait for an answer they cannot get."""
+    clock, queue = create_queue()
+    now = clock.monotonic()
+    # A negative number stands for deferrable requests.
+    rank = 'urgent' if waiting > 0 else 'deferrable'
+    threads = []
+    for _ in range(abs(waiting)):
+        waiter = queue.admit(rank, now + seconds(1000), 8).unwrap()
+        threads.append(_loop.spawn(queue.wait, waiter))
+    _loop.sleep(0)
+    admitted = queue.admit(urgency, now + seconds(deadline), 8)
+    kind = None
+    if refusal is not None:
+        kind = admitted.failure().kind.value
+        assert admitted.failure().retry_after >= seconds(1)
+    assert kind == refusal
+    for thread in threads:
+        thread.kill()
+    _loop.sleep(0)
+    assert queue.count_waiting() == 0
+
+
+def test_urgent_goes_first_then_order_of_arrival():
+    """Guards against deferrable work that is served before urgent work."""
+    clock, queue = create_queue()
+    deadline = clock.monotonic() + seconds(1000)
+    order = []
+
+    def wait(name, waiter):
+        queue.wait(waiter)
+        order.append(name)
+
+    threads = []
+    for name in ('d1', 'u1', 'd2', 'u2'):
+        urgency = 'urgent' if name[0] == 'u' else 'deferrable'
+        waiter = queue.admit(urgency, deadline, 8).unwrap()
+        threads.append(_loop.spawn(wait, name, waiter))
+        _loop.sleep(0)
+    for _ in threads:
+        queue.wake()
+        _loop.sleep(0)
+    assert order == ['u1', 'u2', 'd1', 'd2']
+
+
+@pytest.fixture
+def cell():
+    with serving.Cell() as cell:
+        cell.fleet.put_job('urgent', idempotent=True, urgency='urgent')
+        cell.fleet.put_job('later', idempotent=True, urgency='deferrable')
+        cell.fleet.put_job('calm', pool='calm', idempotent=True)
+        yield cell
+
+
+def send_timed(cell, path, timeout_ms=10000):
+    start = time.monotonic()
+    headers = {'Skylarktally-Timeout-Ms': str(timeout_ms)}
+    reply = cell.call('GET', path, b'', headers)
+    return reply, time.monotonic() - start
+
+
+def test_urgent_requests_overtake_on_the_wire(cell):
+    """Guards against urgent work stuck behind deferrable work."""
+    cell.add_worker()
+    cell.add_router()
+    later = [
+        _loop.spawn(send_timed, cell, WORK.format(serving.POOL, 'later', 0.1))
+        for _ in range(64)
+    ]
+    _loop.sleep(0.3)
+    path = WORK.format(serving.POOL, 'urgent', 0.1)
+    reply, waited = send_timed(cell, path)
+    behind = [x.wait()[1] for x in later]
+    assert reply.status == 200
+    assert waited < max(behind) / 2
+
+
+def test_refusal_comes_early_with_advice(cell):
+    """Guards against a wait for the whole deadline before the refusal."""
+    cell.add_worker()
+    cell.add_router()
+    path = WORK.format(serving.POOL, 'report', 0.3)
+    cell.burst(8, path)
+    threads = [_loop.spawn(send_timed, cell, path, 20000) for _ in range(60)]
+    _loop.sleep(0.5)
+    reply, waited = send_timed(cell, path, 600)
+    assert (reply.status, reply.outcome) == (504, 'not-run')
+    assert int(reply.headers['Retry-After']) >= 1
+    assert waited < 0.3
+    for thread in threads:
+        assert thread.wait()[0].status == 200
+
+
+def test_surge_of_one_pool_leaves_another_alone(cell):
+    """Guards against a pool that waits for another pool's surge."""
+    cell.add_worker()
+    cell.add_worker(pool='calm')
+    cell.add_router()
+    calm = WORK.format('calm', 'calm', 0.02)
+    surge = WORK.format(serving.POOL, 'report', 0.2)
+
+    def measure():
+        times = sorted(send_timed(cell, calm)[1] for _ in range(30))
+        return times[len(times) // 2]
+
+    before = measure()
+    threads = []
+    # The pool runs 40 such tasks a second; 200 come at once.
+    for _ in range(200):
+        threads.append(_loop.spawn(send_timed, cell, surge, 2000))
+    _loop.sleep(1.0)
+    during = measure()
+    replies = [x.wait()[0] for x in threads]
+    assert during < before + 0.05
+    refused = [x for x in replies if x.status != 200]
+    assert refused
+    assert {x.outcome for x in refused} <= {'not-run', 'unknown'}
+    assert {x.status for x in replies} <= {200, 429, 502, 504}
+
+
+@pytest.mark.parametrize(
+    'phase, epoch',
+    [(_resources.Phase.DRAINING, 2), (_resources.Phase.SERVING, 3)],
+)
+def test_leaving_instance_gets_no_new_work(cell, phase, epoch):
+    """Guards against work sent to an instance that leaves its pool."""
+    worker = cell.add_worker()
+    cell.add_worker()
+    path = WORK.format(serving.POOL, 'report', 0.01)
+    cell.burst(16, path)
+    assert worker.record
+    pool = serving.POOL if phase is _resources.Phase.DRAINING else 'other'
+    address = cell.workers[0].server.address
+    cell.fleet.put_instance('w1', address, phase=phase, epoch=epoch, pool=pool)
+    before = len(worker.record)
+    replies = cell.burst(16, path)
+    assert {x.status for x in replies} == {200}
+    assert len(worker.record) == before
+
+
+def test_raised_fence_is_not_a_failure(cell):
+    """Guards against failed requests before the router learns of a move."""
+    worker = cell.add_worker()
+    cell.add_worker()
+    path = WORK.format(serving.POOL, 'report', 0.01)
+    cell.burst(16, path)
+    worker.raise_fence({'epoch': 2, 'pool': serving.POOL})
+    before = len(worker.record)
+    for _ in range(4):
+        assert {x.status for x in cell.burst(16, path)} == {200}
+    assert len(worker.record) == before
+    observed = cell.routers[0].pipeline.observe()['workers']['w1']
+    assert not observed['ejected']
+
+
+def test_drain_lets_requests_finish(cell):
+    """Guards against a planned stop that cuts off a request."""
+    cell.add_worker()
+    router = cell.add_router()
+    path = '/v1/pools/desk/jobs/report/work?seconds=0.5&bytes=500000'
+    thread = _loop.spawn(cell.call, 'GET', path)
+    _loop.sleep(0.2)
+    drained = _loop.spawn(router.pipeline.drain)
+    _loop.sleep(0.1)
+    refused = cell.call('GET', path)
+    assert (refused.status, refused.outcome) == (503, 'not-run')
+    assert drained.dead is False
+    reply = thread.wait()
+    assert (reply.status, len(reply.body)) == (200, 500000)
+    drained.wait()
+    _loop.sleep(0.1)
+    assert cell.workers[0].worker.leases == {}
+
+
+@pytest.mark.parametrize('job, status', [('report', 200), ('lien', 200)])
+def test_pool_without_workers_is_served_by_another_zone(cell, job, status):
+    """Guards against a refusal while another zone has room."""
+    worker = cell.add_worker(zone='b')
+    near = cell.add_router(zone='a')
+    cell.add_router(zone='b')
+    path = f'/v1/pools/desk/jobs/{job}/a'
+    for key in ('k1', 'k1', 'k2'):
+        reply = serving.call(
+            near.serving_address, 'POST', path, b'', {'Idempotency-Key': key}
+        )
+        assert (reply.status, reply.outcome) == (status, 'complete')
+    assert len(worker.record) == (3 if job == 'report' else 2)
+    cell.workers[0].stop()
+
+
+def test_forwarding_ends_after_one_hop(cell):
+    """Guards against requests that circle between zones without workers."""
+    for zone in ('a', 'b', 'c'):
+        cell.add_router(zone=zone)
+    reply = cell.call('GET', '/v1/pools/desk/jobs/report/a')
+    assert (reply.status, reply.outcome) == (503, 'not-run')
