--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -6,8 +6,10 @@
 """
 
 from collections.abc import Callable
+import datetime
 import select
 import socket
+import time
 from typing import Any
 import warnings
 
@@ -21,8 +23,11 @@
 from eventlet import hubs  # noqa: E402
 import eventlet.queue  # noqa: E402
 import eventlet.semaphore  # noqa: E402
-from eventlet import wsgi  # noqa: E402, H306
+import eventlet.wsgi  # noqa: E402
+from eventlet import wsgi  # noqa: E402
 
+AF_INET = socket.AF_INET
+AF_INET6 = socket.AF_INET6
 GreenPool = eventlet.GreenPool
 HttpProtocol = wsgi.HttpProtocol
 STATE_IDLE = wsgi.STATE_IDLE
@@ -31,6 +36,7 @@
 Semaphore = eventlet.semaphore.Semaphore
 Timeout = eventlet.Timeout
 listen = eventlet.listen
+serve_wsgi = eventlet.wsgi.server
 sleep = eventlet.sleep
 spawn = eventlet.spawn
 spawn_after = eventlet.spawn_after
@@ -44,6 +50,11 @@
     eventlet.monkey_patch()
 
 
+def monotonic() -> datetime.timedelta:
+    """Return the time that the loop's own timeouts are measured in."""
+    return datetime.timedelta(seconds=time.monotonic())
+
+
 def connect(host: str, port: int, timeout: float) -> socket.socket:
     """Open a cooperative TCP connection; the timeout is in seconds."""
     connection = green_socket.create_connection((host, port), timeout)
