--- a/skylarktally/_connections.py
+++ b/skylarktally/_connections.py
@@ -74,11 +74,15 @@
     """Tell whether a buffered socket reader has bytes, without waiting."""
     if stream is None or stream.closed:
         return False
-    stream.raw._sock.settimeout(0)
+    connection = stream.raw._sock
+    timeout = connection.gettimeout()
+    connection.settimeout(0)
     try:
         return bool(stream.peek(1))
     except (OSError, ValueError):
         return True
+    finally:
+        connection.settimeout(timeout)
 
 
 class Connection(client.HTTPConnection):
