--- a/skylarktally/_placement.py
+++ b/skylarktally/_placement.py
@@ -171,7 +171,9 @@
             for name, job in jobs.items()
         }
         self._assignments: list[Assignment] = []
-        self._preemptions: list[Preemption] = []
+        # By job and run: a run that was throttled for one urgent run may end
+        # for a later one in the same pass, and only the end counts then.
+        self._preemptions: dict[tuple[str, int], Preemption] = {}
         self._restorations: list[Restoration] = []
         self._waiting: dict[str, tuple[int, str]] = {}
 
@@ -195,7 +197,7 @@
             self._try(run, self._place)
         return Placements(
             tuple(self._assignments),
-            tuple(self._preemptions),
+            tuple(self._preemptions.values()),
             tuple(self._restorations),
             tuple(unschedulable),
             self._waiting,
@@ -280,15 +282,15 @@
         name, plan = chosen
         for report, relief in plan:
             self._rooms.apply(report, relief)
-            self._preemptions.append(
-                Preemption(report.job, report.run, name, relief, run.job.name)
+            self._preemptions[report.job, report.run] = Preemption(
+                report.job, report.run, name, relief, run.job.name
             )
         self._assign(run, name, len(plan))
         return True
 
     def _restore(self) -> None:
         """Give processors back to throttled runs where they are free."""
-        touched = {p.instance for p in self._preemptions}
+        touched = {p.instance for p in self._preemptions.values()}
         for name, runs in self._board.running.items():
             if name in touched:
                 continue
--- a/skylarktally/_sharing.py
+++ b/skylarktally/_sharing.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from skylarktally import _resources
@@ -55,7 +55,7 @@
 
 def share_capacity(
     demands: Iterable[Demand],
-    pools: Iterable[_resources.Pool],
+    pools: Collection[_resources.Pool],
     quotas: Iterable[_resources.Quota],
     capacity: float,
 ) -> Shares:
@@ -83,7 +83,7 @@
 
 def _list_limits(
     wanted: Mapping[str, Demand],
-    pools: Iterable[_resources.Pool],
+    pools: Collection[_resources.Pool],
     quotas: Iterable[_resources.Quota],
     weights: Mapping[str, float],
     capacity: float,
