--- /dev/null
+++ b/skylarktally/_controller.py
@@ -0,0 +1,327 @@
+"""The controller process: its parts, its loops and its graceful shutdown."""
+
+from collections.abc import Callable
+import datetime
+import logging
+import signal
+import time
+from typing import Any
+
+import prometheus_client
+from returns import result
+
+from skylarktally import _admin
+from skylarktally import _api
+from skylarktally import _batch
+from skylarktally import _clock
+from skylarktally import _dumps
+from skylarktally import _errors
+from skylarktally import _explanations
+from skylarktally import _fleet
+from skylarktally import _instances
+from skylarktally import _journal
+from skylarktally import _leases
+from skylarktally import _limits
+from skylarktally import _loop
+from skylarktally import _measures
+from skylarktally import _objects
+from skylarktally import _observations
+from skylarktally import _peers
+from skylarktally import _reconciler
+from skylarktally import _resources
+from skylarktally import _routers
+from skylarktally import _runs
+from skylarktally import _settings
+from skylarktally import _steps
+from skylarktally import _table
+from skylarktally import _tokens
+from skylarktally import _watches
+from skylarktally import _workers
+
+log = logging.getLogger(__name__)
+
+_RENEW_INTERVAL = datetime.timedelta(seconds=1)
+# A drain is looked at more often than the interval of the settings, because
+# its instance serves nobody until it ends.
+_DRAIN_INTERVAL = datetime.timedelta(seconds=0.25)
+_PARALLEL_WORKERS = 16
+_API_CONNECTIONS = 256
+_ADMIN_CONNECTIONS = 64
+_STOP_LIMIT = datetime.timedelta(seconds=10)
+_PUSH_LIMIT = 200
+
+
+class Controller:
+    """One controller process."""
+
+    def __init__(
+        self,
+        settings: _settings.ControllerSettings,
+        settings_path: str,
+        clock: _clock.Clock,
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
+        self._settings = settings
+        self._settings_path = settings_path
+        self._clock = clock
+        self._registry = registry
+        self._stopping = False
+        self._finished = _loop.Event()
+        self._bell = _watches.Bell()
+        self._pushed = 0
+        incarnation = time.time_ns()
+        self.fleet = _fleet.Fleet()
+        self.fleet.subscribe(self._bell.ring)
+        self._build_platform(incarnation)
+        self._build_parts(f'{settings.name}/{incarnation}')
+        self._build_diagnosis()
+
+    def _build_platform(self, incarnation: int) -> None:
+        settings = self._settings
+        limits = _limits.Limits(
+            self._clock,
+            settings.platform_writes_per_second,
+            settings.platform_reads_per_second,
+            response_timeout=settings.platform_timeout,
+        )
+        address = settings.platform_address
+        self._table = _table.HttpTable(address, self._clock, limits)
+        self._objects = _objects.HttpObjects(address, self._clock, limits)
+        self._instances = _instances.HttpInstances(
+            address, self._clock, limits
+        )
+        self.journal = _journal.Journal(
+            self._table, self.fleet, self._clock, settings.name
+        )
+        self.leases = _leases.ShardLeases(
+            self._table,
+            self._clock,
+            settings.zone,
+            settings.name,
+            incarnation,
+        )
+
+    def _build_parts(self, holder: str) -> None:
+        settings = self._settings
+        self._explanations = _explanations.Explanations(settings.explanations)
+        self._measures = _measures.Measures(self._registry)
+        self._workers = _workers.HttpWorkers(settings.peer_timeout)
+        tools = _steps.Tools(
+            self.journal,
+            self.fleet,
+            self.leases,
+            self._workers,
+            self._instances,
+            self._clock,
+            self._explanations,
+            settings.zone,
+        )
+        self._probes = _observations.Probes(self._clock)
+        self._demand = _observations.DemandTracker(self._clock)
+        self._batch = _batch.Batch(
+            tools,
+            _runs.RunTable(self._table),
+            self._measures,
+            holder,
+            _loop.spawn,
+        )
+        self._reconciler = _reconciler.Reconciler(
+            tools,
+            self.journal,
+            self._probes,
+            self._demand,
+            self._measures,
+            self._batch,
+            _loop.GreenPool(_PARALLEL_WORKERS).imap,
+        )
+        self._snapshots = _reconciler.SnapshotWriter(
+            self.fleet, self._objects, settings.snapshot_versions
+        )
+        self._calls = _peers.PeerCalls(
+            _peers.collect_secrets(settings),
+            settings.peer_timeout,
+            settings.snapshot_timeout,
+            settings.peer_clients,
+            settings.peer_frame_bytes,
+        )
+        self._routers = _routers.Routers(
+            self._calls,
+            settings.peer_address,
+            settings.seeds,
+            settings.zone,
+            self._clock,
+        )
+        tokens = _tokens.TokenStore(self._read_tokens, self._clock)
+        self._api = _api.Api(
+            self.journal, self.fleet, tokens, self._clock, self._explanations
+        )
+
+    def _build_diagnosis(self) -> None:
+        self._dump = _dumps.Dump()
+        shards = range(_leases.SHARDS)
+        for name, read in (
+            ('log_version', lambda: self.fleet.version),
+            ('not_ready', self.find_reasons),
+            ('settings', lambda: _dumps.describe_settings(self._settings)),
+            ('shards', lambda: list(filter(self.leases.holds, shards))),
+            ('routers', self._routers.list_addresses),
+            ('pushed_version', lambda: self._pushed),
+            ('peer_calls', lambda: self._calls.counts),
+            ('demand', self._demand.sum_pools),
+            ('own_runs', self._batch.count_own),
+        ):
+            self._dump.add_section(name, read)
+        self._admin = _admin.Admin(
+            self._dump, self.find_reasons, self._registry
+        )
+
+    def _read_tokens(
+        self,
+    ) -> result.Result[_tokens.Tokens, _errors.Failure]:
+        checked = _settings.load_settings(
+            _settings.ControllerSettings, self._settings_path
+        )
+        if checked.settings is None:
+            text = '; '.join(map(str, checked.issues))
+            kind = _errors.ErrorKind.INVALID_REQUEST
+            return result.Failure(_errors.Failure(kind, text))
+        return result.Success(checked.settings.tokens)
+
+    def find_reasons(self) -> list[str]:
+        """Return why the API should not be used here."""
+        reasons = []
+        if self._stopping:
+            reasons.append('shutting down')
+        if not self._reconciler.has_read:
+            reasons.append('the table has not been read yet')
+        return reasons
+
+    def run(self) -> None:
+        """Work until a graceful shutdown has finished."""
+        settings = self._settings
+        self._dump.install_signal()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._handle_stop)
+        for address, application, limit in (
+            (
+                settings.admin_address,
+                self._admin.application,
+                _ADMIN_CONNECTIONS,
+            ),
+            (settings.api_address, self._api.application, _API_CONNECTIONS),
+        ):
+            listener = _listen(address)
+            _loop.spawn(_loop.serve, listener, application, max_size=limit)
+        for act, interval in (
+            (self.leases.renew, _RENEW_INTERVAL),
+            (self._observe, settings.reconcile_interval),
+            (self._push, settings.reconcile_interval),
+            (self._snapshots.step, settings.reconcile_interval),
+        ):
+            _loop.spawn(self._repeat, act, interval)
+        _loop.spawn(self._reconcile)
+        log.info('controller started', extra={'zone': settings.zone})
+        self._finished.wait()
+        log.info('controller stopped')
+
+    def _repeat(
+        self, act: Callable[[], Any], interval: datetime.timedelta
+    ) -> None:
+        while not self._stopping:
+            self._guard(act)
+            if act == self._push:
+                self._bell.wait(interval.total_seconds())
+            else:
+                self._clock.sleep(interval)
+
+    def _guard(self, act: Callable[[], Any]) -> Any:
+        # A fault in one period must not end all later ones.
+        try:
+            return act()
+        except Exception:
+            log.exception('a periodic action failed')
+            return None
+
+    def _reconcile(self) -> None:
+        while not self._stopping:
+            busy = self._guard(self._reconciler.step)
+            # A new version wakes the loop, but not more often than this.
+            self._clock.sleep(_DRAIN_INTERVAL)
+            if not busy:
+                rest = self._settings.reconcile_interval - _DRAIN_INTERVAL
+                self._bell.wait(max(rest.total_seconds(), 0.01))
+
+    def _observe(self) -> None:
+        self._routers.refresh(self.fleet.version)
+        for router, report in self._routers.observe():
+            self._demand.note_report(router, report)
+            self._probes.note_counters(router, report.get('workers', {}))
+
+    def _push(self) -> None:
+        """Hand new log entries to the local router."""
+        while self._pushed < self.fleet.version:
+            records = self.fleet.read_records(self._pushed, _PUSH_LIMIT)
+            if not records:
+                # The router takes a snapshot from the table.
+                self._pushed = self.fleet.version
+                return
+            self._fence_own(records)
+            version = self._routers.push(records)
+            if version is None:
+                return
+            self._note_rollout(records)
+            self._pushed = records[-1]['version']
+
+    def _note_rollout(self, records: list[_resources.LogRecord]) -> None:
+        now = self._clock.now()
+        for record in records:
+            accepted = datetime.datetime.fromisoformat(record['accepted_at'])
+            self._measures.rollout_seconds.observe(
+                max((now - accepted).total_seconds(), 0)
+            )
+
+    def _fence_own(self, records: list[_resources.LogRecord]) -> None:
+        """Raise the fences of the drains that this process has written.
+
+        The entry may concern another zone, whose controllers read it from
+        the table a little later; a fence above the present one does no
+        harm whoever raises it.
+        """
+        for record in records:
+            if record['author'] != self._settings.name:
+                continue
+            for change in record['changes']:
+                value = change['value']
+                if value and value['status'].get('phase') == 'draining':
+                    instance = _resources.read_instance(value)
+                    self._workers.raise_fence(
+                        instance.address, instance.epoch, instance.pool
+                    )
+
+    def _handle_stop(self, number: int, frame: Any) -> None:
+        # The handler runs in the middle of any code; a repeated signal
+        # changes nothing.
+        if not self._stopping:
+            self._stopping = True
+            _loop.spawn_after(0, self._stop)
+
+    def _stop(self) -> None:
+        """Finish the batch runs waited for, then give the leases back."""
+        log.info('graceful shutdown begins')
+        self._api.close()
+        self._bell.ring()
+        end = self._clock.monotonic() + _STOP_LIMIT
+        while self._batch.count_own() and self._clock.monotonic() < end:
+            self._clock.sleep(_DRAIN_INTERVAL)
+        with _loop.Timeout(_STOP_LIMIT.total_seconds(), False):
+            self.leases.release()
+        self._calls.close()
+        self._finished.send(True)
+
+
+def _listen(address: str) -> Any:
+    host, port = _settings.split_address(address)
+    family = _loop.AF_INET6 if ':' in host else _loop.AF_INET
+    return _loop.listen(
+        (host, port), family=family, backlog=512, reuse_port=False
+    )
--- a/skylarktally/_declarations.py
+++ b/skylarktally/_declarations.py
@@ -193,10 +193,11 @@
     version: int,
     now: datetime.datetime,
 ) -> dict[str, Any]:
-    if new['kind'] == Kind.WAVE.value and old is not None:
-        # A changed declaration is how an operator resumes a halted wave.
+    if new['kind'] == Kind.WAVE.value and old and old['spec'] != new['spec']:
+        # A changed declaration is how an operator resumes a halted wave or
+        # starts a complete one again.
         kept = dict(old['status'])
-        if not new['spec']['paused'] and kept.get('phase') == 'halted':
+        if kept and not new['spec']['paused']:
             kept.update(phase='running', failed=[], halted_reason='')
         return kept
     if old is not None:
--- /dev/null
+++ b/skylarktally/_maintenance.py
@@ -0,0 +1,158 @@
+"""Carries maintenance waves out, in the zone of this controller."""
+
+import datetime
+
+from returns import result
+
+from skylarktally import _fleet
+from skylarktally import _measures
+from skylarktally import _resources
+from skylarktally import _steps
+from skylarktally import _transitions
+from skylarktally import _waves
+
+Kind = _resources.Kind
+
+_INTERVAL = datetime.timedelta(seconds=5)
+
+
+def read_wave(resource: _resources.Resource) -> _resources.Wave:
+    """Return a wave in the form that the decisions read."""
+    spec = dict(resource['spec'])
+    pools = tuple(spec.pop('pools'))
+    return _resources.Wave(name=resource['name'], pools=pools, **spec)
+
+
+class Maintenance:
+    """Starts the stops of waves and records how the waves go."""
+
+    def __init__(
+        self, tools: _steps.Tools, measures: _measures.Measures
+    ) -> None:
+        self._tools = tools
+        self._measures = measures
+        self._waves_at: datetime.timedelta | None = None
+
+    def step(self) -> None:
+        """Start the next stops of each wave in this zone."""
+        now = self._tools.clock.monotonic()
+        if self._waves_at and now - self._waves_at < _INTERVAL:
+            return
+        self._waves_at = now
+        fleet = self._tools.fleet
+        for resource in fleet.list(Kind.WAVE):
+            if resource['status'].get('phase') == 'complete':
+                continue
+            plan = self._plan_wave(fleet, resource)
+            self._explain_wave(resource['name'], plan)
+            self._record_wave(resource, plan)
+            for name in plan.starts:
+                self._start(resource['name'], name)
+
+    def _plan_wave(
+        self, fleet: _fleet.Fleet, resource: _resources.Resource
+    ) -> _waves.WavePlan:
+        return _waves.plan_wave(
+            read_wave(resource),
+            fleet.find_instances(),
+            _transitions.list_budgets(fleet),
+            self._tools.clock.now(),
+            resource['status'].get('halted_reason') or '',
+        )
+
+    def _explain_wave(self, name: str, plan: _waves.WavePlan) -> None:
+        _steps.explain(
+            self._tools,
+            'wave',
+            name,
+            f'{len(plan.done)} done, {len(plan.active)} under way, '
+            f'{len(plan.failed)} lost, {len(plan.waiting)} waiting',
+            'failure domains in turn, canaries first, within the budgets',
+            plan.halted_reason or plan.state.value,
+        )
+        for instance, wait in plan.waiting.items():
+            _steps.explain(
+                self._tools,
+                'instance',
+                instance,
+                f'wave {name}: {wait.text}',
+                f'a wave waits for {wait.wait.value}',
+                'waits',
+            )
+
+    def _start(self, wave: str, name: str) -> None:
+        """Begin the planned stop of one instance of this zone."""
+        resource = self._tools.fleet.find(Kind.INSTANCE, name)
+        if resource is None or resource['spec']['zone'] != self._tools.zone:
+            return
+        instance = _resources.read_instance(resource)
+        now = self._tools.clock.now()
+
+        def decide(fleet: _fleet.Fleet) -> _transitions.Changes:
+            found = fleet.find(Kind.WAVE, wave)
+            if not found or name not in self._plan_wave(fleet, found).starts:
+                return result.Success([])
+            return _transitions.begin_stop(
+                fleet,
+                name,
+                _waves.format_operation(wave, now),
+                f'wave {wave}',
+                now,
+            )
+
+        committed = _steps.commit(
+            self._tools, _steps.find_shard(instance), decide
+        )
+        if isinstance(committed, result.Success):
+            self._measures.stops.labels('wave').inc()
+
+    def _record_wave(
+        self, resource: _resources.Resource, plan: _waves.WavePlan
+    ) -> None:
+        """Write the state of a wave when it has changed.
+
+        A halt must outlast the losses that caused it, so it is recorded by
+        whichever controller sees it first.
+        """
+        name = resource['name']
+
+        def decide(fleet: _fleet.Fleet) -> _transitions.Changes:
+            found = fleet.find(Kind.WAVE, name)
+            if found is None:
+                return result.Success([])
+            return result.Success(
+                _update_wave(found, self._plan_wave(fleet, found))
+            )
+
+        if _update_wave(resource, plan):
+            for shard in range(_steps.SHARDS):
+                if self._tools.leases.holds(shard):
+                    _steps.commit(self._tools, shard, decide)
+                    return
+
+
+def _update_wave(
+    resource: _resources.Resource, plan: _waves.WavePlan
+) -> list[_resources.Change]:
+    """Return the change of a wave's status, none when it is as recorded."""
+    status = {
+        **resource['status'],
+        'phase': plan.state.value,
+        'done': len(plan.done),
+        'failed': list(plan.failed),
+        'halted_reason': plan.halted_reason,
+    }
+    if status == resource['status']:
+        return []
+    value = _resources.Resource(
+        kind=resource['kind'],
+        name=resource['name'],
+        spec=resource['spec'],
+        status=status,
+        resource_version=resource['resource_version'],
+    )
+    return [
+        _resources.Change(
+            kind=resource['kind'], name=resource['name'], value=value
+        )
+    ]
--- /dev/null
+++ b/skylarktally/_observations.py
@@ -0,0 +1,231 @@
+"""What probes and the routers' counters tell of workers and of demand."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+import datetime
+from typing import Any
+
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _errors
+from skylarktally import _moves
+from skylarktally import _repairs
+from skylarktally import _resources
+from skylarktally import _sharing
+from skylarktally import _workers
+
+# Three probes fit into the silence after which a worker counts as lost.
+PROBE_INTERVAL = datetime.timedelta(seconds=4)
+_RESTART_WINDOW = datetime.timedelta(minutes=10)
+_HISTORY = datetime.timedelta(minutes=1)
+_IN_REBOOT = (_resources.Phase.STOPPING, _resources.Phase.MAINTENANCE)
+
+
+@dataclasses.dataclass
+class _Worker:
+    """What is known of one worker; times are monotonic."""
+
+    answered_at: datetime.timedelta
+    probed_at: datetime.timedelta | None = None
+    boot_id: str = ''
+    epoch: int = 0
+    restarts: list[datetime.timedelta] = dataclasses.field(
+        default_factory=list
+    )
+    passed: int = 0
+    # Tasks since the last one that succeeded.
+    failures: int = 0
+    successes: int = 0
+    # Counters of each router at the last reading.
+    counters: dict[str, tuple[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class Probes:
+    """The workers that one controller watches."""
+
+    def __init__(self, clock: _clock.Clock) -> None:
+        self._clock = clock
+        self._workers: dict[str, _Worker] = {}
+
+    def _find(self, name: str) -> _Worker:
+        known = self._workers.get(name)
+        if known is None:
+            # Silence counts from the time when someone began to listen.
+            known = _Worker(self._clock.monotonic())
+            self._workers[name] = known
+        return known
+
+    def is_due(self, instance: _resources.Instance) -> bool:
+        """Tell whether the worker should be probed now.
+
+        Traffic through routers is as good as a probe while the worker is
+        fenced as the log says.
+        """
+        worker = self._find(instance.name)
+        if worker.probed_at is None or worker.epoch != instance.epoch:
+            return True
+        last = max(worker.answered_at, worker.probed_at)
+        return self._clock.monotonic() - last >= PROBE_INTERVAL
+
+    def note(
+        self,
+        instance: _resources.Instance,
+        seen: result.Result[_workers.Fence, _errors.Failure],
+    ) -> None:
+        """Take in the answer to a probe, or its absence."""
+        worker = self._find(instance.name)
+        now = worker.probed_at = self._clock.monotonic()
+        if isinstance(seen, result.Success):
+            self._note_answer(worker, instance, seen.unwrap(), now)
+        elif seen.failure().kind is not _errors.ErrorKind.CONFLICT:
+            worker.passed = 0
+
+    def _note_answer(
+        self,
+        worker: _Worker,
+        instance: _resources.Instance,
+        fence: _workers.Fence,
+        now: datetime.timedelta,
+    ) -> None:
+        worker.answered_at = now
+        worker.passed += 1
+        worker.epoch = fence.epoch
+        if worker.boot_id and worker.boot_id != fence.boot_id:
+            worker.passed = 1
+            if instance.phase not in _IN_REBOOT:
+                worker.restarts.append(now)
+        worker.boot_id = fence.boot_id
+
+    def note_counters(self, router: str, workers: dict[str, Any]) -> None:
+        """Take in the successes and failures that a router has counted."""
+        for name, counts in workers.items():
+            if name not in self._workers:
+                continue
+            worker = self._workers[name]
+            new = (int(counts['successes']), int(counts['failures']))
+            old = worker.counters.get(router, new)
+            worker.counters[router] = new
+            if new[0] < old[0] or new[1] < old[1]:
+                # The router has restarted its counters.
+                old = (0, 0)
+            self._count(worker, new[0] - old[0], new[1] - old[1])
+
+    def _count(self, worker: _Worker, successes: int, failures: int) -> None:
+        if successes:
+            worker.answered_at = self._clock.monotonic()
+            worker.successes, worker.failures = successes, 0
+        elif failures:
+            worker.successes = 0
+            worker.failures += failures
+
+    def observe(
+        self, instance: _resources.Instance, cordons: int
+    ) -> _repairs.WorkerObservation | None:
+        """Return what the repairs read, None for a worker never probed.
+
+        :param cordons: times that the instance has been cordoned; a worker
+            that fails its tasks answers probes all the same, so each
+            return from a cordon must take longer
+        """
+        worker = self._find(instance.name)
+        if worker.probed_at is None:
+            return None
+        now = self._clock.monotonic()
+        worker.restarts = [
+            at for at in worker.restarts if now - at < _RESTART_WINDOW
+        ]
+        restarts = len(worker.restarts)
+        if instance.phase is _resources.Phase.CORDONED:
+            restarts = max(restarts, cordons - 1)
+        silent = datetime.timedelta(0)
+        if worker.probed_at > worker.answered_at:
+            silent = now - worker.answered_at
+        return _repairs.WorkerObservation(
+            instance.name,
+            worker.successes,
+            worker.failures,
+            silent,
+            restarts,
+            worker.passed,
+        )
+
+    def forget_tasks(self, name: str) -> None:
+        """Start the count of tasks anew, after a return to service."""
+        worker = self._find(name)
+        worker.failures = worker.successes = 0
+
+    def retain(self, names: Iterable[str]) -> None:
+        """Forget every worker but these."""
+        kept = set(names)
+        for name in self._workers.keys() - kept:
+            del self._workers[name]
+
+
+class DemandTracker:
+    """Demand by pool in the zone, over the last minute."""
+
+    def __init__(self, clock: _clock.Clock) -> None:
+        self._clock = clock
+        self._reports: dict[str, tuple[datetime.timedelta, Any]] = {}
+        self._samples: collections.deque[_moves.Sample] = collections.deque()
+        self._moves: collections.deque[_moves.PastMove] = collections.deque()
+
+    def note_report(self, router: str, report: dict[str, Any]) -> None:
+        """Keep the last observations of a router."""
+        self._reports[router] = (self._clock.monotonic(), report)
+
+    def sum_pools(self) -> dict[str, dict[str, float]]:
+        """Return the sums over routers of each pool's observations."""
+        # A router that has not reported for a while serves nobody here.
+        limit = self._clock.monotonic() - datetime.timedelta(seconds=5)
+        sums: dict[str, dict[str, float]] = {}
+        for name, (at, report) in list(self._reports.items()):
+            if at < limit:
+                del self._reports[name]
+                continue
+            for pool, values in report.get('pools', {}).items():
+                into = sums.setdefault(pool, {})
+                for key, value in values.items():
+                    into[key] = into.get(key, 0) + value
+        return sums
+
+    def measure(self, seconds: dict[str, float]) -> list[_sharing.Demand]:
+        """Return the present demands and add them to the history.
+
+        :param seconds: expected run time of a request, by pool
+        """
+        demands = [
+            _sharing.measure_demand(
+                pool,
+                int(sums.get('queue_length', 0)),
+                int(sums.get('running', 0)),
+                sums.get('arrival_rate', 0.0),
+                seconds.get(pool, 1.0),
+            )
+            for pool, sums in sorted(self.sum_pools().items())
+        ]
+        now = self._clock.now()
+        slots = {demand.pool: demand.slots for demand in demands}
+        self._samples.append(_moves.Sample(now, slots))
+        while self._samples[0].at < now - _HISTORY:
+            self._samples.popleft()
+        return demands
+
+    def note_move(self, move: _moves.Move) -> None:
+        """Remember a move that was started."""
+        self._moves.append(
+            _moves.PastMove(
+                self._clock.now(), move.instance, move.source, move.target
+            )
+        )
+
+    def read_history(self) -> _moves.History:
+        """Return the samples and moves of the last minute."""
+        start = self._clock.now() - _HISTORY
+        while self._moves and self._moves[0].at < start:
+            self._moves.popleft()
+        return _moves.History(tuple(self._samples), tuple(self._moves))
--- /dev/null
+++ b/skylarktally/_planning.py
@@ -0,0 +1,286 @@
+"""Turns the plans of the decisions into control transactions.
+
+Each plan is made again inside the transaction that begins it, on the state
+that the transaction is conditioned on, so that budgets hold whoever else
+decides at the same time.
+"""
+
+import datetime
+import math
+
+from returns import result
+
+from skylarktally import _fleet
+from skylarktally import _measures
+from skylarktally import _moves
+from skylarktally import _observations
+from skylarktally import _repairs
+from skylarktally import _resources
+from skylarktally import _steps
+from skylarktally import _transitions
+
+Kind = _resources.Kind
+Phase = _resources.Phase
+
+# The controller that holds this shard of its zone plans for the zone.
+ZONE_SHARD = 0
+# A transaction has room for 97 changes.
+_REPAIRS_LIMIT = 50
+
+
+def read_pools(fleet: _fleet.Fleet) -> list[_resources.Pool]:
+    """Return the declared pools."""
+    return [
+        _resources.Pool(name=item['name'], **item['spec'])
+        for item in fleet.list(Kind.POOL)
+    ]
+
+
+def read_jobs(fleet: _fleet.Fleet, mode: str) -> list[_resources.Job]:
+    """Return the declared jobs of a mode."""
+    return [
+        _resources.Job(name=item['name'], **item['spec'])
+        for item in fleet.list(Kind.JOB)
+        if item['spec']['mode'] == mode
+    ]
+
+
+def narrow_budgets(
+    budgets: list[_resources.Budget],
+    instances: list[_resources.Instance],
+    zone: str,
+) -> list[_resources.Budget]:
+    """Return the budgets as they bind the instances of one zone.
+
+    What other zones have available or have lost is moved into the limits,
+    so that a plan for the zone alone keeps the budgets of the whole.
+    """
+    narrowed = []
+    for budget in budgets:
+        others = [
+            i for i in instances if i.pool == budget.pool and i.zone != zone
+        ]
+        serving = sum(i.phase is Phase.SERVING for i in others)
+        limit = budget.max_unavailable
+        if limit is not None:
+            limit = max(limit - (len(others) - serving), 0)
+        narrowed.append(
+            budget._replace(
+                min_available=max(budget.min_available - serving, 0),
+                max_unavailable=limit,
+            )
+        )
+    return narrowed
+
+
+class Planner:
+    """Plans of one controller for its zone and its shards."""
+
+    def __init__(
+        self,
+        tools: _steps.Tools,
+        probes: _observations.Probes,
+        demand: _observations.DemandTracker,
+        measures: _measures.Measures,
+    ) -> None:
+        self._tools = tools
+        self._probes = probes
+        self._demand = demand
+        self._measures = measures
+
+    def _list_own(self) -> list[_resources.Instance]:
+        """Return the instances of the zone whose shards are held."""
+        holds = self._tools.leases.holds
+        return [
+            instance
+            for instance in self._tools.fleet.find_instances(
+                zone=self._tools.zone
+            )
+            if holds(_steps.find_shard(instance))
+        ]
+
+    def plan_repairs(self) -> None:
+        """Record failed workers, cordon bad ones, return good ones."""
+        own = self._list_own()
+        by_shard: dict[int, list[_resources.Instance]] = {}
+        for instance in own:
+            shard = _steps.find_shard(instance)
+            by_shard.setdefault(shard, []).append(instance)
+        seen = {i.name: o for i in own if (o := self._observe(i)) is not None}
+        if _is_cut_off(seen):
+            _steps.explain(
+                self._tools,
+                'pool',
+                'all',
+                f'all {len(seen)} probed workers are silent',
+                'no losses are recorded while no worker at all answers',
+                'waits',
+            )
+            return
+        for shard, instances in sorted(by_shard.items()):
+            found = [seen[i.name] for i in instances if i.name in seen]
+            self._repair(shard, found)
+
+    def _observe(
+        self, instance: _resources.Instance
+    ) -> _repairs.WorkerObservation | None:
+        resource = self._tools.fleet.find(Kind.INSTANCE, instance.name)
+        status = resource['status'] if resource else {}
+        # What an operator has taken out stays out.
+        if status.get('held') and instance.phase is Phase.CORDONED:
+            return None
+        return self._probes.observe(instance, status.get('cordons', 0))
+
+    def _repair(
+        self, shard: int, observations: list[_repairs.WorkerObservation]
+    ) -> None:
+        now = self._tools.clock.now()
+        planned: list[_repairs.Repair] = []
+
+        def decide(fleet: _fleet.Fleet) -> _transitions.Changes:
+            planned[:] = self._find_repairs(fleet, shard, observations, now)
+            changes = []
+            for repair in planned:
+                resource = fleet.find(Kind.INSTANCE, repair.instance)
+                assert resource is not None
+                changes.append(_apply_repair(resource, repair, now))
+            return result.Success(changes)
+
+        decide(self._tools.fleet)
+        if not planned:
+            return
+        committed = _steps.commit(self._tools, shard, decide)
+        for repair in planned:
+            self._finish_repair(repair, committed)
+
+    def _find_repairs(
+        self,
+        fleet: _fleet.Fleet,
+        shard: int,
+        observations: list[_repairs.WorkerObservation],
+        now: datetime.datetime,
+    ) -> list[_repairs.Repair]:
+        names = {o.instance for o in observations}
+        pools = {
+            i.pool
+            for i in fleet.find_instances(zone=self._tools.zone)
+            if i.name in names and _steps.find_shard(i) == shard
+        }
+        # Budgets and the share of cordons count the pools in all zones.
+        instances = [
+            i for pool in sorted(pools) for i in fleet.find_instances(pool)
+        ]
+        budgets = _transitions.list_budgets(fleet, pools)
+        return _repairs.plan_repairs(instances, observations, budgets, now)[
+            :_REPAIRS_LIMIT
+        ]
+
+    def _finish_repair(
+        self,
+        repair: _repairs.Repair,
+        committed: result.Result[int, object],
+    ) -> None:
+        done = isinstance(committed, result.Success)
+        if done:
+            self._measures.repairs.labels(repair.action.value).inc()
+        if done and repair.action is _repairs.Action.RETURN:
+            self._probes.forget_tasks(repair.instance)
+        _steps.explain(
+            self._tools,
+            'instance',
+            repair.instance,
+            repair.reason,
+            'workers that are lost or fail every task leave the pool',
+            repair.action.value if done else 'not committed',
+        )
+
+    def plan_moves(self) -> None:
+        """Move instances of this zone to where the demand stays."""
+        tools = self._tools
+        if not tools.leases.holds(ZONE_SHARD):
+            return
+        fleet = tools.fleet
+        jobs = read_jobs(fleet, 'request')
+        seconds: dict[str, float] = {}
+        for job in jobs:
+            known = seconds.get(job.pool, 0.0)
+            seconds[job.pool] = max(known, job.expected_seconds)
+        demands = self._demand.measure(seconds)
+        everywhere = fleet.find_instances()
+        own = fleet.find_instances(zone=tools.zone)
+        moves = _moves.plan_moves(
+            self._share_floors(read_pools(fleet), own, everywhere),
+            own,
+            demands,
+            narrow_budgets(
+                _transitions.list_budgets(fleet), everywhere, tools.zone
+            ),
+            self._demand.read_history(),
+            tools.clock.now(),
+        )
+        for move in moves:
+            self._begin_move(move)
+
+    def _share_floors(
+        self,
+        pools: list[_resources.Pool],
+        own: list[_resources.Instance],
+        everywhere: list[_resources.Instance],
+    ) -> list[_resources.Pool]:
+        """Return the pools with their floors reduced to this zone's part.
+
+        The transaction that begins a move checks the whole floor.
+        """
+        shared = []
+        for pool in pools:
+            total = sum(i.pool == pool.name for i in everywhere)
+            here = sum(i.pool == pool.name for i in own)
+            floor = math.ceil(pool.floor * here / total) if total else 0
+            shared.append(pool._replace(floor=floor))
+        return shared
+
+    def _begin_move(self, move: _moves.Move) -> None:
+        now = self._tools.clock.now()
+
+        def decide(fleet: _fleet.Fleet) -> _transitions.Changes:
+            return _transitions.begin_move(
+                fleet, move.instance, move.target, move.reason, now
+            )
+
+        committed = _steps.commit(self._tools, ZONE_SHARD, decide)
+        outcome = f'moves to {move.target}'
+        if isinstance(committed, result.Success):
+            self._demand.note_move(move)
+            self._measures.moves.labels(move.source, move.target).inc()
+        else:
+            outcome = committed.failure().message
+        _steps.explain(
+            self._tools,
+            'instance',
+            move.instance,
+            move.reason,
+            'spare and idle instances go where the demand stays',
+            outcome,
+        )
+
+
+def _is_cut_off(seen: dict[str, _repairs.WorkerObservation]) -> bool:
+    """Tell whether the fault is likelier on this side of the network."""
+    silent = [o for o in seen.values() if o.silent >= _repairs.SILENCE_LIMIT]
+    return len(silent) > 1 and len(silent) == len(seen)
+
+
+def _apply_repair(
+    resource: _resources.Resource,
+    repair: _repairs.Repair,
+    now: datetime.datetime,
+) -> _resources.Change:
+    match repair.action:
+        case _repairs.Action.FAIL:
+            return _transitions.fail(resource, now, repair.reason)
+        case _repairs.Action.RETURN:
+            return _transitions.serve(resource, now, repair.reason)
+    cordons = resource['status'].get('cordons', 0) + 1
+    return _transitions.advance(
+        resource, Phase.CORDONED, now, repair.reason, cordons=cordons
+    )
--- /dev/null
+++ b/skylarktally/_steps.py
@@ -0,0 +1,311 @@
+"""Carries each instance one step on, as section 4 of the design orders.
+
+The log entry always comes first, then the fence. Every step reads only
+what is in the log and at the worker, so that any controller of the zone
+can take the next one.
+"""
+
+from collections.abc import Callable, Iterable
+import datetime
+import logging
+from typing import Any, NamedTuple, Protocol
+
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _errors
+from skylarktally import _explanations
+from skylarktally import _fleet
+from skylarktally import _instances
+from skylarktally import _leases
+from skylarktally import _observations
+from skylarktally import _resources
+from skylarktally import _table
+from skylarktally import _transitions
+from skylarktally import _workers
+
+log = logging.getLogger(__name__)
+
+Phase = _resources.Phase
+Resource = _resources.Resource
+
+SHARDS = _leases.SHARDS
+# A move that cannot empty the instance within this time is undone: until
+# then neither pool has the instance.
+MOVE_LIMIT = datetime.timedelta(seconds=60)
+
+
+class Leases(Protocol):
+    """The part of the shard leases that is read here."""
+
+    def holds(self, shard: int) -> bool:
+        """Tell whether this controller may act for a shard."""
+
+    def find_fence(self, shard: int) -> _table.Condition | None:
+        """Return the condition of the shard's transactions."""
+
+
+class Journal(Protocol):
+    """The part of the journal that is used here."""
+
+    def transact(
+        self,
+        decide: Callable[[_fleet.Fleet], _transitions.Changes],
+        fences: Iterable[_table.Condition] = (),
+    ) -> result.Result[int, _errors.Failure]:
+        """Decide on the newest state and commit."""
+
+
+class Tools(NamedTuple):
+    """What the parts of a controller share."""
+
+    journal: Journal
+    fleet: _fleet.Fleet
+    leases: Leases
+    workers: _workers.Workers
+    instances: _instances.Instances
+    clock: _clock.Clock
+    explanations: _explanations.Explanations
+    zone: str
+
+
+def find_shard(instance: _resources.Instance) -> int:
+    """Return the shard of its zone that an instance belongs to."""
+    return _leases.find_shard(instance.pool)
+
+
+def explain(
+    tools: Tools,
+    kind: str,
+    name: str,
+    observed: str,
+    rule: str,
+    outcome: str,
+    alternatives: tuple[str, ...] = (),
+) -> None:
+    """Keep a record of a decision."""
+    tools.explanations.add(
+        _explanations.Record(
+            tools.clock.now(),
+            kind,
+            name,
+            observed,
+            rule,
+            alternatives,
+            outcome,
+        )
+    )
+
+
+def commit(
+    tools: Tools,
+    shard: int,
+    decide: Callable[[_fleet.Fleet], _transitions.Changes],
+) -> result.Result[int, _errors.Failure]:
+    """Commit a decision under the fencing token of a shard."""
+    fence = tools.leases.find_fence(shard)
+    if fence is None:
+        kind = _errors.ErrorKind.LEASE_LOST
+        text = f'shard {shard} is not held'
+        return result.Failure(_errors.Failure(kind, text))
+    return tools.journal.transact(decide, [fence])
+
+
+class Stepper:
+    """Takes the steps of the instances whose shards are held."""
+
+    def __init__(self, tools: Tools, probes: _observations.Probes) -> None:
+        self._tools = tools
+        self._probes = probes
+        # Boot id seen of an instance in maintenance at the last pass.
+        self._returning: dict[str, str] = {}
+
+    def step(self, instance: _resources.Instance, fresh: bool) -> None:
+        """Take the next step of one instance, if it can be taken now.
+
+        :param fresh: whether the log has just been read from the table
+        """
+        if not self._tools.leases.holds(find_shard(instance)):
+            return
+        if instance.phase is not Phase.MAINTENANCE:
+            self._returning.pop(instance.name, None)
+        match instance.phase:
+            case Phase.DRAINING:
+                self._drain(instance, fresh)
+            case Phase.STOPPING if fresh:
+                self._reboot(instance)
+            case Phase.MAINTENANCE if fresh:
+                self._await_return(instance)
+            case Phase.SERVING | Phase.FAILED | Phase.CORDONED:
+                self._check(instance, fresh)
+
+    def _check(self, instance: _resources.Instance, fresh: bool) -> None:
+        """Fence a worker that is unfenced or behind."""
+        if not self._probes.is_due(instance):
+            return
+        seen = self._tools.workers.read_fence(instance.address)
+        self._probes.note(instance, seen)
+        if not isinstance(seen, result.Success):
+            return
+        fence = seen.unwrap()
+        if (fence.epoch, fence.pool) == (instance.epoch, instance.pool):
+            return
+        # A worker without a fence takes any, so only the newest state may
+        # decide it; a worker out of service may stay without one.
+        unfenced = fence.epoch == 0
+        if unfenced and not (fresh and instance.phase is Phase.SERVING):
+            return
+        if fence.epoch < instance.epoch:
+            self._raise_fence(instance)
+
+    def _raise_fence(
+        self, instance: _resources.Instance
+    ) -> _workers.Fence | None:
+        # Checked last before the call: a controller that was paused for
+        # longer than its lease must not fence a restarted worker.
+        if not self._tools.leases.holds(find_shard(instance)):
+            return None
+        raised = self._tools.workers.raise_fence(
+            instance.address, instance.epoch, instance.pool
+        )
+        self._probes.note(instance, raised)
+        if isinstance(raised, result.Success):
+            return raised.unwrap()
+        return None
+
+    def _drain(self, instance: _resources.Instance, fresh: bool) -> None:
+        fence = self._raise_fence(instance)
+        if fence is None or not fresh:
+            return
+        now = self._tools.clock.now()
+        if fence.running == 0:
+            self._advance(
+                instance,
+                lambda found: _transitions.finish_drain(
+                    found, now, fence.boot_id
+                ),
+                'no task runs under the raised fence',
+            )
+            return
+        since = datetime.datetime.fromisoformat(instance.since)
+        if instance.target_pool and now - since > MOVE_LIMIT:
+            self._advance(
+                instance,
+                lambda found: _transitions.serve(
+                    found, now, 'move undone: tasks run for too long'
+                ),
+                f'{fence.running} tasks run after {now - since}',
+            )
+
+    def _reboot(self, instance: _resources.Instance) -> None:
+        # The epoch makes the id unique when an operator uses one twice.
+        identifier = f'{instance.operation_id}/{instance.epoch}'
+        started = self._tools.instances.reboot(instance.name, identifier)
+        now = self._tools.clock.now()
+        if not isinstance(started, result.Success):
+            if started.failure().kind is _errors.ErrorKind.NOT_FOUND:
+                self._advance(
+                    instance,
+                    lambda found: _transitions.fail(
+                        found, now, 'the platform does not know it'
+                    ),
+                    'the platform does not know the instance',
+                )
+            return
+        state = started.unwrap().state
+        if state == 'failed':
+            self._advance(
+                instance,
+                lambda found: _transitions.fail(
+                    found, now, 'the platform could not reboot it'
+                ),
+                'the reboot failed',
+            )
+        elif state == 'done':
+            self._advance(
+                instance,
+                lambda found: _transitions.advance(
+                    found, Phase.MAINTENANCE, now, 'rebooting'
+                ),
+                'the platform has begun the reboot',
+            )
+
+    def _await_return(self, instance: _resources.Instance) -> None:
+        seen = self._tools.workers.read_fence(instance.address)
+        self._probes.note(instance, seen)
+        resource = self._tools.fleet.find(
+            _resources.Kind.INSTANCE, instance.name
+        )
+        if not isinstance(seen, result.Success) or resource is None:
+            self._returning.pop(instance.name, None)
+            return
+        boot_id = seen.unwrap().boot_id
+        before = self._returning.get(instance.name)
+        self._returning[instance.name] = boot_id
+        # A worker that restarted by itself just before the reboot shows a
+        # new boot id too, but not for two passes.
+        if boot_id == resource['status'].get('boot_id') or boot_id != before:
+            return
+        now = self._tools.clock.now()
+        self._advance(
+            instance,
+            lambda found: _transitions.serve(found, now, 'rebooted'),
+            'the worker answers after its reboot',
+        )
+
+    def _advance(
+        self,
+        instance: _resources.Instance,
+        build: Callable[[Resource], _resources.Change],
+        observed: str,
+    ) -> None:
+        """Commit one step, unless another controller has taken it."""
+        committed = advance(self._tools, instance, build)
+        outcome = 'committed'
+        if not isinstance(committed, result.Success):
+            outcome = committed.failure().message
+        explain(
+            self._tools,
+            'instance',
+            instance.name,
+            f'{instance.phase.value} at epoch {instance.epoch}: {observed}',
+            'one log entry for each step, then the fence',
+            outcome,
+        )
+        if isinstance(committed, result.Success):
+            self.refence(instance.name)
+
+    def refence(self, name: str) -> None:
+        """Raise the fence of an instance to its newest log entry."""
+        resource = self._tools.fleet.find(_resources.Kind.INSTANCE, name)
+        if resource is None:
+            return
+        instance = _resources.read_instance(resource)
+        if instance.phase in (Phase.STOPPING, Phase.MAINTENANCE):
+            return
+        self._raise_fence(instance)
+
+
+def advance(
+    tools: Tools,
+    instance: _resources.Instance,
+    build: Callable[[Resource], _resources.Change],
+) -> result.Result[int, _errors.Failure]:
+    """Commit a change of an instance that is still at its epoch."""
+
+    def decide(fleet: _fleet.Fleet) -> _transitions.Changes:
+        found = fleet.find(_resources.Kind.INSTANCE, instance.name)
+        status: dict[str, Any] = found['status'] if found else {}
+        if found is None or status.get('epoch', 1) != instance.epoch:
+            return result.Success([])
+        return result.Success([build(found)])
+
+    committed = commit(tools, find_shard(instance), decide)
+    if isinstance(committed, result.Success):
+        log.info(
+            'instance %s left %s at epoch %d',
+            instance.name,
+            instance.phase.value,
+            instance.epoch,
+        )
+    return committed
--- /dev/null
+++ b/tests/controls.py
@@ -0,0 +1,338 @@
+"""Controllers over fakes: workers, the platform's reboots and a table.
+
+Every call that leaves a controller counts as an operation, so that a test
+can end the controller right before or right after any one of them.
+"""
+
+import datetime
+import random
+
+import prometheus_client
+from returns import result
+
+from skylarktally import _batch
+from skylarktally import _errors
+from skylarktally import _explanations
+from skylarktally import _fleet
+from skylarktally import _instances
+from skylarktally import _journal
+from skylarktally import _leases
+from skylarktally import _measures
+from skylarktally import _observations
+from skylarktally import _reconciler
+from skylarktally import _resources
+from skylarktally import _runs
+from skylarktally import _steps
+from skylarktally import _transitions
+from skylarktally import _workers
+from tests import apis
+from tests import fakes
+
+Kind = _resources.Kind
+Phase = _resources.Phase
+
+
+class Dropped(BaseException):
+    """Ends a controller in the middle of a step, as a kill does."""
+
+
+class FakeWorker:
+    """A worker with a fence, tasks and a record of what ran when."""
+
+    def __init__(self, name):
+        self.name = name
+        self.up = True
+        self.boots = 1
+        self.fence = None
+        # Epoch and pool of each running task.
+        self.running = []
+        self.record = []
+        self.interrupted = 0
+        self.tasks = {}
+        self.fences = []
+
+    def describe(self):
+        epoch, pool = self.fence or (0, None)
+        boot_id = f'{self.name}-{self.boots}'
+        return _workers.Fence(epoch, pool, len(self.running), boot_id)
+
+    def raise_fence(self, epoch, pool):
+        if self.fence and (epoch, pool) != self.fence:
+            if epoch <= self.fence[0]:
+                return fakes._fail(_errors.ErrorKind.CONFLICT)
+        self.fence = (epoch, pool)
+        self.fences.append((self.boots, epoch, pool))
+        return result.Success(self.describe())
+
+    def start(self, epoch, pool):
+        """Start a request as a router with this state would."""
+        if not self.up or self.fence != (epoch, pool):
+            return False
+        self.running.append((epoch, pool))
+        self.record.append((epoch, pool))
+        return True
+
+    def finish(self):
+        self.running.clear()
+
+    def reboot(self):
+        self.interrupted += len(self.running)
+        self.running.clear()
+        self.fence = None
+        self.boots += 1
+
+
+class World:
+    """The platform, the table and the workers that controllers share."""
+
+    def __init__(self):
+        self.clock = fakes.ManualClock()
+        self.table = fakes.FaultyTable()
+        self.workers = {}
+        self.reboots = {}
+        self.cut = set()
+        self.rows = self.table.rows
+
+    def add_worker(self, port):
+        address = f'127.0.0.1:{port}'
+        self.workers[address] = FakeWorker(f'w{port - 9000}')
+        return self.workers[address]
+
+    def get_worker(self, name):
+        return next(w for w in self.workers.values() if w.name == name)
+
+    def read_fleet(self):
+        """Return the state of the table, as a process of its own reads it."""
+        fleet = _fleet.Fleet()
+        table = fakes.FaultyTable(self.rows)
+        _journal.Journal(table, fleet, self.clock, 'reader').refresh()
+        return fleet
+
+    def read_instances(self):
+        return {i.name: i for i in self.read_fleet().find_instances()}
+
+    def boot_all(self):
+        """Let reboots that the platform has begun come to their end."""
+        for worker in self.workers.values():
+            worker.up = True
+
+
+class _Calls:
+    """The outgoing calls of one controller, counted one by one."""
+
+    def __init__(self, world, zone):
+        self.world = world
+        self.zone = zone
+        self.count = 0
+        # Number of the operation to end the controller at, and whether
+        # its effect comes first.
+        self.drop_at = None
+        self.table = world.table
+
+    def call(self, act):
+        self.count += 1
+        if self.drop_at == (self.count, 'before'):
+            raise Dropped
+        done = act()
+        if self.drop_at == (self.count, 'after'):
+            raise Dropped
+        return done
+
+    # Table
+    def commit(self, transaction):
+        if self.zone in self.world.cut:
+            return fakes._fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+        return self.call(lambda: self.table.commit(transaction))
+
+    def read(self, key):
+        if self.zone in self.world.cut:
+            return fakes._fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+        return self.table.read(key)
+
+    def scan(self, prefix, after='', limit=1000):
+        if self.zone in self.world.cut:
+            return fakes._fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+        return self.table.scan(prefix, after, limit)
+
+    # Workers
+    def _reach(self, address):
+        worker = self.world.workers[address]
+        return worker if worker.up else None
+
+    def read_fence(self, address):
+        worker = self._reach(address)
+        if worker is None:
+            return fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE)
+        return self.call(lambda: result.Success(worker.describe()))
+
+    def raise_fence(self, address, epoch, pool):
+        worker = self._reach(address)
+        if worker is None:
+            return fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE)
+        return self.call(lambda: worker.raise_fence(epoch, pool))
+
+    def lease(self, address, holder, epoch, pool, slots, ttl):
+        worker = self._reach(address)
+        if worker is None or worker.fence != (epoch, pool):
+            return fakes._fail(_errors.ErrorKind.WORKER_REFUSED)
+        return self.call(
+            lambda: result.Success(_workers.SlotLease('lease', slots))
+        )
+
+    def renew(self, address, lease_id, ttl):
+        return result.Success(None)
+
+    def give_back(self, address, lease_id):
+        pass
+
+    def run(self, address, lease_id, task):
+        worker = self._reach(address)
+        if worker is None:
+            return fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE)
+
+        def act():
+            worker.tasks.setdefault(task.key, []).append(task.job)
+            return result.Success(_workers.TaskEnd(True, 200))
+
+        return self.call(act)
+
+    def find_task(self, address, key):
+        worker = self._reach(address)
+        if worker is None:
+            return fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE)
+        known = {'end': 1.0} if key in worker.tasks else None
+        return result.Success(known)
+
+    def control(self, address, key, action):
+        return result.Success(None)
+
+    # Platform
+    def list(self):
+        raise NotImplementedError
+
+    def reboot(self, name, operation_id):
+        if self.zone in self.world.cut:
+            return fakes._fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+
+        def act():
+            if (name, operation_id) not in self.world.reboots:
+                self.world.reboots[name, operation_id] = 'done'
+                worker = self.world.get_worker(name)
+                worker.reboot()
+                worker.up = False
+            return result.Success(_instances.Operation(operation_id, 'done'))
+
+        return self.call(act)
+
+
+class FakeController:
+    """One controller of a zone, driven one pass at a time."""
+
+    def __init__(self, world, name='c1', zone='z1', seed=1):
+        self.world = world
+        clock = world.clock
+        self.calls = _Calls(world, zone)
+        self.fleet = _fleet.Fleet()
+        self.journal = _journal.Journal(
+            self.calls, self.fleet, clock, name, random.Random(seed)
+        )
+        self.leases = _leases.ShardLeases(self.calls, clock, zone, name, seed)
+        self.explanations = _explanations.Explanations()
+        self.tools = _steps.Tools(
+            self.journal,
+            self.fleet,
+            self.leases,
+            self.calls,
+            self.calls,
+            clock,
+            self.explanations,
+            zone,
+        )
+        self.probes = _observations.Probes(clock)
+        self.demand = _observations.DemandTracker(clock)
+        measures = _measures.Measures(prometheus_client.CollectorRegistry())
+        self.batch = _batch.Batch(
+            self.tools,
+            _runs.RunTable(self.calls),
+            measures,
+            f'{name}/{seed}',
+            lambda act, *rest: (
+                act(*rest) if act != self.batch._renew else None
+            ),
+        )
+        self.reconciler = _reconciler.Reconciler(
+            self.tools,
+            self.journal,
+            self.probes,
+            self.demand,
+            measures,
+            self.batch,
+        )
+
+    def take_leases(self):
+        for _ in range(_leases.SHARDS):
+            self.leases.renew()
+        assert self.leases.holds(0)
+        return self
+
+    def step(self, count=1, seconds=1):
+        for _ in range(count):
+            self.leases.renew()
+            self.reconciler.step()
+            self.world.clock.advance(seconds)
+
+    def finish(self, limit=60):
+        """Make passes until every instance serves under its fence."""
+        for _ in range(limit):
+            self.world.boot_all()
+            self.step()
+            if is_settled(self.world):
+                return
+        raise AssertionError(self.world.read_instances())
+
+    def call(self, operate, *arguments):
+        """Commit a request as the resource API does."""
+        return self.journal.transact(
+            lambda fleet: operate(fleet, *arguments, self.world.clock.now())
+        )
+
+    def drain(self, name, operation_id='op-1', then='reboot'):
+        return self.call(
+            lambda fleet, now: _transitions.begin_stop(
+                fleet, name, operation_id, 'test', now, then
+            )
+        )
+
+    def move(self, name, pool):
+        return self.call(
+            lambda fleet, now: _transitions.begin_move(
+                fleet, name, pool, 'test', now
+            )
+        )
+
+
+def is_settled(world):
+    instances = world.read_instances().values()
+    return all(
+        i.phase is Phase.SERVING
+        and world.workers[i.address].fence == (i.epoch, i.pool)
+        for i in instances
+    )
+
+
+def build_world(documents=None):
+    """Return a world with a declared fleet and its first controller."""
+    world = World()
+    documents = documents or apis.declare_small_fleet()
+    for document in documents:
+        if document['kind'] == 'instance':
+            port = int(document['spec']['address'].rpartition(':')[2])
+            world.add_worker(port)
+    api = apis.ApiHarness(world.table, 'api')
+    status, answer = api.apply(*documents)
+    assert status == 200, answer
+    return world
+
+
+def age(world, seconds):
+    world.clock.elapsed += datetime.timedelta(seconds=seconds)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -12,7 +12,8 @@
 
 SETTINGS = """{
     // Comments are allowed.
-    "name": "c1", "zone": "z1", "peer_keys": ["%s"], "tokens": {},
+    "name": "c1", "zone": "z1", "peer_secret": "%s",
+    "tokens": {}, "peer_address": "127.0.0.1:7000",
     "admin_address": "127.0.0.1:7001", "api_address": "127.0.0.1:7002",
     "platform_address": "127.0.0.1:7003", "seeds": ["127.0.0.1:7004"],
     %s
@@ -176,5 +177,5 @@
     path.write_text(SETTINGS % ('short', '"beat_intervall_seconds": 1'))
     code, out, _ = run('check-settings', str(path))
     assert code == 1
-    assert 'peer_keys[0]' in out
+    assert 'peer_secret' in out
     assert 'nearest known name is beat_interval_seconds' in out
--- /dev/null
+++ b/tests/test_reconciler.py
@@ -0,0 +1,278 @@
+"""Guards moves and planned stops against kills, races and outages."""
+
+import pytest
+from returns import result
+
+from skylarktally import _errors
+from tests import controls
+from tests import invariants
+
+ErrorKind = _errors.ErrorKind
+Phase = controls.Phase
+
+
+@pytest.fixture
+def world():
+    return controls.build_world()
+
+
+@pytest.fixture
+def controller(world):
+    made = controls.FakeController(world).take_leases()
+    made.finish()
+    return made
+
+
+def get_kind(outcome):
+    return (
+        None
+        if isinstance(outcome, result.Success)
+        else (outcome.failure().kind)
+    )
+
+
+OPERATIONS = {
+    'move': lambda c: c.move('w3', 'desk-n'),
+    'stop': lambda c: c.drain('w1'),
+    'cordon': lambda c: c.drain('w1', then='cordon'),
+}
+
+
+def test_a_declared_worker_is_fenced(world, controller):
+    for instance in world.read_instances().values():
+        worker = world.workers[instance.address]
+        assert worker.fence == (instance.epoch, instance.pool)
+
+
+def test_a_move_waits_for_the_last_task(world, controller):
+    worker = world.get_worker('w3')
+    before = world.read_instances()['w3']
+    assert worker.start(before.epoch, 'desk-s')
+    controller.move('w3', 'desk-n')
+    controller.step(5)
+    # A router that has not heard of the move asks as before.
+    assert not worker.start(before.epoch, 'desk-s')
+    assert world.read_instances()['w3'].pool == 'desk-s'
+    worker.finish()
+    controller.finish()
+    after = world.read_instances()['w3']
+    assert (after.pool, after.epoch) == ('desk-n', before.epoch + 2)
+    invariants.check(world)
+
+
+def test_a_move_that_cannot_empty_its_instance_is_undone(world, controller):
+    worker = world.get_worker('w3')
+    before = world.read_instances()['w3']
+    worker.start(before.epoch, 'desk-s')
+    controller.move('w3', 'desk-n')
+    controller.step(70)
+    after = world.read_instances()['w3']
+    assert (after.pool, after.phase) == ('desk-s', Phase.SERVING)
+    assert worker.fence == (before.epoch + 2, 'desk-s')
+    assert worker.interrupted == 0
+
+
+def test_a_planned_stop_reboots_once_and_cuts_off_nothing(world, controller):
+    worker = world.get_worker('w1')
+    before = world.read_instances()['w1']
+    worker.start(before.epoch, 'desk-n')
+    controller.drain('w1')
+    controller.step(5)
+    assert worker.boots == 1
+    worker.finish()
+    controller.finish()
+    after = world.read_instances()['w1']
+    assert (worker.boots, worker.interrupted) == (2, 0)
+    assert after.epoch == before.epoch + 4
+    # The same request again is the same stop.
+    controller.drain('w1')
+    controller.step(5)
+    assert worker.boots == 2
+    invariants.check(world)
+
+
+def count_operations(name):
+    """Return how many calls a whole operation takes without a kill."""
+    world = controls.build_world()
+    controller = controls.FakeController(world).take_leases()
+    controller.finish()
+    controller.calls.count = 0
+    OPERATIONS[name](controller)
+    if name == 'cordon':
+        controller.step(3)
+    else:
+        controller.finish()
+    return controller.calls.count
+
+
+KILLS = [
+    (name, number, side)
+    for name in OPERATIONS
+    for number in range(1, count_operations(name) + 1)
+    for side in ('before', 'after')
+]
+
+
+@pytest.mark.parametrize(('name', 'number', 'side'), KILLS)
+def test_another_controller_finishes_what_a_killed_one_began(
+    world, controller, name, number, side
+):
+    before = world.read_instances()
+    controller.calls.count = 0
+    controller.calls.drop_at = (number, side)
+    with pytest.raises(controls.Dropped):
+        OPERATIONS[name](controller)
+        for _ in range(60):
+            world.boot_all()
+            controller.step()
+    invariants.check(world)
+    heir = controls.FakeController(world, 'c2', seed=2)
+    # The dead holder's beat stands still for 12 s before the heir takes
+    # its shards.
+    heir.step(20)
+    # The operator repeats the request, whose answer was lost.
+    assert get_kind(OPERATIONS[name](heir)) is None
+    if name == 'cordon':
+        heir.step(5)
+        assert world.read_instances()['w1'].phase is Phase.CORDONED
+    else:
+        heir.finish()
+    invariants.check(world)
+    after = world.read_instances()
+    moved = {'move': 'w3'}.get(name, 'w1')
+    steps = {'move': 2, 'stop': 4, 'cordon': 2}[name]
+    assert after[moved].epoch == before[moved].epoch + steps
+    assert world.get_worker('w1').boots == (2 if name == 'stop' else 1)
+    assert after['w3'].pool == ('desk-n' if name == 'move' else 'desk-s')
+
+
+FAULTS = ['drop', 'lose', 'duplicate', 'refuse', 'limit']
+
+
+@pytest.mark.parametrize('fault', FAULTS)
+@pytest.mark.parametrize('position', range(4))
+@pytest.mark.parametrize('name', ['move', 'stop'])
+def test_a_lost_answer_repeats_no_step(
+    world, controller, name, position, fault
+):
+    before = world.read_instances()
+    assert get_kind(OPERATIONS[name](controller)) is None
+    world.table.faults = [None] * position + [fault]
+    controller.finish()
+    after = world.read_instances()
+    moved, steps = {'move': ('w3', 2), 'stop': ('w1', 4)}[name]
+    assert after[moved].epoch == before[moved].epoch + steps
+    assert world.get_worker('w1').boots == (2 if name == 'stop' else 1)
+    invariants.check(world)
+
+
+def test_an_outage_keeps_marked_drains_enforced(world, controller):
+    worker = world.get_worker('w1')
+    epoch = world.read_instances()['w1'].epoch
+    worker.start(epoch, 'desk-n')
+    controller.drain('w1')
+    world.table.down = True
+    other = world.get_worker('w2')
+    other.reboot()
+    controller.step(6)
+    # The drain holds at the worker; nothing else is decided.
+    assert worker.fence == (epoch + 1, 'desk-n')
+    assert other.fence is None
+    assert world.read_instances()['w1'].phase is Phase.DRAINING
+    worker.finish()
+    controller.step(20)
+    assert worker.boots == 1
+    world.table.down = False
+    controller.finish()
+    assert worker.boots == 2
+    invariants.check(world)
+
+
+def test_a_paused_controller_changes_nothing_when_it_wakes(world, controller):
+    paused = controller
+    state = paused.fleet.find(controls.Kind.INSTANCE, 'w3')
+    instance = controls._resources.read_instance(state)
+    heir = controls.FakeController(world, 'c2', seed=2)
+    heir.step(20)
+    heir.move('w3', 'desk-n')
+    heir.finish()
+    rows = world.rows.scan('', '', 1000)
+    worker = world.get_worker('w3')
+    worker.reboot()
+    # The paused one goes on where it was, with the state that it had: it
+    # takes w3 for an unfenced worker of its old pool.
+    paused.reconciler._stepper._check(instance, fresh=True)
+    paused.reconciler._stepper._drain(
+        instance._replace(phase=Phase.DRAINING), fresh=True
+    )
+    paused.reconciler.step()
+    assert worker.fence is None
+    assert world.rows.scan('', '', 1000) == rows
+    heir.finish()
+    assert worker.fence[1] == 'desk-n'
+
+
+def test_a_write_of_a_former_holder_is_refused(world, controller):
+    # The check of the clock alone would pass when the holder is paused
+    # between the check and the write.
+    fence = controller.leases.find_fence(0)
+    heir = controls.FakeController(world, 'c2', seed=2)
+    heir.step(20)
+    change = controller.fleet.find(controls.Kind.INSTANCE, 'w3')
+    outcome = controller.journal.transact(
+        lambda fleet: result.Success(
+            [controls._transitions.serve(change, world.clock.now(), 'late')]
+        ),
+        [fence],
+    )
+    assert get_kind(outcome) is ErrorKind.LEASE_LOST
+
+
+def test_a_zone_that_is_cut_off_makes_no_change(world, controller):
+    world.cut.add('z1')
+    before = world.rows.scan('', '', 1000)
+    fences = {w.name: list(w.fences) for w in world.workers.values()}
+    world.get_worker('w2').up = False
+    controller.step(30)
+    assert world.rows.scan('', '', 1000) == before
+    assert fences == {w.name: w.fences for w in world.workers.values()}
+    # Controllers of other zones leave the zone's instances alone.
+    other = controls.FakeController(world, 'c9', 'z2', seed=9)
+    other.step(30)
+    assert {k: v for k, v in world.read_instances().items()} == {
+        i.name: i for i in controller.fleet.find_instances()
+    }
+
+
+@pytest.mark.parametrize(
+    ('first', 'second', 'expected'),
+    [
+        ('move', lambda c: c.move('w3', 'desk-n'), None),
+        ('move', lambda c: c.drain('w3'), ErrorKind.CONFLICT),
+        ('stop', lambda c: c.drain('w1', 'op-2'), ErrorKind.CONFLICT),
+        ('stop', lambda c: c.drain('w2', 'op-2'), ErrorKind.BUDGET_EXHAUSTED),
+        ('stop', lambda c: c.move('w2', 'desk-s'), ErrorKind.BUDGET_EXHAUSTED),
+    ],
+)
+def test_racing_operators_at_two_controllers(
+    world, controller, first, second, expected
+):
+    other = controls.FakeController(world, 'c2', seed=2)
+    other.journal.refresh()
+    assert get_kind(OPERATIONS[first](controller)) is None
+    assert get_kind(second(other)) is expected
+    # Both controllers go on at once, one of them without any lease.
+    for _ in range(10):
+        world.boot_all()
+        controller.step(seconds=0.5)
+        other.step(seconds=0.5)
+    controller.finish()
+    invariants.check(world)
+
+
+def test_a_restarted_worker_is_fenced_again(world, controller):
+    worker = world.get_worker('w2')
+    worker.reboot()
+    controller.step(6)
+    assert worker.fence is not None
+    assert len(worker.fences) == 2
