Poll connections with the unpatched select module

Cause: about half of all requests in the demo got an internal error. Patching the standard library removes poll() from 'select', so that the check of a pooled connection raised; tests do not patch and passed. Ruled out: timeouts and refused claims (every error had this traceback).

--- a/demo/_callers.py
+++ b/demo/_callers.py
@@ -41,7 +41,7 @@
         self._entries = list(deployment.entries)
         self._random = random.Random(seed)
         self._http = urllib3.PoolManager(
-            num_pools=len(self._entries), maxsize=64, retries=False
+            num_pools=len(self._entries), maxsize=512, retries=False
         )
         self._jobs = [
             resource
--- a/demo/_checks.py
+++ b/demo/_checks.py
@@ -38,7 +38,7 @@
             unreadable.append(worker.name)
             continue
         for run in answer['runs']:
-            runs[run['key']].append({**run, 'worker': worker.name})
+            runs[run['request_key']].append({**run, 'worker': worker.name})
     return Records(dict(runs), unreadable)
 
 
--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable
 import datetime
-import select
 import socket
 import time
 from typing import Any
@@ -21,11 +20,14 @@
 import eventlet  # noqa: E402
 from eventlet.green import socket as green_socket  # noqa: E402
 from eventlet import hubs  # noqa: E402
+from eventlet import patcher  # noqa: E402
 import eventlet.queue  # noqa: E402
 import eventlet.semaphore  # noqa: E402
-import eventlet.wsgi  # noqa: E402
 from eventlet import wsgi  # noqa: E402
 
+# Patching removes poll() from the module select.
+_SELECT = patcher.original('select')
+
 AF_INET = socket.AF_INET
 AF_INET6 = socket.AF_INET6
 GreenPool = eventlet.GreenPool
@@ -36,7 +38,7 @@
 Semaphore = eventlet.semaphore.Semaphore
 Timeout = eventlet.Timeout
 listen = eventlet.listen
-serve_wsgi = eventlet.wsgi.server
+serve_wsgi = wsgi.server
 sleep = eventlet.sleep
 spawn = eventlet.spawn
 spawn_after = eventlet.spawn_after
@@ -64,8 +66,8 @@
 
 def is_readable(connection: socket.socket) -> bool:
     """Tell whether bytes or an end of stream wait on a connection."""
-    poller = select.poll()
-    poller.register(connection.fileno(), select.POLLIN)
+    poller = _SELECT.poll()
+    poller.register(connection.fileno(), _SELECT.POLLIN)
     return bool(poller.poll(0))
 
 
