--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -52,15 +52,15 @@
         self.commits += 1
         fault = self.faults.pop(0) if self.faults else None
         if self.down or fault == 'refuse':
-            return _fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+            return fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
         if fault == 'limit':
-            return _fail(_errors.ErrorKind.RATE_LIMITED)
+            return fail(_errors.ErrorKind.RATE_LIMITED)
         if fault == 'delay':
             self.delayed.append(transaction)
         if fault in ('lose', 'duplicate'):
             self._apply(transaction)
         if fault in ('drop', 'lose', 'delay'):
-            return _fail(_errors.ErrorKind.OUTCOME_UNKNOWN)
+            return fail(_errors.ErrorKind.OUTCOME_UNKNOWN)
         return self._apply(transaction)
 
     def deliver(self):
@@ -70,14 +70,14 @@
     def read(self, key):
         self.reads += 1
         if self.down:
-            return _fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+            return fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
         row = self.rows.read(key)
         return result.Success(row and _table.Row(**row))
 
     def scan(self, prefix, after='', limit=1000):
         self.reads += 1
         if self.down:
-            return _fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+            return fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
         found = self.rows.scan(prefix, after, limit)
         return result.Success([_table.Row(**row) for row in found])
 
@@ -90,8 +90,9 @@
         )
         if body['committed']:
             return result.Success(body['version'])
-        return _fail(_errors.ErrorKind.CONFLICT)
+        return fail(_errors.ErrorKind.CONFLICT)
 
 
-def _fail(kind):
+def fail(kind):
+    """Build the failed answer of a call."""
     return result.Failure(_errors.Failure(kind, kind.value))
--- /dev/null
+++ b/tests/test_journal_machine.py
@@ -0,0 +1,338 @@
+"""Guards the log against lost, repeated and reverted control writes.
+
+Two authors race over the stand-in's table while answers are lost, delayed
+or duplicated, authors crash between two calls, leases change hands and the
+log is trimmed. Every committed entry is recorded at the table itself and
+compared with what the authors were told and with what their replicas hold.
+"""
+
+import contextlib
+import random
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+from returns import result
+
+from skylarktally import _errors
+from skylarktally import _fleet
+from skylarktally import _journal
+from skylarktally import _resources
+from skylarktally import _table
+from standins import table as standin_table
+from tests import fakes
+from tests import naive_journal
+
+LEASE = 'lease/z1/0'
+# Small figures, so that short runs reach trimming and paging.
+RETAINED = 6
+PAGE = 3
+COMMIT_FAULTS = ('drop', 'lose', 'duplicate', 'delay', 'refuse', 'limit')
+SETTINGS = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=200,
+    stateful_step_count=25,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class Crash(Exception):
+    pass
+
+
+class RecordingRows(standin_table.RowStore):
+    """Rows that remember every log entry ever committed."""
+
+    def __init__(self):
+        super().__init__()
+        self.entries = []
+
+    def commit(self, transaction):
+        body = super().commit(transaction)
+        if body['committed']:
+            self.entries.extend(
+                write['value']
+                for write in transaction['writes']
+                if write['key'].startswith('log/') and write['value']
+            )
+        return body
+
+
+class ScriptedTable(fakes.FaultyTable):
+    """Table whose coming calls each meet one scripted event."""
+
+    def __init__(self, rows, delayed, events):
+        super().__init__(rows)
+        self.delayed = delayed
+        self.events = events
+        self.script = []
+
+    def _meet(self, call):
+        event = self.script.pop(0) if self.script else None
+        if event in COMMIT_FAULTS:
+            self.faults = [event]
+        elif event in self.events:
+            self.events[event]()
+        if event == 'crash_before':
+            raise Crash
+        answer = call()
+        if event == 'crash_after':
+            raise Crash
+        return answer
+
+    def commit(self, transaction):
+        self.faults = []
+        commit = super().commit
+        return self._meet(lambda: commit(transaction))
+
+    def read(self, key):
+        read = super().read
+        return self._meet(lambda: self._look(lambda: read(key)))
+
+    def scan(self, prefix, after='', limit=1000):
+        scan = super().scan
+        page = min(limit, PAGE)
+        return self._meet(
+            lambda: self._look(lambda: scan(prefix, after, page))
+        )
+
+    def _look(self, call):
+        if self.faults:
+            self.faults = []
+            return fakes.fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+        return call()
+
+
+SCRIPTS = strategies.lists(
+    strategies.sampled_from(
+        (None, *COMMIT_FAULTS, 'crash_before', 'crash_after')
+        + ('race', 'overtake', 'deliver', 'steal')
+    ),
+    max_size=8,
+)
+
+
+class Author:
+    """A journal with its replica, both lost in a crash."""
+
+    def __init__(self, name, table, journal_class, clock):
+        self.name = name
+        self.table = table
+        self.fleet = _fleet.Fleet()
+        self.versions = [0]
+        self.fleet.subscribe(self.versions.append)
+        self.journal = journal_class(
+            table, self.fleet, clock, name, random.Random(name)
+        )
+
+
+class JournalMachine(stateful.RuleBasedStateMachine):
+    journal_class = _journal.Journal
+
+    def __init__(self):
+        super().__init__()
+        self.patches = contextlib.ExitStack()
+        for module, name, value in (
+            (_fleet, 'RETAINED_RECORDS', RETAINED),
+            (_journal, '_PAGE', PAGE),
+        ):
+            self.patches.enter_context(mock.patch.object(module, name, value))
+        self.rows = RecordingRows()
+        self.clock = fakes.ManualClock()
+        self.delayed = []
+        self.crashes = 0
+        # What each operation's author was told: True, False or unknown.
+        self.told = {}
+        self.authors = [self.start_author(n) for n in (0, 1)]
+
+    def teardown(self):
+        self.patches.close()
+
+    def start_author(self, number):
+        events = {
+            'race': lambda: self.run(1 - number, []),
+            'overtake': lambda: self.overtake(1 - number),
+            'deliver': self.deliver,
+            'steal': self.steal,
+        }
+        table = ScriptedTable(self.rows, self.delayed, events)
+        self.crashes += 1
+        name = f'author-{number}-{self.crashes}'
+        return Author(name, table, self.journal_class, self.clock)
+
+    @stateful.rule(number=strategies.integers(0, 1), script=SCRIPTS)
+    def transact(self, number, script):
+        self.run(number, script)
+
+    @stateful.rule(
+        number=strategies.integers(0, 1),
+        script=SCRIPTS,
+        behind=strategies.integers(0, 2),
+    )
+    def propose_fenced(self, number, script, behind):
+        row = self.rows.read(LEASE)
+        fence = _table.Condition(LEASE, row['version'] if row else 0)
+
+        def propose(author, decide):
+            base = max(0, author.fleet.version - behind)
+            changes = decide(author.fleet).unwrap()
+            return author.journal.propose(changes, base, (fence,))
+
+        self.run(number, script, propose)
+
+    def overtake(self, number):
+        # Enough entries that the other author's are trimmed.
+        for _ in range(RETAINED + 1):
+            self.run(number, [])
+
+    @stateful.rule()
+    def deliver(self):
+        if self.delayed:
+            self.authors[0].table.deliver()
+
+    @stateful.rule()
+    def steal(self):
+        row = self.rows.read(LEASE)
+        version = row['version'] if row else 0
+        write = {'key': LEASE, 'value': {'holder': str(version)}}
+        self.rows.commit({'conditions': [], 'writes': [write]})
+
+    def run(self, number, script, act=None):
+        """Let an author add one to the counter and note what it is told."""
+        author = self.authors[number]
+        outer, author.table.script = author.table.script, list(script)
+        operation = f'operation-{len(self.told)}'
+        self.told[operation] = None
+
+        def decide(fleet):
+            kind = _resources.Kind.CONFIGURATION
+            found = fleet.find(kind, 'counter')
+            count = found['spec']['count'] if found else 0
+            return result.Success(
+                [
+                    build_change('counter', {'count': count + 1}),
+                    build_change(operation, {}),
+                ]
+            )
+
+        try:
+            if act is None:
+                outcome = author.journal.transact(decide)
+            else:
+                outcome = act(author, decide)
+        except Crash:
+            self.authors[number] = self.start_author(number)
+            return operation
+        author.table.script = outer
+        if isinstance(outcome, result.Success):
+            self.told[operation] = True
+        elif outcome.failure().kind is not _errors.ErrorKind.OUTCOME_UNKNOWN:
+            self.told[operation] = False
+        return operation
+
+    @stateful.invariant()
+    def log_holds_no_operation_twice(self):
+        versions = [entry['version'] for entry in self.rows.entries]
+        assert versions == list(range(1, len(versions) + 1)), 'gap in the log'
+        written = self.list_written()
+        assert len(set(written)) == len(written), 'applied twice'
+
+    @stateful.invariant()
+    def authors_were_told_the_truth(self):
+        written = self.list_written()
+        for operation, told in self.told.items():
+            if told is not None:
+                assert (operation in written) == told, 'lost or denied'
+
+    def list_written(self):
+        return [entry['changes'][1]['name'] for entry in self.rows.entries]
+
+    @stateful.invariant()
+    def replicas_hold_a_state_of_the_log(self):
+        for author in self.authors:
+            assert author.versions == sorted(set(author.versions)), 'reverted'
+            names = {'counter'} | {
+                entry['changes'][1]['name']
+                for entry in self.rows.entries[: author.fleet.version]
+            }
+            held = author.fleet.list(_resources.Kind.CONFIGURATION)
+            if author.fleet.version > 0:
+                assert {r['name'] for r in held} == names
+                counter = next(r for r in held if r['name'] == 'counter')
+                assert counter['spec']['count'] == author.fleet.version
+                assert counter['resource_version'] == author.fleet.version
+
+    @stateful.invariant()
+    def table_keeps_the_retained_entries(self):
+        kept = [
+            row['value']['version'] for row in self.rows.scan('log/', '', 99)
+        ]
+        assert kept == [e['version'] for e in self.rows.entries[-RETAINED:]]
+
+
+class NaiveMachine(JournalMachine):
+    """Checks the baseline only for repeated writes, its known fault."""
+
+    journal_class = naive_journal.NaiveJournal
+
+    def authors_were_told_the_truth(self):
+        pass
+
+
+def build_change(name, spec):
+    value = _resources.Resource(
+        kind='configuration',
+        name=name,
+        spec=spec,
+        status={},
+        resource_version=0,
+    )
+    return _resources.Change(kind='configuration', name=name, value=value)
+
+
+def test_journal_upholds_the_invariants():
+    stateful.run_state_machine_as_test(JournalMachine, settings=SETTINGS)
+
+
+# The first call of each sequence reads the log, the second commits.
+@pytest.mark.parametrize(
+    'script, told',
+    [
+        ([None, 'lose'], True),
+        ([None, 'drop'], True),
+        ([None, 'duplicate'], True),
+        ([None, 'limit'], True),
+        ([None, 'refuse'], False),
+        ([None, 'delay', 'race'], True),
+        ([None, 'delay', None, 'deliver'], True),
+        # The answer and its look-up are lost, then the table is down.
+        ([None, 'lose', 'drop', 'refuse'], True),
+        # The entry is trimmed before its author can look it up.
+        ([None, 'lose', 'drop', 'overtake'], None),
+        # Entries are committed between the reads of a snapshot.
+        ([None, None, None, 'race', 'race'], True),
+    ],
+)
+def test_sequences_of_faults(script, told):
+    machine = JournalMachine()
+    machine.overtake(1)
+    if script[1] in COMMIT_FAULTS:
+        machine.run(0, [])
+    operation = machine.run(0, script)
+    assert machine.told[operation] is told
+    machine.deliver()
+    machine.run(0, [])
+    machine.log_holds_no_operation_twice()
+    machine.authors_were_told_the_truth()
+    machine.replicas_hold_a_state_of_the_log()
+    machine.teardown()
+
+
+def test_naive_journal_applies_a_write_twice():
+    found = hypothesis.settings(SETTINGS, phases=[hypothesis.Phase.generate])
+    with pytest.raises(AssertionError, match='applied twice'):
+        stateful.run_state_machine_as_test(NaiveMachine, settings=found)
