Test shard leases with a manual clock

Cause: nothing checked that two controllers never act for one shard.

Change: tests for a paused holder, takeover, a write under a lapsed lease, outages of 5 s to an hour, lost answers, a restarted controller, release and a late answer to a beat. The comment on the watch gap now names the outage, the only case in which it matters: a paused candidate finds a changed beat and starts over in any case.

Checked: a paused holder stops within 8 s and is replaced after 12 s to 14 s; its later write is refused with lease_lost; no outage moves a lease.

Conclusion: leases move only when their holder stopped beating.

--- a/skylarktally/_leases.py
+++ b/skylarktally/_leases.py
@@ -23,8 +23,8 @@
 # The holder stops 4 s before a candidate may take over.
 _HOLD_LIMIT = datetime.timedelta(seconds=8)
 _TAKE_AFTER = datetime.timedelta(seconds=12)
-# After a longer gap in its own reads a candidate watches anew, so that an
-# outage or a pause of the candidate does not count against the holder.
+# After a longer gap in its reads a candidate watches anew, because in an
+# outage of the table the holder cannot beat either.
 _WATCH_GAP = datetime.timedelta(seconds=4)
 
 
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,144 @@
+"""Guards against two controllers acting for one shard."""
+
+import pytest
+from returns import result
+
+from skylarktally import _errors
+from skylarktally import _fleet
+from skylarktally import _journal
+from skylarktally import _leases
+from tests import fakes
+from tests import test_journal_machine
+
+SHARDS = range(_leases.SHARDS)
+
+
+class Zone:
+    """Controllers of a zone, stepped once a second."""
+
+    def __init__(self, *names):
+        self.clock = fakes.ManualClock()
+        self.table = fakes.FaultyTable()
+        self.controllers = {name: self.start(name, 1) for name in names}
+
+    def start(self, name, incarnation):
+        return _leases.ShardLeases(
+            self.table, self.clock, 'z1', name, incarnation
+        )
+
+    def run(self, seconds, *names):
+        """Step the named controllers and return each shard's holders."""
+        for _ in range(seconds):
+            self.clock.advance(1)
+            for name in names:
+                self.controllers[name].renew()
+            for shard in SHARDS:
+                assert len(self.list_holders(shard)) <= 1
+        return [self.list_holders(shard) for shard in SHARDS]
+
+    def list_holders(self, shard):
+        return [n for n, c in self.controllers.items() if c.holds(shard)]
+
+
+@pytest.fixture
+def zone():
+    zone = Zone('a', 'b')
+    assert all(zone.run(5, 'a', 'b'))
+    return zone
+
+
+def find_shard(zone, name):
+    return next(s for s in SHARDS if zone.controllers[name].holds(s))
+
+
+def test_shards_are_shared_and_kept(zone):
+    before = zone.run(1, 'a', 'b')
+    assert {name for names in before for name in names} == {'a', 'b'}
+    assert zone.run(600, 'a', 'b') == before
+
+
+def test_a_paused_holder_stops_before_anyone_takes_over(zone):
+    lost = find_shard(zone, 'a')
+    free_at = None
+    for second in range(1, 20):
+        holders = zone.run(1, 'b')
+        if free_at is None and not holders[lost]:
+            free_at = second
+        if holders[lost] == ['b']:
+            break
+    assert free_at <= 8
+    # 12 s without a beat, and at most 4 s since the last one was seen;
+    # one lease is taken a second.
+    assert 12 <= second <= 14
+    assert zone.run(5, 'a', 'b')[lost] == ['b']
+
+
+def test_a_write_under_a_lapsed_lease_is_refused(zone):
+    shard = find_shard(zone, 'a')
+    fence = zone.controllers['a'].find_fence(shard)
+    zone.run(15, 'b')
+    assert zone.controllers['a'].find_fence(shard) is None
+    change = test_journal_machine.build_change('c', {})
+    new_fence = zone.controllers['b'].find_fence(shard)
+    for token, expected in (
+        (fence, _errors.ErrorKind.LEASE_LOST),
+        (new_fence, None),
+    ):
+        fleet = _fleet.Fleet()
+        journal = _journal.Journal(zone.table, fleet, zone.clock, 'a')
+        outcome = journal.propose([change], 0, (token,))
+        if expected is None:
+            assert outcome == result.Success(1)
+        else:
+            assert outcome.failure().kind is expected
+
+
+@pytest.mark.parametrize('outage', [5, 60, 3600])
+def test_an_outage_moves_no_lease(zone, outage):
+    # All beats stop in an outage; counting that time against the holders
+    # would move every lease when it ends.
+    before = zone.run(1, 'a', 'b')
+    zone.table.down = True
+    during = zone.run(outage, 'a', 'b')
+    assert outage < 8 or not any(during)
+    zone.table.down = False
+    assert zone.run(30, 'a', 'b') == before
+
+
+@pytest.mark.parametrize('fault', ['lose', 'drop', 'duplicate', 'limit'])
+def test_lost_answers_cost_no_lease(zone, fault):
+    before = zone.run(1, 'a', 'b')
+    for _ in range(20):
+        zone.table.faults = [fault]
+        assert zone.run(3, 'a', 'b') == before
+
+
+def test_a_restarted_controller_replaces_its_former_process(zone):
+    former = zone.controllers['a']
+    shard = find_shard(zone, 'a')
+    zone.controllers['a'] = zone.start('a', 2)
+    holders = zone.run(20, 'a', 'b')
+    assert all(holders)
+    former.renew()
+    assert not any(former.holds(s) for s in SHARDS)
+    assert zone.run(20, 'a', 'b')[shard] == holders[shard]
+
+
+def test_released_leases_are_taken_at_once(zone):
+    zone.controllers['a'].release()
+    assert zone.run(3, 'a', 'b') == [['b']] * _leases.SHARDS
+
+
+def test_a_beat_counts_from_its_sending(zone):
+    # Others saw the beat when it was written, not when its answer arrived.
+    commit = zone.table.commit
+
+    def answer_late(transaction):
+        answer = commit(transaction)
+        zone.clock.advance(9)
+        return answer
+
+    zone.table.commit = answer_late
+    zone.clock.advance(4)
+    zone.controllers['a'].renew()
+    assert not any(zone.controllers['a'].holds(s) for s in SHARDS)
