Name the builder of failures in the fakes as it is called

Cause: tests/controls.py used the former private name, which the state machine's change made public; one test of the reconciler failed.

Change: it calls the public name.

Checked: tests/test_reconciler.py passes.

--- a/tests/controls.py
+++ b/tests/controls.py
@@ -59,7 +59,7 @@
     def raise_fence(self, epoch, pool):
         if self.fence and (epoch, pool) != self.fence:
             if epoch <= self.fence[0]:
-                return fakes._fail(_errors.ErrorKind.CONFLICT)
+                return fakes.fail(_errors.ErrorKind.CONFLICT)
         self.fence = (epoch, pool)
         self.fences.append((self.boots, epoch, pool))
         return result.Success(self.describe())
@@ -141,17 +141,17 @@
     # Table
     def commit(self, transaction):
         if self.zone in self.world.cut:
-            return fakes._fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+            return fakes.fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
         return self.call(lambda: self.table.commit(transaction))
 
     def read(self, key):
         if self.zone in self.world.cut:
-            return fakes._fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+            return fakes.fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
         return self.table.read(key)
 
     def scan(self, prefix, after='', limit=1000):
         if self.zone in self.world.cut:
-            return fakes._fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+            return fakes.fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
         return self.table.scan(prefix, after, limit)
 
     # Workers
@@ -162,19 +162,19 @@
     def read_fence(self, address):
         worker = self._reach(address)
         if worker is None:
-            return fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE)
+            return fakes.fail(_errors.ErrorKind.WORKER_UNREACHABLE)
         return self.call(lambda: result.Success(worker.describe()))
 
     def raise_fence(self, address, epoch, pool):
         worker = self._reach(address)
         if worker is None:
-            return fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE)
+            return fakes.fail(_errors.ErrorKind.WORKER_UNREACHABLE)
         return self.call(lambda: worker.raise_fence(epoch, pool))
 
     def lease(self, address, holder, epoch, pool, slots, ttl):
         worker = self._reach(address)
         if worker is None or worker.fence != (epoch, pool):
-            return fakes._fail(_errors.ErrorKind.WORKER_REFUSED)
+            return fakes.fail(_errors.ErrorKind.WORKER_REFUSED)
         return self.call(
             lambda: result.Success(_workers.SlotLease('lease', slots))
         )
@@ -188,7 +188,7 @@
     def run(self, address, lease_id, task):
         worker = self._reach(address)
         if worker is None:
-            return fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE)
+            return fakes.fail(_errors.ErrorKind.WORKER_UNREACHABLE)
 
         def act():
             worker.tasks.setdefault(task.key, []).append(task.job)
@@ -199,7 +199,7 @@
     def find_task(self, address, key):
         worker = self._reach(address)
         if worker is None:
-            return fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE)
+            return fakes.fail(_errors.ErrorKind.WORKER_UNREACHABLE)
         known = {'end': 1.0} if key in worker.tasks else None
         return result.Success(known)
 
@@ -212,7 +212,7 @@
 
     def reboot(self, name, operation_id):
         if self.zone in self.world.cut:
-            return fakes._fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+            return fakes.fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
 
         def act():
             if (name, operation_id) not in self.world.reboots:
