Bound the burst of the platform rate limiter

Change: a bucket holds a quarter of a second's worth, at least one token. A test runs 9 controllers and 9 routers that write without a pause on one simulated timeline, start together and meet an outage of 30 s.

The tests fail when the limiter is taken out.

--- a/skylarktally/_limits.py
+++ b/skylarktally/_limits.py
@@ -14,12 +14,14 @@
 
 
 class TokenBucket:
-    """Limit on a rate, with a burst of one second's worth."""
+    """Limit on a rate, with a burst of a quarter of a second's worth."""
 
     def __init__(self, clock: _clock.Clock, per_second: float) -> None:
         self._clock = clock
         self._per_second = per_second
-        self._burst = max(per_second, 1.0)
+        # All processes may spend their burst in the same second, on top of
+        # their rate; a quarter keeps the sum below the platform's limits.
+        self._burst = max(per_second / 4, 1.0)
         self._tokens = self._burst
         self._filled_at = clock.monotonic()
 
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,163 @@
+"""Guards the platform against more requests than the system's share."""
+
+import bisect
+import datetime
+import random
+
+import pytest
+from returns import result
+
+from skylarktally import _errors
+from skylarktally import _fleet
+from skylarktally import _journal
+from skylarktally import _leases
+from skylarktally import _limits
+from skylarktally import _table
+from standins import table as standin_table
+from tests import fakes
+from tests import test_journal_machine
+
+# Shares of one of 9 controllers and of one of 9 routers (section 6).
+CONTROLLER_WRITES, ROUTER_WRITES, READS = 50 / 9, 100 / 9, 500 / 18
+OUTAGE = (20, 50)
+SECONDS = 70
+
+
+class TimedTable(fakes.FaultyTable):
+    """Table of one process, behind its limits, that notes every request."""
+
+    def __init__(self, rows, clock, limits, times):
+        super().__init__(rows)
+        self.clock = clock
+        self.limits = limits
+        self.times = times
+
+    def _ask(self, kind, call):
+        bucket = self.limits and getattr(self.limits, kind)
+        admitted = bucket.acquire() if bucket else result.Success(None)
+        if not isinstance(admitted, result.Success):
+            return admitted
+        now = self.clock.monotonic().total_seconds()
+        self.times[kind].append(now)
+        self.down = OUTAGE[0] <= now < OUTAGE[1]
+        return call()
+
+    def commit(self, transaction):
+        commit = super().commit
+        return self._ask('writes', lambda: commit(transaction))
+
+    def read(self, key):
+        read = super().read
+        return self._ask('reads', lambda: read(key))
+
+    def scan(self, prefix, after='', limit=1000):
+        scan = super().scan
+        return self._ask('reads', lambda: scan(prefix, after, limit))
+
+
+def run_processes(limited, seconds=SECONDS):
+    """Run all processes on one timeline and return the request times."""
+    rows = standin_table.RowStore()
+    times = {'writes': [], 'reads': []}
+    runs = []
+    for number in range(18):
+        clock = fakes.ManualClock()
+        writes = CONTROLLER_WRITES if number % 2 else ROUTER_WRITES
+        limits = _limits.Limits(clock, writes, READS) if limited else None
+        table = TimedTable(rows, clock, limits, times)
+        act = run_controller if number % 2 else run_router
+        runs.append((clock, act(table, clock, number)))
+    while runs:
+        runs.sort(key=lambda run: run[0].elapsed)
+        clock, steps = runs[0]
+        if clock.elapsed >= datetime.timedelta(seconds=seconds):
+            runs.pop(0)
+        else:
+            next(steps)
+    return times
+
+
+def run_controller(table, clock, number):
+    """Renew leases each second and propose changes without a pause."""
+    leases = _leases.ShardLeases(
+        table, clock, f'z{number % 3}', str(number), 1
+    )
+    source = random.Random(number)
+    journal = _journal.Journal(
+        table, _fleet.Fleet(), clock, str(number), source
+    )
+    change = test_journal_machine.build_change(f'c{number}', {})
+    renewed = -1
+    while True:
+        if clock.elapsed.total_seconds() >= renewed + 1:
+            renewed = clock.elapsed.total_seconds()
+            leases.renew()
+        yield
+        journal.transact(lambda _: result.Success([change]))
+        clock.advance(0.01)
+        yield
+
+
+def run_router(table, clock, number):
+    """Claim request keys without a pause."""
+    count = 0
+    while True:
+        count += 1
+        key = f'claim/{number}/{count}'
+        write = _table.Write(key, {'owner': str(number)})
+        condition = _table.Condition(key, 0)
+        table.commit(_table.Transaction(key, (condition,), (write,)))
+        clock.advance(0.01)
+        yield
+
+
+def find_peak(times):
+    ordered = sorted(times)
+    return max(
+        bisect.bisect_left(ordered, start + 1) - index
+        for index, start in enumerate(ordered)
+    )
+
+
+def test_all_processes_stay_below_the_platform_limits():
+    times = run_processes(limited=True)
+    assert find_peak(times['writes']) <= 300
+    assert find_peak(times['reads']) <= 2000
+    # The system's own share, over the whole time.
+    assert len(times['writes']) / SECONDS <= 150 * 1.02
+    assert len(times['reads']) / SECONDS <= 500
+    for start, end in ((0, OUTAGE[0]), OUTAGE, (OUTAGE[1], SECONDS)):
+        writes = [t for t in times['writes'] if start <= t < end]
+        assert len(writes) > 90 * (end - start)
+
+
+def test_processes_without_limits_exceed_them():
+    times = run_processes(limited=False, seconds=5)
+    assert find_peak(times['writes']) > 300
+
+
+@pytest.mark.parametrize('per_second', [0.5, 5.5, 100])
+def test_a_bucket_admits_its_rate_and_a_burst(per_second):
+    clock = fakes.ManualClock()
+    bucket = _limits.TokenBucket(clock, per_second)
+    admitted = 0
+    while clock.elapsed.total_seconds() < 20:
+        admitted += isinstance(bucket.acquire(), result.Success)
+        clock.advance(0.001)
+    burst = max(1, per_second / 4)
+    assert 20 * per_second <= admitted <= 20 * per_second + burst + 1
+
+
+def test_a_caller_is_refused_rather_than_kept_waiting():
+    class StoppedClock(fakes.ManualClock):
+        def sleep(self, delay):
+            pass
+
+    bucket = _limits.TokenBucket(StoppedClock(), 10)
+    outcomes = [bucket.acquire() for _ in range(30)]
+    admitted = [isinstance(o, result.Success) for o in outcomes]
+    assert admitted == sorted(admitted, reverse=True)
+    assert 20 <= sum(admitted) <= 23
+    failure = outcomes[-1].failure()
+    assert failure.kind is _errors.ErrorKind.RATE_LIMITED
+    assert failure.retry_after > datetime.timedelta(seconds=2)
