--- a/tests/peer_network.py
+++ b/tests/peer_network.py
@@ -168,8 +168,8 @@
         end = self.clock.elapsed.total_seconds() + seconds
         while self._due[0][0] <= end:
             moment, address = heapq.heappop(self._due)
-            now = self.clock.elapsed.total_seconds()
-            self.clock.advance(max(0.0, moment - now))
+            moment = max(moment, self.clock.elapsed.total_seconds())
+            self.clock.elapsed = datetime.timedelta(seconds=moment)
             node = self.nodes[address]
             observe(node)
             if node.awake:
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,203 @@
+"""Guards the promise that no router's version ever goes back."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+from returns import result
+
+from skylarktally import _fleet
+from skylarktally import _journal
+from skylarktally import _objects
+from skylarktally import _resources
+from skylarktally import _snapshots
+from skylarktally import _table
+from tests import naive_replica
+from tests import peer_network
+
+ZONES = 'abc'
+_Draw = strategies.integers(0, 10**6)
+# Operations and how often each one occurs.
+OPERATIONS = (
+    ['commit'] * 4
+    + ['step'] * 6
+    + ['poll'] * 2
+    + ['poll_stale', 'repeat_old', 'load_old_object', 'store_object']
+    + ['cut', 'cut_one_way', 'heal', 'restart', 'pause', 'trim']
+)
+
+
+class StaleTable:
+    """Table whose reads may show an earlier state."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 1
+        # Number of records that the next reads show.
+        self.shown = 0
+
+    def scan(self, prefix, after='', limit=1000):
+        rows = self._list_rows()
+        found = [row for row in rows if row.key.startswith(prefix)]
+        return result.Success(
+            [row for row in found if row.key > after][:limit]
+        )
+
+    def read(self, key):
+        found = [row for row in self._list_rows() if row.key == key]
+        return result.Success(found[0] if found else None)
+
+    def _list_rows(self):
+        fleet = _fleet.Fleet()
+        records = self.records[: self.shown]
+        for record in records:
+            fleet.apply(record)
+        rows = {
+            f'resource/{r["kind"]}/{r["name"]}': r
+            for kind in _resources.Kind
+            for r in fleet.list(kind)
+        }
+        rows['head'] = {'version': self.shown}
+        for record in records[self.first - 1 :]:
+            rows[_journal.format_log_key(record['version'])] = record
+        return [_table.Row(key, rows[key], 1) for key in sorted(rows)]
+
+
+class Run:
+    """Applies operations and checks every replica after each of them."""
+
+    def __init__(self, fleet_type):
+        self.network = peer_network.Network(0, fleet_type=fleet_type)
+        self.network.add_nodes(ZONES, 2, entries=3)
+        self.nodes = list(self.network.nodes.values())
+        self.table = StaleTable()
+        self.objects = []
+        self.seen = {}
+        self.reference = _fleet.Fleet()
+        self.contents = [[]]
+        self.network.run(3)
+
+    def apply(self, operation, first, second):
+        node = self.nodes[first % len(self.nodes)]
+        getattr(self, operation)(node, second)
+        self.network.settle()
+        self.check()
+
+    def commit(self, _node, _number):
+        record = peer_network.build_record(len(self.table.records) + 1)
+        self.table.records.append(record)
+        assert self.reference.apply(record)
+        self.contents.append(peer_network.read_content(self.reference))
+
+    def step(self, node, number):
+        self.network.clock.advance(0.1 + number % 9 / 10)
+        if node.awake:
+            node.gossip.step()
+
+    def poll(self, node, _number, shown=None):
+        records = len(self.table.records)
+        self.table.shown = records if shown is None else shown
+        journal = _journal.Journal(
+            self.table, node.fleet, self.network.clock, 'x'
+        )
+        journal.refresh()
+
+    def poll_stale(self, node, number):
+        self.poll(node, 0, number % (len(self.table.records) + 1))
+
+    def repeat_old(self, node, number):
+        history = self.network.history
+        if history:
+            message = history[number % len(history)]
+            if hasattr(message, 'body'):
+                node.snapshots.load(message)
+            else:
+                node.gossip.handle_push(message.entries or [])
+
+    def store_object(self, node, _number):
+        self.objects.append(_snapshots.encode_object(node.fleet))
+
+    def load_old_object(self, node, number):
+        if self.objects:
+            data = self.objects[number % len(self.objects)]
+            stored = _objects.StoredObject(data, '')
+            node.snapshots.load_object(lambda key: result.Success(stored))
+
+    def cut(self, _node, number):
+        self.cut_one_way(None, number)
+        self.network.cuts |= {(b, a) for a, b in self.network.cuts}
+
+    def cut_one_way(self, _node, number):
+        zones = [(a, b) for a in ZONES for b in ZONES if a != b]
+        self.network.cuts.add(zones[number % len(zones)])
+
+    def heal(self, _node, _number):
+        self.network.cuts.clear()
+
+    def restart(self, node, _number):
+        node.restart()
+
+    def pause(self, node, number):
+        node.awake = not node.awake
+        self.network.clock.advance(number % 100)
+
+    def trim(self, _node, number):
+        last = len(self.table.records)
+        self.table.first = max(self.table.first, last - number % 5)
+
+    def check(self):
+        for node in self.nodes:
+            version = node.fleet.version
+            key = (node.name, node.incarnation)
+            if self.seen.get(key) == version:
+                continue
+            assert version >= self.seen.get(key, 0), 'version went back'
+            self.seen[key] = version
+            content = peer_network.read_content(node.fleet)
+            assert content == self.contents[version], 'content differs'
+
+    def finish(self):
+        """All reach the newest version once one of them can read it."""
+        self.network.cuts.clear()
+        for node in self.nodes:
+            node.awake = True
+        self.poll(self.nodes[0], 0)
+        self.network.run(10)
+        self.check()
+        newest = len(self.table.records)
+        assert {n.fleet.version for n in self.nodes} == {newest}
+
+
+def run_operations(fleet_type, operations):
+    run = Run(fleet_type)
+    for operation in operations:
+        run.apply(*operation)
+    run.finish()
+
+
+@hypothesis.settings(
+    max_examples=150, derandomize=True, deadline=None, database=None
+)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.sampled_from(OPERATIONS), _Draw, _Draw),
+        min_size=30,
+        max_size=100,
+    )
+)
+def test_versions_never_go_back(operations):
+    run_operations(_fleet.Fleet, operations)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_a_naive_replica_goes_back(seed):
+    # Shows that the exchanges above can fail a replica.
+    source = random.Random(seed)
+    operations = [
+        (source.choice(OPERATIONS), source.randrange(99), source.randrange(99))
+        for _ in range(100)
+    ]
+    run_operations(_fleet.Fleet, operations)
+    with pytest.raises(AssertionError, match='went back|differs'):
+        run_operations(naive_replica.NaiveReplica, operations)
