--- a/skylarktally/_waves.py
+++ b/skylarktally/_waves.py
@@ -215,25 +215,25 @@
 ) -> WavePlan:
     starts: list[str] = []
     waiting: dict[str, Waiting] = {}
-    zone = progress.active[0].zone if progress.active else None
+    zones = {instance.zone for instance in progress.active}
     room = wave.max_parallel - len(progress.active)
     if plan.state is State.CANARY:
         taken = len(progress.active) + len(progress.done)
         room = min(room, wave.canary - taken)
     for instance in progress.pending:
-        wait = _find_wait(plan, instance, zone, room - len(starts), ledger)
+        wait = _find_wait(plan, instance, zones, room - len(starts), ledger)
         if wait is not None:
             waiting[instance.name] = wait
             continue
         starts.append(instance.name)
-        zone = instance.zone
+        zones = {instance.zone}
     return plan._replace(starts=tuple(starts), waiting=waiting)
 
 
 def _find_wait(
     plan: WavePlan,
     instance: _resources.Instance,
-    zone: str | None,
+    zones: set[str],
     room: int,
     ledger: _budgets.Ledger,
 ) -> Waiting | None:
@@ -251,8 +251,9 @@
         if plan.state is State.CANARY:
             return Waiting(Wait.CANARY, 'canaries have not served long enough')
         return Waiting(Wait.PARALLEL, 'max_parallel instances are stopped')
-    if zone is not None and instance.zone != zone:
-        return Waiting(Wait.DOMAIN, f'instances of zone {zone} go first')
+    if not zones <= {instance.zone}:
+        names = ', '.join(sorted(zones))
+        return Waiting(Wait.DOMAIN, f'instances of zone {names} go first')
     spent = ledger.stop(instance)
     if isinstance(spent, result.Success):
         return None
