Test waves, repairs, moves and batch runs against kills

Change: the fakes delay reboots and interrupt a controller between its check and its write; new tests cover halted waves, silent and failing workers, moves to lasting demand, and batch runs killed at each call.

--- a/tests/controls.py
+++ b/tests/controls.py
@@ -90,6 +90,8 @@
         self.table = fakes.FaultyTable()
         self.workers = {}
         self.reboots = {}
+        # Workers that were told to reboot and have not begun to.
+        self.late_reboots = None
         self.cut = set()
         self.rows = self.table.rows
 
@@ -127,13 +129,17 @@
         # Number of the operation to end the controller at, and whether
         # its effect comes first.
         self.drop_at = None
+        # Called once, after the next call that has this name.
+        self.hooks = {}
         self.table = world.table
 
-    def call(self, act):
+    def call(self, act, name=''):
         self.count += 1
         if self.drop_at == (self.count, 'before'):
             raise Dropped
+        self.hooks.pop(f'before {name}', bool)()
         done = act()
+        self.hooks.pop(name, bool)()
         if self.drop_at == (self.count, 'after'):
             raise Dropped
         return done
@@ -142,7 +148,7 @@
     def commit(self, transaction):
         if self.zone in self.world.cut:
             return fakes._fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
-        return self.call(lambda: self.table.commit(transaction))
+        return self.call(lambda: self.table.commit(transaction), 'commit')
 
     def read(self, key):
         if self.zone in self.world.cut:
@@ -169,7 +175,7 @@
         worker = self._reach(address)
         if worker is None:
             return fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE)
-        return self.call(lambda: worker.raise_fence(epoch, pool))
+        return self.call(lambda: worker.raise_fence(epoch, pool), 'fence')
 
     def lease(self, address, holder, epoch, pool, slots, ttl):
         worker = self._reach(address)
@@ -194,7 +200,7 @@
             worker.tasks.setdefault(task.key, []).append(task.job)
             return result.Success(_workers.TaskEnd(True, 200))
 
-        return self.call(act)
+        return self.call(act, 'run')
 
     def find_task(self, address, key):
         worker = self._reach(address)
@@ -218,8 +224,11 @@
             if (name, operation_id) not in self.world.reboots:
                 self.world.reboots[name, operation_id] = 'done'
                 worker = self.world.get_worker(name)
-                worker.reboot()
-                worker.up = False
+                if self.world.late_reboots is None:
+                    worker.reboot()
+                    worker.up = False
+                else:
+                    self.world.late_reboots.append(worker)
             return result.Success(_instances.Operation(operation_id, 'done'))
 
         return self.call(act)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -123,13 +123,19 @@
 
 def test_applying_a_file_again_changes_nothing(harness):
     harness.call('POST', '/v1/instances/w3/move', {'pool': 'desk-n'})
-    before = harness.fleet.version
-    status, answer = harness.apply(*apis.declare_small_fleet())
-    assert status == 200
-    assert {c['action'] for c in answer['changes']} == {'unchanged'}
-    # A move under way must not be undone by the file's first pool.
-    assert harness.get_status('w3')['target_pool'] == 'desk-n'
-    assert harness.fleet.version == before
+    for phase in ('draining', 'serving'):
+        before = harness.fleet.version
+        status, answer = harness.apply(*apis.declare_small_fleet())
+        assert status == 200
+        assert {c['action'] for c in answer['changes']} == {'unchanged'}
+        # The file's pool is the first one; it must not undo the move.
+        resource = harness.call('GET', '/v1/instances/w3')[1]
+        assert resource['status']['phase'] == phase
+        assert harness.fleet.version == before
+        step = _transitions.finish_drain(resource, harness.clock.now(), 'b1')
+        harness.journal.propose([step], harness.fleet.version).unwrap()
+        harness.call('POST', '/v1/instances/w3/return', {})
+    assert resource['spec']['pool'] == 'desk-n'
 
 
 def test_of_two_operators_the_second_gets_a_conflict(harness):
--- /dev/null
+++ b/tests/test_batch.py
@@ -0,0 +1,185 @@
+"""Guards batch runs: recorded before they start, at most once if needed."""
+
+import collections
+
+import pytest
+from returns import result
+
+from skylarktally import _errors
+from skylarktally import _runs
+from skylarktally import _workers
+from tests import apis
+from tests import controls
+from tests import fakes
+
+State = _runs.State
+
+
+def build(idempotent, runs=3, **spec):
+    world = controls.build_world(
+        [
+            apis.declare('pool', 'desk', team='north'),
+            apis.declare(
+                'job',
+                'notices',
+                pool='desk',
+                mode='batch',
+                runs=runs,
+                idempotent=idempotent,
+                urgency='deferrable',
+                **spec,
+            ),
+            apis.declare_worker('w1', 'desk', port=9001),
+            apis.declare_worker('w2', 'desk', port=9002, rack='r2'),
+        ]
+    )
+    controller = controls.FakeController(world).take_leases()
+    return world, controller
+
+
+def read_runs(world):
+    table = fakes.FaultyTable(world.rows)
+    return _runs.RunTable(table).list().unwrap()
+
+
+def count_started(world):
+    return sum(len(worker.tasks) for worker in world.workers.values())
+
+
+def test_every_run_is_run_once_and_recorded():
+    world, controller = build(idempotent=False, runs=5)
+    controller.step(20)
+    assert [r.state for r in read_runs(world)] == [State.FINISHED] * 5
+    assert count_started(world) == 5
+
+
+@pytest.mark.parametrize('idempotent', [False, True])
+@pytest.mark.parametrize('side', ['before', 'after'])
+@pytest.mark.parametrize('number', range(1, 12))
+def test_a_kill_never_runs_a_run_twice(idempotent, side, number):
+    world, controller = build(idempotent)
+    controller.step(2)
+    controller.calls.count = 0
+    controller.calls.drop_at = (number, side)
+    try:
+        controller.step(10)
+    except controls.Dropped:
+        pass
+    heir = controls.FakeController(world, 'c2', seed=2)
+    heir.step(120)
+    runs = read_runs(world)
+    started = count_started(world)
+    if idempotent:
+        assert [r.state for r in runs] == [State.FINISHED] * 3
+    else:
+        # A run that may have been sent is not sent again.
+        states = collections.Counter(r.state for r in runs)
+        assert states[State.FINISHED] >= 2
+        assert len(runs) == 3
+        assert started == states[State.FINISHED]
+    assert 2 <= started <= 4
+
+
+@pytest.mark.parametrize('fault', ['drop', 'lose', 'delay', 'refuse'])
+def test_a_lost_answer_to_the_record_starts_nothing_twice(fault):
+    world, controller = build(idempotent=False, runs=1)
+    controller.step(1)
+    world.table.faults = [fault] * 3
+    controller.batch._stepped_at = None
+    controller.batch.step()
+    world.table.faults = []
+    while world.table.delayed:
+        world.table.deliver()
+    controller.step(60)
+    assert count_started(world) <= 1
+    assert len(read_runs(world)) == 1
+
+
+def test_two_zones_do_not_start_the_same_run():
+    world, controller = build(idempotent=False, runs=1)
+    controller.step(1)
+    other = controls.FakeController(world, 'c2', seed=2)
+    other.leases = controller.leases
+    other.tools = other.tools._replace(leases=controller.leases)
+    other.batch._tools = other.tools
+    other.journal.refresh()
+    # Both have seen no run yet when both write.
+    controller.calls.hooks['before commit'] = other.batch.step
+    controller.batch._stepped_at = None
+    controller.batch.step()
+    assert count_started(world) == 1
+
+
+class Answers:
+    """Replaces the end of every task."""
+
+    def __init__(self, controller, *ends):
+        self._ends = list(ends)
+        self._run = controller.calls.run
+        controller.calls.run = self.run
+
+    def run(self, address, lease_id, task):
+        end = self._ends.pop(0) if self._ends else None
+        return end or self._run(address, lease_id, task)
+
+
+def end(started, status):
+    return result.Success(_workers.TaskEnd(started, status))
+
+
+@pytest.mark.parametrize(
+    ('idempotent', 'answer', 'state', 'attempt'),
+    [
+        (False, end(False, 409), State.FINISHED, 1),
+        (True, end(False, 409), State.FINISHED, 1),
+        (False, end(True, 500), State.FINISHED, 1),
+        (True, end(True, 500), State.FINISHED, 2),
+        (
+            False,
+            fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE),
+            State.LOST,
+            1,
+        ),
+        (
+            True,
+            fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE),
+            State.FINISHED,
+            2,
+        ),
+    ],
+)
+def test_how_a_task_ends_decides_whether_it_runs_again(
+    idempotent, answer, state, attempt
+):
+    world, controller = build(idempotent, runs=1)
+    Answers(controller, answer)
+    controller.step(80)
+    (run,) = read_runs(world)
+    assert (run.state, run.attempt) == (state, attempt)
+
+
+def test_a_run_that_always_fails_is_given_up():
+    world, controller = build(idempotent=True, runs=1)
+    Answers(controller, *[end(True, 500)] * 50)
+    controller.step(100)
+    (run,) = read_runs(world)
+    assert (run.status, run.attempt) == (500, _runs.ATTEMPTS_LIMIT)
+
+
+def test_a_job_that_can_never_run_is_explained():
+    world, controller = build(idempotent=True, accelerators=4)
+    controller.step(5)
+    assert read_runs(world) == []
+    record = controller.explanations.find('job', 'notices')[-1]
+    assert record.outcome == 'unschedulable'
+    assert '4 accelerators needed' in record.observed
+
+
+def test_the_rows_of_a_deleted_job_are_cleared():
+    world, controller = build(idempotent=True)
+    controller.step(10)
+    assert read_runs(world)
+    api = apis.ApiHarness(world.table, 'api2', seed=5)
+    assert api.call('DELETE', '/v1/jobs/notices')[0] == 200
+    controller.step(5)
+    assert read_runs(world) == []
--- /dev/null
+++ b/tests/test_planning.py
@@ -0,0 +1,213 @@
+"""Guards waves, repairs and moves that a controller begins by itself."""
+
+import pytest
+
+from skylarktally import _planning
+from skylarktally import _resources
+from tests import apis
+from tests import controls
+from tests import invariants
+
+Phase = controls.Phase
+
+
+def declare_fleet(workers=6, spare=2, min_available=4, **wave):
+    documents = [
+        apis.declare('pool', 'desk', team='north'),
+        apis.declare('pool', 'spare', team='shared', spare=True),
+        apis.declare('job', 'codes', pool='desk'),
+        apis.declare(
+            'budget', 'desk', pool='desk', min_available=min_available
+        ),
+    ]
+    for number in range(1, workers + spare + 1):
+        pool = 'desk' if number <= workers else 'spare'
+        rack = f'r{number % 2}'
+        documents.append(
+            apis.declare_worker(
+                f'w{number}', pool, rack=rack, port=9000 + number
+            )
+        )
+    if wave:
+        documents.append(apis.declare('wave', 'reboot', **wave))
+    return documents
+
+
+def build(**options):
+    world = controls.build_world(declare_fleet(**options))
+    controller = controls.FakeController(world).take_leases()
+    controller.step(3)
+    return world, controller
+
+
+def get_wave(world):
+    return world.read_fleet().find(controls.Kind.WAVE, 'reboot')['status']
+
+
+def run_wave(world, controller, passes, until='complete'):
+    for _ in range(passes):
+        world.boot_all()
+        controller.step()
+        if get_wave(world).get('phase') == until:
+            return
+    raise AssertionError(get_wave(world))
+
+
+def test_a_wave_reboots_each_instance_once_within_the_budget():
+    world, controller = build(pools=['desk', 'spare'], max_parallel=3)
+    run_wave(world, controller, 900)
+    assert [w.boots for w in world.workers.values()] == [2] * 8
+    assert get_wave(world)['done'] == 8
+    invariants.check(world)
+
+
+def test_a_wave_halts_on_failures_and_resumes_under_another_controller():
+    # The log begins with the second controller's replica, not with what
+    # the first one remembered.
+    world, controller = build(pools=['desk'], max_parallel=2, canary=0)
+    lost = []
+    for _ in range(100):
+        controller.step()
+        down = [w for w in world.workers.values() if not w.up]
+        for worker in down:
+            worker.reboot()
+            if len(lost) < 2 and worker.name not in lost:
+                # It answers once after the reboot and then dies.
+                lost.append(worker.name)
+                worker.up = True
+                controller.step(3)
+                worker.up = False
+            elif worker.name not in lost:
+                worker.up = True
+        if get_wave(world).get('phase') == 'halted':
+            break
+    status = get_wave(world)
+    assert (status['phase'], len(status['failed'])) == ('halted', 2)
+    started = sum(bool(i.operation_id) for i in list_instances(world))
+    heir = controls.FakeController(world, 'c2', seed=2)
+    heir.step(40)
+    assert sum(bool(i.operation_id) for i in list_instances(world)) == started
+    # The workers are repaired, and the operator declares the wave anew.
+    world.boot_all()
+    heir.step(60)
+    assert get_wave(world)['phase'] == 'halted'
+    api = apis.ApiHarness(world.table, 'api2', seed=5)
+    wave = apis.declare('wave', 'reboot', pools=['desk'], max_parallel=1)
+    assert api.apply(wave)[0] == 200
+    run_wave(world, heir, 900)
+    operations = [i.operation_id for i in list_instances(world)[:6]]
+    assert all(o.startswith('wave/reboot/') for o in operations)
+    invariants.check(world)
+
+
+def list_instances(world):
+    return sorted(world.read_instances().values())
+
+
+def test_a_silent_worker_fails_and_returns():
+    world, controller = build()
+    worker = world.get_worker('w1')
+    worker.up = False
+    controller.step(20)
+    failed = world.read_instances()['w1']
+    assert failed.phase is Phase.FAILED
+    # Its former fence must not serve a router that has not heard of it.
+    worker.up = True
+    controller.finish()
+    assert worker.fence[0] > failed.epoch - 1
+    assert controller.explanations.find('instance', 'w1')
+
+
+def test_no_losses_are_recorded_when_every_worker_is_silent():
+    world, controller = build()
+    for worker in world.workers.values():
+        worker.up = False
+    controller.step(40)
+    phases = {i.phase for i in list_instances(world)}
+    assert phases == {Phase.SERVING}
+
+
+def report(controller, router, name, successes, failures):
+    counts = {'successes': successes, 'failures': failures}
+    controller.probes.note_counters(router, {name: counts})
+
+
+def test_a_worker_that_fails_every_task_is_cordoned_for_growing_times():
+    world, controller = build(min_available=2)
+    times = []
+    failures = 0
+    report(controller, 'r1', 'w1', 50, failures)
+    for _ in range(400):
+        instance = world.read_instances()['w1']
+        if instance.phase is Phase.SERVING:
+            failures += 5
+            report(controller, 'r1', 'w1', 50, failures)
+        elif not times or times[-1][0] != instance.epoch:
+            times.append((instance.epoch, world.clock.elapsed))
+        controller.step()
+    gaps = [
+        (b[1] - a[1]).total_seconds()
+        for a, b in zip(times, times[1:], strict=False)
+    ]
+    assert len(gaps) >= 2
+    assert gaps == sorted(gaps)
+    assert gaps[-1] >= 1.8 * gaps[0]
+    invariants.check(world)
+
+
+def test_a_worker_with_some_success_is_not_cordoned():
+    world, controller = build()
+    for count in range(30):
+        report(controller, 'r1', 'w1', 50 + count, 20 * count)
+        controller.step()
+    assert world.read_instances()['w1'].phase is Phase.SERVING
+
+
+def observe(controller, **slots):
+    pools = {
+        pool: {
+            'queue_length': count,
+            'arrival_rate': 0,
+            'running': 0,
+            'refused': 0,
+        }
+        for pool, count in slots.items()
+    }
+    controller.demand.note_report('r1', {'pools': pools})
+
+
+def test_spare_instances_move_to_lasting_demand_and_stay_within_limits():
+    world, controller = build(workers=2, spare=3, min_available=2)
+    for _ in range(60):
+        observe(controller, desk=60)
+        world.boot_all()
+        controller.step()
+    pools = [i.pool for i in list_instances(world)]
+    assert pools.count('desk') == 5
+    # The demand goes; without new demand nothing moves back.
+    version = world.read_fleet().version
+    for _ in range(30):
+        observe(controller, desk=1)
+        controller.step()
+    assert world.read_fleet().version == version
+    invariants.check(world)
+
+
+@pytest.mark.parametrize(
+    ('elsewhere', 'expected'),
+    [
+        ([], (4, 2)),
+        ([Phase.SERVING] * 3, (1, 2)),
+        ([Phase.SERVING, Phase.FAILED], (3, 1)),
+    ],
+)
+def test_budgets_of_a_zone_count_the_other_zones(elsewhere, expected):
+    instances = [
+        _resources.Instance(
+            f'w{n}', 'desk', 'z2', 'r', '', 1.0, 1, 0, 8, 64, phase, 1
+        )
+        for n, phase in enumerate(elsewhere)
+    ]
+    budget = _resources.Budget('desk', 'desk', 4, 2)
+    (narrowed,) = _planning.narrow_budgets([budget], instances, 'z1')
+    assert (narrowed.min_available, narrowed.max_unavailable) == expected
--- a/tests/test_reconciler.py
+++ b/tests/test_reconciler.py
@@ -228,6 +228,54 @@
     assert get_kind(outcome) is ErrorKind.LEASE_LOST
 
 
+def test_a_pause_between_check_and_write_changes_nothing(world, controller):
+    heir = controls.FakeController(world, 'c2', seed=2)
+    controller.move('w3', 'desk-n')
+    before = world.read_fleet().version
+    controller.calls.hooks['before commit'] = lambda: [
+        (heir.leases.renew(), controls.age(world, 1)) for _ in range(30)
+    ]
+    # The heir has only taken the leases: the head alone would let the
+    # write of the woken controller pass.
+    controller.reconciler.step()
+    assert heir.leases.holds(0)
+    assert world.read_fleet().version == before
+    heir.finish()
+    invariants.check(world)
+
+
+def test_a_step_based_on_an_older_epoch_is_not_taken(world, controller):
+    controller.drain('w1')
+    other = controls.FakeController(world, 'c2', seed=2)
+    # The operator undoes the drain while the controller reads the worker.
+    controller.calls.hooks['fence'] = lambda: other.call(
+        lambda fleet, now: controls._transitions.return_to_service(
+            fleet, 'w1', 'undone', now
+        )
+    )
+    controller.finish()
+    assert world.get_worker('w1').boots == 1
+    invariants.check(world)
+
+
+@pytest.mark.parametrize('restarts', [0, 1])
+def test_service_waits_for_the_reboot_itself(world, controller, restarts):
+    # The platform confirms the order some time before the worker goes down;
+    # a worker that restarts by itself before that has a new boot id too.
+    world.late_reboots = []
+    worker = world.get_worker('w1')
+    controller.drain('w1')
+    while not world.late_reboots:
+        controller.step()
+    for _ in range(restarts):
+        worker.reboot()
+    controller.step()
+    assert world.read_instances()['w1'].phase is Phase.MAINTENANCE
+    worker.reboot()
+    controller.finish()
+    assert worker.boots == 2 + restarts
+
+
 def test_a_zone_that_is_cut_off_makes_no_change(world, controller):
     world.cut.add('z1')
     before = world.rows.scan('', '', 1000)
