--- a/skylarktally/_batch.py
+++ b/skylarktally/_batch.py
@@ -56,7 +56,8 @@
     def step(self) -> None:
         """Start, adopt and preempt runs on the instances held."""
         now = self._tools.clock.monotonic()
-        if self._stepped_at and now - self._stepped_at < _INTERVAL:
+        last = self._stepped_at
+        if last is not None and now - last < _INTERVAL:
             return
         self._stepped_at = now
         jobs = {
--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -8,14 +8,12 @@
 from typing import Any
 
 import prometheus_client
-from returns import result
 
 from skylarktally import _admin
 from skylarktally import _api
 from skylarktally import _batch
 from skylarktally import _clock
 from skylarktally import _dumps
-from skylarktally import _errors
 from skylarktally import _explanations
 from skylarktally import _fleet
 from skylarktally import _instances
@@ -151,7 +149,10 @@
             settings.zone,
             self._clock,
         )
-        tokens = _tokens.TokenStore(self._read_tokens, self._clock)
+        token_file = _tokens.TokenFile(
+            _settings.ControllerSettings, self._settings_path
+        )
+        tokens = _tokens.TokenStore(token_file.read, self._clock)
         self._api = _api.Api(
             self.journal, self.fleet, tokens, self._clock, self._explanations
         )
@@ -175,18 +176,6 @@
             self._dump, self.find_reasons, self._registry
         )
 
-    def _read_tokens(
-        self,
-    ) -> result.Result[_tokens.Tokens, _errors.Failure]:
-        checked = _settings.load_settings(
-            _settings.ControllerSettings, self._settings_path
-        )
-        if checked.settings is None:
-            text = '; '.join(map(str, checked.issues))
-            kind = _errors.ErrorKind.INVALID_REQUEST
-            return result.Failure(_errors.Failure(kind, text))
-        return result.Success(checked.settings.tokens)
-
     def find_reasons(self) -> list[str]:
         """Return why the API should not be used here."""
         reasons = []
--- a/skylarktally/_maintenance.py
+++ b/skylarktally/_maintenance.py
@@ -36,7 +36,8 @@
     def step(self) -> None:
         """Start the next stops of each wave in this zone."""
         now = self._tools.clock.monotonic()
-        if self._waves_at and now - self._waves_at < _INTERVAL:
+        last = self._waves_at
+        if last is not None and now - last < _INTERVAL:
             return
         self._waves_at = now
         fleet = self._tools.fleet
--- a/skylarktally/_tokens.py
+++ b/skylarktally/_tokens.py
@@ -5,6 +5,7 @@
 import hashlib
 import hmac
 import logging
+import os
 from typing import NamedTuple
 
 import prometheus_client
@@ -109,6 +110,38 @@
         return result.Failure(_errors.Failure(kind, message))
 
 
+class TokenFile:
+    """The tokens of a settings file, parsed again only when it changes."""
+
+    def __init__(self, kind: type[_settings.Settings], path: str) -> None:
+        self._kind = kind
+        self._path = path
+        self._signature: tuple[int, int, int] | None = None
+        self._outcome: result.Result[Tokens, _errors.Failure]
+
+    def read(self) -> result.Result[Tokens, _errors.Failure]:
+        """Return the tokens, or INVALID_REQUEST with every error found."""
+        try:
+            status = os.stat(self._path)
+        except OSError as error:
+            return self._fail(str(error))
+        signature = (status.st_mtime_ns, status.st_size, status.st_ino)
+        if signature != self._signature:
+            self._outcome = self._parse()
+            self._signature = signature
+        return self._outcome
+
+    def _parse(self) -> result.Result[Tokens, _errors.Failure]:
+        checked = _settings.load_settings(self._kind, self._path)
+        if checked.settings is None:
+            return self._fail('; '.join(map(str, checked.issues)))
+        return result.Success(checked.settings.tokens)
+
+    def _fail(self, message: str) -> result.Result[Tokens, _errors.Failure]:
+        kind = _errors.ErrorKind.INVALID_REQUEST
+        return result.Failure(_errors.Failure(kind, message))
+
+
 def refuse_access(identity: Identity, what: str) -> _errors.Failure:
     """Count a request that the holder's role or team does not cover."""
     REFUSALS.labels('forbidden').inc()
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -34,6 +34,12 @@
         ]
     )
     controller = controls.FakeController(world).take_leases()
+    # Fences the workers; the first runs start with the next pass.
+    controller.batch._stepped_at = world.clock.monotonic()
+    controller.step(1, seconds=0)
+    controller.batch._stepped_at = None
+    assert controls.is_settled(world)
+    assert count_started(world) == 0
     return world, controller
 
 
@@ -58,13 +64,10 @@
 @pytest.mark.parametrize('number', range(1, 12))
 def test_a_kill_never_runs_a_run_twice(idempotent, side, number):
     world, controller = build(idempotent)
-    controller.step(2)
     controller.calls.count = 0
     controller.calls.drop_at = (number, side)
-    try:
+    with pytest.raises(controls.Dropped):
         controller.step(10)
-    except controls.Dropped:
-        pass
     heir = controls.FakeController(world, 'c2', seed=2)
     heir.step(120)
     runs = read_runs(world)
@@ -83,9 +86,7 @@
 @pytest.mark.parametrize('fault', ['drop', 'lose', 'delay', 'refuse'])
 def test_a_lost_answer_to_the_record_starts_nothing_twice(fault):
     world, controller = build(idempotent=False, runs=1)
-    controller.step(1)
     world.table.faults = [fault] * 3
-    controller.batch._stepped_at = None
     controller.batch.step()
     world.table.faults = []
     while world.table.delayed:
@@ -97,7 +98,6 @@
 
 def test_two_zones_do_not_start_the_same_run():
     world, controller = build(idempotent=False, runs=1)
-    controller.step(1)
     other = controls.FakeController(world, 'c2', seed=2)
     other.leases = controller.leases
     other.tools = other.tools._replace(leases=controller.leases)
@@ -105,7 +105,6 @@
     other.journal.refresh()
     # Both have seen no run yet when both write.
     controller.calls.hooks['before commit'] = other.batch.step
-    controller.batch._stepped_at = None
     controller.batch.step()
     assert count_started(world) == 1
 
--- /dev/null
+++ b/tests/test_controller_process.py
@@ -0,0 +1,164 @@
+"""Guards the controller binary against the stand-ins over real sockets."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+import urllib3
+
+from tests import apis
+
+pytestmark = pytest.mark.processes
+
+_LIMIT_SECONDS = 30
+
+
+class Processes:
+    """Processes on free ports of the loopback network."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.running = []
+        self.http = urllib3.PoolManager(retries=False, timeout=2.0)
+
+    def start(self, module, *arguments):
+        log = open(self.directory / f'{module}-{len(self.running)}.log', 'wb')
+        process = subprocess.Popen(
+            [sys.executable, '-W', 'ignore', '-m', module, *arguments],
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+        log.close()
+        self.running.append(process)
+        return process
+
+    def stop(self):
+        for process in self.running:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+    def get(self, address, path):
+        try:
+            answer = self.http.request('GET', f'http://{address}{path}')
+        except urllib3.exceptions.HTTPError:
+            return 0, b''
+        return answer.status, answer.data
+
+    def run_ctl(self, *arguments):
+        return subprocess.run(
+            [
+                sys.executable,
+                '-W',
+                'ignore',
+                '-m',
+                'skylarktally.ctl',
+                f'--token-file={self.directory / "token"}',
+                *arguments,
+            ],
+            capture_output=True,
+            text=True,
+            timeout=_LIMIT_SECONDS,
+        )
+
+
+def find_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def wait_until(check):
+    end = time.monotonic() + _LIMIT_SECONDS
+    while not check():
+        assert time.monotonic() < end, check
+        time.sleep(0.1)
+
+
+@pytest.fixture
+def processes(tmp_path):
+    made = Processes(tmp_path)
+    (tmp_path / 'token').write_text('root')
+    yield made
+    made.stop()
+
+
+def start_worker(processes, name):
+    address = find_address()
+    processes.start(
+        'standins.worker', f'--name={name}', f'--address={address}'
+    )
+    document = apis.declare_worker(name, 'desk')
+    document['spec']['address'] = address
+    return document
+
+
+def write_settings(path, name, platform):
+    settings = {
+        'name': name,
+        'zone': 'z1',
+        'platform_address': platform,
+        'peer_secret': 'k' * 32,
+        'tokens': {
+            digest: token._asdict()
+            for digest, token in apis.hash_tokens().items()
+        },
+    }
+    for kind in ('admin', 'api', 'peer'):
+        settings[f'{kind}_address'] = find_address()
+    path.write_text(json.dumps(settings))
+    return settings
+
+
+def test_a_controller_stops_reboots_and_returns_a_worker(processes, tmp_path):
+    platform = find_address()
+    processes.start('standins.platform', f'--address={platform}')
+    workers = [start_worker(processes, name) for name in ('w1', 'w2')]
+    path = tmp_path / 'c1.json'
+    settings = write_settings(path, 'c1', platform)
+    controller = processes.start(
+        'skylarktally.controller', f'--settings={path}'
+    )
+    api = f'--api={settings["api_address"]}'
+    admin = settings['admin_address']
+    wait_until(lambda: processes.get(admin, '/readyz')[0] == 200)
+    processes.http.request(
+        'PUT',
+        f'http://{platform}/standin/instances',
+        json={
+            'instances': [
+                {'name': w['name'], 'state': 'live', **w['spec']}
+                for w in workers
+            ]
+        },
+    )
+    resources = tmp_path / 'resources.json'
+    resources.write_text(
+        json.dumps([apis.declare('pool', 'desk', team='north'), *workers])
+    )
+    assert processes.run_ctl(api, 'apply', str(resources)).returncode == 0
+    address = workers[0]['spec']['address']
+
+    def read_fence():
+        status, data = processes.get(address, '/v1/fence')
+        return json.loads(data) if status == 200 else {'epoch': 0}
+
+    wait_until(lambda: read_fence()['epoch'])
+    before = read_fence()
+    drained = processes.run_ctl(api, 'drain', 'w1', '--wait', '--timeout=25')
+    assert drained.returncode == 0, drained.stderr
+    assert 'draining in desk' in drained.stderr
+    wait_until(lambda: read_fence()['epoch'] == before['epoch'] + 4)
+    assert read_fence()['boot_id'] != before['boot_id']
+    dump = processes.run_ctl('dump', admin)
+    assert json.loads(dump.stdout)['log_version'] == 5
+    assert 'k' * 32 not in dump.stdout
+    controller.send_signal(signal.SIGTERM)
+    assert controller.wait(_LIMIT_SECONDS) == 0
+    # The leases are given back, so that another controller need not wait.
+    _, data = processes.get(platform, '/v1/rows?prefix=lease/')
+    assert json.loads(data)['rows'] == []
