--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -135,13 +135,13 @@
         (True, end(True, 500), State.FINISHED, 2),
         (
             False,
-            fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE),
+            fakes.fail(_errors.ErrorKind.WORKER_UNREACHABLE),
             State.LOST,
             1,
         ),
         (
             True,
-            fakes._fail(_errors.ErrorKind.WORKER_UNREACHABLE),
+            fakes.fail(_errors.ErrorKind.WORKER_UNREACHABLE),
             State.FINISHED,
             2,
         ),
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -74,7 +74,7 @@
 
     def write(self, key, data, if_match=None):
         if if_match is not None and if_match != str(self.writes):
-            return fakes._fail(_errors.ErrorKind.CONFLICT)
+            return fakes.fail(_errors.ErrorKind.CONFLICT)
         self.data = data
         self.writes += 1
         return result.Success(str(self.writes))
@@ -140,7 +140,7 @@
 
     def _answer(self, address, value):
         if address in self.down:
-            return fakes._fail(_errors.ErrorKind.PEER_UNREACHABLE)
+            return fakes.fail(_errors.ErrorKind.PEER_UNREACHABLE)
         return result.Success(value)
 
     def sync(self, address, request):
