Bound the whole time of a platform request

Cause: the read timeout starts anew with every byte, so an answer that arrives one byte at a time held its caller without end. When a connection had gone silent, the other idle ones cost a timeout each.

Change: a request ends after the connect timeout and twice the response timeout, as outcome_unknown for writes. A request that finds its pool replaced by another one's failure counts as not sent.

Conclusion: a slow or silent platform costs a bounded time.

--- a/skylarktally/_platform.py
+++ b/skylarktally/_platform.py
@@ -9,12 +9,15 @@
 
 from skylarktally import _errors
 from skylarktally import _limits
+from skylarktally import _loop
 
 _CONNECTIONS_LIMIT = 8
 # Errors raised before any byte of the request was sent.
 _NOT_SENT = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
+    # Another request has just replaced the connections.
+    urllib3.exceptions.ClosedPoolError,
 )
 
 
@@ -36,6 +39,10 @@
     def __init__(self, address: str, limits: _limits.Limits) -> None:
         self._url = f'http://{address}'
         self._limits = limits
+        # The timeout of a read starts anew with every byte that arrives.
+        self._longest = (
+            limits.connect_timeout + 2 * limits.response_timeout
+        ).total_seconds()
         self._manager = urllib3.PoolManager(
             maxsize=_CONNECTIONS_LIMIT,
             retries=False,
@@ -70,6 +77,7 @@
         body: bytes | None,
         headers: Mapping[str, str] | None,
     ) -> result.Result[Response, _errors.Failure]:
+        timeout = _loop.Timeout(self._longest)
         try:
             answer = self._manager.request(
                 method, self._url + path, body=body, headers=headers
@@ -80,6 +88,13 @@
             # The other idle connections may have gone silent as well.
             self._manager.clear()
             return _fail(_choose_kind(method), str(error))
+        except _loop.Timeout as expired:
+            if expired is not timeout:
+                raise
+            self._manager.clear()
+            return _fail(_choose_kind(method), 'the answer took too long')
+        finally:
+            timeout.cancel()
         if answer.status == 429:
             return _fail(_errors.ErrorKind.RATE_LIMITED, 'platform limit')
         if answer.status == 503:
