--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,6 +5,7 @@
 from returns import result
 
 from skylarktally import _errors
+from skylarktally import _objects
 from skylarktally import _table
 from standins import table as standin_table
 
@@ -96,3 +97,25 @@
 def fail(kind):
     """Build the failed answer of a call."""
     return result.Failure(_errors.Failure(kind, kind.value))
+
+
+class FakeObjects:
+    """Object store in memory; ``interfere`` runs once before a write."""
+
+    def __init__(self):
+        self.stored = {}
+        self.interfere = None
+
+    def read(self, key):
+        return result.Success(self.stored.get(key))
+
+    def write(self, key, data, if_match=None):
+        interfere, self.interfere = self.interfere, None
+        if interfere:
+            interfere()
+        held = self.stored.get(key)
+        if if_match is not None and (held is None or held.etag != if_match):
+            return fail(_errors.ErrorKind.CONFLICT)
+        etag = str(hash(data))
+        self.stored[key] = _objects.StoredObject(data, etag)
+        return result.Success(etag)
