Add the tool that measures the fleet and racing authors

Cause: the costs of the replica and of conflicts on the head were unknown.

Change: tools.measure_state times Fleet.apply and find_instances, measures memory, and lets 9 author processes propose at once over a platform stand-in, within their share of the rates.

--- /dev/null
+++ b/tools/measure_state.py
@@ -0,0 +1,243 @@
+"""Measures the replica of the state, and authors that propose at once.
+
+Run as ``python -m tools.measure_state``.
+"""
+
+from skylarktally import _loop
+
+_loop.patch_standard_library()
+
+from collections.abc import Callable  # noqa: E402
+import gc  # noqa: E402
+import json  # noqa: E402
+import socket  # noqa: E402
+import statistics  # noqa: E402
+import subprocess  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+import tracemalloc  # noqa: E402
+
+from absl import app  # noqa: E402
+from absl import flags  # noqa: E402
+from returns import result  # noqa: E402
+import urllib3  # noqa: E402
+
+from skylarktally import _clock  # noqa: E402
+from skylarktally import _errors  # noqa: E402
+from skylarktally import _fleet  # noqa: E402
+from skylarktally import _journal  # noqa: E402
+from skylarktally import _limits  # noqa: E402
+from skylarktally import _resources  # noqa: E402
+from skylarktally import _table  # noqa: E402
+
+_AUTHOR = flags.DEFINE_string('author', '', 'Name of one author to run.')
+_PLATFORM = flags.DEFINE_string('platform', '', 'Address of the platform.')
+_WRITES = flags.DEFINE_float('writes', 50 / 9, 'Writes of an author a second.')
+_READS = flags.DEFINE_float('reads', 500 / 18, 'Reads of an author a second.')
+_PROPOSALS = flags.DEFINE_integer('proposals', 10, 'Proposals of an author.')
+
+_AUTHORS = 9
+_SIZES = (30, 320, 3200)
+_POOL_SIZE = 10
+_REPEATS = 2000
+_START_SECONDS = 3.0
+
+
+def build_instance(number: int, epoch: int) -> _resources.Resource:
+    """Build one of the instances, ten to a pool, in eight zones."""
+    instance = _resources.Instance(
+        name=f'instance-{number:05d}',
+        pool=f'pool-{number // _POOL_SIZE}',
+        zone=f'zone-{number % 8}',
+        rack=f'rack-{number // 4}',
+        address=f'127.0.{number // 250}.{number % 250 + 1}:9000',
+        cores=32.0,
+        memory_bytes=64 << 30,
+        accelerators=0,
+        slots=8,
+        connections=64,
+        phase=_resources.Phase.SERVING,
+        epoch=epoch,
+    )
+    return _resources.write_instance(instance, {})
+
+
+def build_record(version: int, number: int) -> _resources.LogRecord:
+    """Build the log entry of one changed instance."""
+    value = build_instance(number, version)
+    value['resource_version'] = version
+    change = _resources.Change(
+        kind='instance', name=value['name'], value=value
+    )
+    return _resources.LogRecord(
+        version=version,
+        transaction_id=f'transaction-{version}',
+        author='author',
+        accepted_at='2026-01-01T00:00:00+00:00',
+        changes=[change],
+    )
+
+
+def measure_fleet(size: int) -> dict[str, float]:
+    """Return costs in microseconds and sizes in MiB of one fleet."""
+    gc.collect()
+    tracemalloc.start()
+    fleet = _fleet.Fleet()
+    fleet.load([build_instance(n, 1) for n in range(size)], 1)
+    loaded = tracemalloc.get_traced_memory()[0]
+    for version in range(2, _fleet.RETAINED_RECORDS + 2):
+        fleet.apply(build_record(version, version % size))
+    full = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    records = [
+        build_record(fleet.version + 1 + n, n % size) for n in range(_REPEATS)
+    ]
+    remaining = iter(records)
+    return {
+        'instances': size,
+        'apply_us': time_calls(lambda: fleet.apply(next(remaining))),
+        'find_pool_us': time_calls(
+            lambda: fleet.find_instances(pool='pool-1')
+        ),
+        'find_zone_us': time_calls(
+            lambda: fleet.find_instances(zone='zone-1')
+        ),
+        'resources_mib': loaded / 2**20,
+        'with_records_mib': full / 2**20,
+    }
+
+
+def time_calls(call: Callable[[], object]) -> float:
+    """Return the median duration of a call in microseconds."""
+    durations = []
+    for _ in range(_REPEATS):
+        start = time.perf_counter()
+        call()
+        durations.append(time.perf_counter() - start)
+    return statistics.median(durations) * 1e6
+
+
+class CountingTable(_table.HttpTable):
+    """Table client that counts its commits and their conflicts."""
+
+    commits = 0
+    conflicts = 0
+
+    def commit(
+        self, transaction: _table.Transaction
+    ) -> result.Result[int, _errors.Failure]:
+        """Commit and count."""
+        outcome = super().commit(transaction)
+        self.commits += 1
+        if not isinstance(outcome, result.Success):
+            kind = outcome.failure().kind
+            self.conflicts += kind is _errors.ErrorKind.CONFLICT
+        return outcome
+
+
+def run_author() -> None:
+    """Propose changes as fast as the limits allow and print what happened."""
+    clock = _clock.SystemClock()
+    limits = _limits.Limits(clock, _WRITES.value, _READS.value)
+    table = CountingTable(_PLATFORM.value, clock, limits)
+    fleet = _fleet.Fleet()
+    journal = _journal.Journal(table, fleet, clock, _AUTHOR.value)
+    value = _resources.Resource(
+        kind='configuration',
+        name=_AUTHOR.value,
+        spec={},
+        status={},
+        resource_version=0,
+    )
+    change = _resources.Change(
+        kind='configuration', name=_AUTHOR.value, value=value
+    )
+    durations = []
+    failures: dict[str, int] = {}
+    # All authors start at the same instant.
+    time.sleep(max(0.0, float(sys.stdin.readline()) - time.time()))
+    for _ in range(_PROPOSALS.value):
+        start = time.monotonic()
+        outcome = journal.transact(lambda _fleet: result.Success([change]))
+        durations.append(time.monotonic() - start)
+        if not isinstance(outcome, result.Success):
+            kind = outcome.failure().kind.value
+            failures[kind] = failures.get(kind, 0) + 1
+    print(
+        json.dumps(
+            {
+                'commits': table.commits,
+                'conflicts': table.conflicts,
+                'durations': durations,
+                'failures': failures,
+            }
+        )
+    )
+
+
+def measure_authors() -> dict[str, object]:
+    """Let all authors propose at once against a platform stand-in."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        address = f'127.0.0.1:{probe.getsockname()[1]}'
+    platform = subprocess.Popen(
+        [sys.executable, '-m', 'standins.platform', f'--address={address}'],
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        return _run_authors(address)
+    finally:
+        platform.terminate()
+        platform.wait(10)
+
+
+def _run_authors(address: str) -> dict[str, object]:
+    arguments = [
+        f'--platform={address}',
+        f'--writes={_WRITES.value}',
+        f'--reads={_READS.value}',
+        f'--proposals={_PROPOSALS.value}',
+    ]
+    authors = [
+        subprocess.Popen(
+            [sys.executable, '-m', 'tools.measure_state', f'--author=a{n}']
+            + arguments,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+        for n in range(_AUTHORS)
+    ]
+    begin = time.time() + _START_SECONDS
+    for author in authors:
+        assert author.stdin is not None
+        author.stdin.write(f'{begin}\n')
+        author.stdin.flush()
+    reports = [json.loads(author.communicate()[0]) for author in authors]
+    elapsed = time.time() - begin
+    durations = sorted(d for r in reports for d in r['durations'])
+    record = urllib3.request('GET', f'http://{address}/standin/record')
+    return {
+        'seconds': elapsed,
+        'commits': sum(r['commits'] for r in reports),
+        'conflicts': sum(r['conflicts'] for r in reports),
+        'failures': [r['failures'] for r in reports if r['failures']],
+        'median_seconds': statistics.median(durations),
+        'longest_seconds': durations[-1],
+        'platform': record.json(),
+    }
+
+
+def main(_argv: list[str]) -> None:
+    """Run one author, or all measurements."""
+    if _AUTHOR.value:
+        run_author()
+        return
+    for size in _SIZES:
+        print(json.dumps(measure_fleet(size)))
+    print(json.dumps(measure_authors()))
+
+
+if __name__ == '__main__':
+    app.run(main)
