--- a/skylarktally/_fleet.py
+++ b/skylarktally/_fleet.py
@@ -1,9 +1,12 @@
 """Replica of all resources at one version of the log."""
 
 from collections.abc import Callable
+import logging
 
 from skylarktally import _resources
 
+log = logging.getLogger(__name__)
+
 # The table keeps as many log entries, so a peer can serve the same range.
 RETAINED_RECORDS = 2000
 
@@ -112,7 +115,12 @@
                     del self._index[key]
         if value is None:
             return
-        new = _resources.read_instance(value)
+        try:
+            new = _resources.read_instance(value)
+        except (KeyError, TypeError, ValueError):
+            # An entry that is in the log must not stop the replicas.
+            log.error('malformed instance', extra={'instance': name})
+            return
         self._instances[name] = new
         for key in _list_index_keys(new):
             self._index.setdefault(key, {})[name] = new
--- a/tools/measure_state.py
+++ b/tools/measure_state.py
@@ -29,6 +29,7 @@
 from skylarktally import _limits  # noqa: E402
 from skylarktally import _resources  # noqa: E402
 from skylarktally import _table  # noqa: E402
+from tests import fleets  # noqa: E402
 
 _AUTHOR = flags.DEFINE_string('author', '', 'Name of one author to run.')
 _PLATFORM = flags.DEFINE_string('platform', '', 'Address of the platform.')
@@ -38,59 +39,24 @@
 
 _AUTHORS = 9
 _SIZES = (30, 320, 3200)
-_POOL_SIZE = 10
 _REPEATS = 2000
 _START_SECONDS = 3.0
 
 
-def build_instance(number: int, epoch: int) -> _resources.Resource:
-    """Build one of the instances, ten to a pool, in eight zones."""
-    instance = _resources.Instance(
-        name=f'instance-{number:05d}',
-        pool=f'pool-{number // _POOL_SIZE}',
-        zone=f'zone-{number % 8}',
-        rack=f'rack-{number // 4}',
-        address=f'127.0.{number // 250}.{number % 250 + 1}:9000',
-        cores=32.0,
-        memory_bytes=64 << 30,
-        accelerators=0,
-        slots=8,
-        connections=64,
-        phase=_resources.Phase.SERVING,
-        epoch=epoch,
-    )
-    return _resources.write_instance(instance, {})
-
-
-def build_record(version: int, number: int) -> _resources.LogRecord:
-    """Build the log entry of one changed instance."""
-    value = build_instance(number, version)
-    value['resource_version'] = version
-    change = _resources.Change(
-        kind='instance', name=value['name'], value=value
-    )
-    return _resources.LogRecord(
-        version=version,
-        transaction_id=f'transaction-{version}',
-        author='author',
-        accepted_at='2026-01-01T00:00:00+00:00',
-        changes=[change],
-    )
-
-
 def measure_fleet(size: int) -> dict[str, float]:
     """Return costs in microseconds and sizes in MiB of one fleet."""
     gc.collect()
     tracemalloc.start()
     fleet = _fleet.Fleet()
-    fleet.load([build_instance(n, 1) for n in range(size)], 1)
+    fleet.load([fleets.build_instance(n, 1) for n in range(size)], 1)
     loaded = tracemalloc.get_traced_memory()[0]
     for version in range(2, _fleet.RETAINED_RECORDS + 2):
-        fleet.apply(build_record(version, version % size))
+        fleet.apply(fleets.build_record(version, version % size))
     full = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     records = [
-        build_record(fleet.version + 1 + n, n % size) for n in range(_REPEATS)
+        fleets.build_record(fleet.version + 1 + n, n % size)
+        for n in range(_REPEATS)
     ]
     remaining = iter(records)
     return {
