--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -13,6 +13,7 @@
 from absl import app  # noqa: E402
 from absl import flags  # noqa: E402
 
+from demo import _faults  # noqa: E402
 from demo import _scenario  # noqa: E402
 
 _DEPLOYMENT = flags.DEFINE_string(
@@ -28,6 +29,12 @@
 _KEEP = flags.DEFINE_string(
     'keep', None, 'Folder that keeps the settings and logs of the processes.'
 )
+_FAULT = flags.DEFINE_multi_enum(
+    'fault',
+    ['kill'],
+    sorted(_faults.FAULTS),
+    'Fault to bring about; repeat it for several at once.',
+)
 _HOLD = flags.DEFINE_bool(
     'hold', False, 'Only start and declare; stop at the end of the input.'
 )
@@ -41,7 +48,13 @@
     with tempfile.TemporaryDirectory() as scratch:
         directory = pathlib.Path(_KEEP.value or scratch)
         directory.mkdir(parents=True, exist_ok=True)
-        plan = _scenario.Plan(_SECONDS.value, _RATE.value, seed, _HOLD.value)
+        plan = _scenario.Plan(
+            _SECONDS.value,
+            _RATE.value,
+            seed,
+            tuple(_FAULT.value),
+            _HOLD.value,
+        )
         checks = _scenario.run(str(_DEPLOYMENT.value), directory, plan)
     width = max(len(check.name) for check in checks)
     print()
--- a/demo/_callers.py
+++ b/demo/_callers.py
@@ -72,7 +72,7 @@
         return dict(self._random.choices(self._jobs, weights)[0])
 
     def _call(self, number: int, job: dict[str, Any]) -> None:
-        key = f'demo-{number:06d}'
+        key = self._choose_key(number, job)
         started = time.monotonic()
         outcome, attempts = 'not-run', 0
         while attempts < _MOST_ATTEMPTS:
@@ -97,6 +97,28 @@
             )
         )
 
+    def _choose_key(self, number: int, job: dict[str, Any]) -> str:
+        """Let routers issue every second key of non-idempotent requests."""
+        if job['spec']['idempotent'] or number % 2:
+            return f'demo-{number:06d}'
+        while True:
+            entry = self._random.choice(self._entries)
+            url = f'http://{entry.serving_address}/v1/request-keys'
+            try:
+                response = self._http.request(
+                    'POST',
+                    url,
+                    headers={
+                        'Authorization': (
+                            f'Bearer {self._deployment.caller_token}'
+                        )
+                    },
+                    timeout=2.0,
+                )
+                return str(response.json()['key'])
+            except (urllib3.exceptions.HTTPError, KeyError):
+                _loop.sleep(_PAUSE_SECONDS)
+
     def _may_resend(self, job: dict[str, Any], outcome: str) -> bool:
         # A resend under the same key never runs a request twice; it is
         # how a caller finds out what became of the first attempt.
@@ -137,6 +159,10 @@
             return outcome
         return 'complete' if key.encode() in response.data else 'wrong-answer'
 
+    def remember_entry(self, entry: _deployment.Entry) -> None:
+        """Put an entry back, as the balancer does after its health check."""
+        self._entries.append(entry)
+
     def forget_entry(self, name: str) -> None:
         """Take an entry out, as the balancer does after its health check."""
         self._entries = [e for e in self._entries if e.name != name]
--- a/demo/_checks.py
+++ b/demo/_checks.py
@@ -118,12 +118,75 @@
     )
 
 
-def check_stop(records: Records, worker: str) -> Check:
-    """Check that the planned stop of a worker cut off no request."""
+def check_interrupted(records: Records) -> Check:
+    """Check that no planned stop cut off a request."""
     cut = [
         run
         for runs in records.runs.values()
         for run in runs
-        if run['worker'] == worker and run['interrupted']
+        if run['interrupted']
     ]
-    return Check(f'requests cut off on {worker}', str(len(cut)), not cut)
+    return Check('requests cut off by a stop', str(len(cut)), not cut)
+
+
+def check_budgets(deployment: _deployment.Deployment) -> Check:
+    """Replay the log and check each planned stop against the budgets."""
+    http = urllib3.PoolManager(retries=False, timeout=5.0)
+    url = f'http://{deployment.platform_address}/v1/rows?prefix=log/'
+    rows = http.request('GET', url).json()['rows']
+    resources: dict[tuple[str, str], dict[str, Any]] = {}
+    broken, stops = [], 0
+    for row in rows:
+        for change in row['value']['changes']:
+            key = (change['kind'], change['name'])
+            stopped = _is_planned_stop(resources.get(key), change['value'])
+            if change['value'] is None:
+                resources.pop(key, None)
+            else:
+                resources[key] = change['value']
+            if stopped:
+                stops += 1
+                pool = change['value']['spec']['pool']
+                if not _holds_budget(resources, pool):
+                    broken.append(row['value']['version'])
+    return Check(
+        f'budgets broken by {stops} planned stops',
+        str(len(broken)),
+        not broken,
+    )
+
+
+def _is_planned_stop(
+    before: dict[str, Any] | None, after: dict[str, Any] | None
+) -> bool:
+    if before is None or after is None or after['kind'] != 'instance':
+        return False
+    return (
+        before['status'].get('phase') == 'serving'
+        and after['status'].get('phase') == 'draining'
+    )
+
+
+def _holds_budget(
+    resources: dict[tuple[str, str], dict[str, Any]], pool: str
+) -> bool:
+    members = [
+        item
+        for (kind, _name), item in resources.items()
+        if kind == 'instance' and item['spec']['pool'] == pool
+    ]
+    lost = [i for i in members if i['status'].get('phase') != 'serving']
+    zones = collections.Counter(i['spec']['zone'] for i in lost)
+    for (kind, _name), item in resources.items():
+        spec = item['spec']
+        if kind != 'budget' or spec['pool'] != pool:
+            continue
+        most = spec.get('max_unavailable')
+        zone_most = spec.get('max_unavailable_per_zone')
+        if (
+            len(members) - len(lost) < spec['min_available']
+            or (most is not None and len(lost) > most)
+            or (zone_most is not None and max(zones.values()) > zone_most)
+        ):
+            return False
+    return True
--- a/demo/_deployment.py
+++ b/demo/_deployment.py
@@ -72,10 +72,15 @@
     workers: tuple[Worker, ...]
     worker_size: dict[str, Any]
     resources: tuple[_resources.Resource, ...]
+    link_addresses: dict[str, str]
     operator_token: str
     caller_token: str
     peer_secret: str
 
+    def find_link_address(self, zone: str) -> str:
+        """Return where the entries of a zone reach the platform."""
+        return self.link_addresses[zone]
+
 
 def read_deployment(path: str, seed: int) -> Deployment:
     """Read a deployment file in JSON with comments.
@@ -94,6 +99,10 @@
         workers=_lay_out_workers(zones, data, network),
         worker_size=data['workers'],
         resources=tuple(data['resources']),
+        link_addresses={
+            zone: f'127.{network}.{place}.250:{_SERVING_PORT}'
+            for place, zone in enumerate(zones, start=1)
+        },
         operator_token=secrets.token_hex(16),
         caller_token=secrets.token_hex(16),
         peer_secret=secrets.token_hex(16),
--- a/demo/_operator.py
+++ b/demo/_operator.py
@@ -45,12 +45,13 @@
         self.token_file = directory / 'operator.token'
         self.token_file.write_text(deployment.operator_token)
 
-    def forget_entry(self, name: str) -> None:
-        """Take an entry out, as the balancer does after its health check."""
-        self._entries = [e for e in self._entries if e.name != name]
+    def run(
+        self, *arguments: str, entry: int = 0
+    ) -> subprocess.CompletedProcess[str]:
+        """Run one command and return its output.
 
-    def run(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Run one command and return its output."""
+        :param entry: index of the entry whose controller is asked
+        """
         return subprocess.run(
             [
                 sys.executable,
@@ -58,7 +59,7 @@
                 'ignore',
                 '-m',
                 'skylarktally.ctl',
-                f'--api={self._entries[0].api_address}',
+                f'--api={self._entries[entry].api_address}',
                 f'--token-file={self.token_file}',
                 *arguments,
             ],
--- a/demo/_processes.py
+++ b/demo/_processes.py
@@ -65,6 +65,10 @@
         except urllib3.exceptions.HTTPError:
             return False
 
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self.running[name].process.send_signal(number)
+
     def kill(self, name: str) -> None:
         """End a process without notice, as when its host fails."""
         self.running[name].process.kill()
@@ -73,6 +77,7 @@
     def stop_all(self) -> list[str]:
         """Ask every process to stop; return those that had to be killed."""
         for item in self.running.values():
+            item.process.send_signal(signal.SIGCONT)
             item.process.send_signal(signal.SIGTERM)
         killed = []
         deadline = time.monotonic() + _STOP_TIMEOUT_SECONDS
@@ -171,7 +176,7 @@
     return {
         'zone': entry.zone,
         'peer_address': entry.peer_address,
-        'platform_address': deployment.platform_address,
+        'platform_address': deployment.find_link_address(entry.zone),
         'seeds': [
             other.peer_address
             for other in deployment.entries
--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -1,4 +1,4 @@
-"""The scenario of the demo: load, a planned stop and a killed entry."""
+"""The scenario of the demo: load, a planned stop, and faults."""
 
 import pathlib
 import sys
@@ -10,6 +10,7 @@
 from demo import _callers
 from demo import _checks
 from demo import _deployment
+from demo import _faults
 from demo import _operator
 from demo import _processes
 from skylarktally import _loop
@@ -27,6 +28,7 @@
     # Mean number of requests a second.
     rate: float
     seed: int
+    faults: tuple[str, ...]
     # Start and declare only, and stop at the end of the input.
     hold: bool
 
@@ -35,6 +37,7 @@
     """Run a deployment as planned and return the checks."""
     deployment = _deployment.read_deployment(path, plan.seed)
     processes = _processes.Processes(directory)
+    links = _faults.start_links(deployment)
     try:
         failed = _start(deployment, processes)
         if failed:
@@ -44,7 +47,14 @@
         if plan.hold:
             _hold(deployment, operator)
             return [declared]
-        return [declared, *_run_load(deployment, processes, operator, plan)]
+        scene = _faults.Scene(
+            deployment,
+            processes,
+            operator,
+            _callers.Callers(deployment, plan.seed),
+            links,
+        )
+        return [declared, *_run_load(scene, plan)]
     finally:
         _print('stopping all processes')
         killed = processes.stop_all()
@@ -66,38 +76,34 @@
     sys.stdin.read()
 
 
-def _run_load(
-    deployment: _deployment.Deployment,
-    processes: _processes.Processes,
-    operator: _operator.Operator,
-    plan: Plan,
-) -> list[_checks.Check]:
-    seconds, rate = plan.seconds, plan.rate
-    callers = _callers.Callers(deployment, plan.seed)
-    _print(f'sending {rate:.0f} requests a second for {seconds:.0f} s')
-    load = _loop.spawn(callers.run, seconds, rate)
+def _run_load(scene: _faults.Scene, plan: Plan) -> list[_checks.Check]:
+    deployment, seconds = scene.deployment, plan.seconds
+    _print(f'sending {plan.rate:.0f} requests a second for {seconds:.0f} s')
+    load = _loop.spawn(scene.callers.run, seconds, plan.rate)
     _loop.sleep(seconds * 0.2)
     leaving = deployment.workers[0].name
-    stop = _loop.spawn(operator.drain, leaving)
+    stop = _loop.spawn(scene.operator.drain, leaving)
     _print(f'draining {leaving}')
-    _loop.sleep(seconds * 0.3)
-    victim = deployment.entries[0]
-    _print(f'killing both processes of {victim.name}')
-    processes.kill(f'{victim.name}-router')
-    processes.kill(f'{victim.name}-controller')
-    _loop.sleep(1.0)
-    callers.forget_entry(victim.name)
-    operator.forget_entry(victim.name)
+    _loop.sleep(seconds * 0.2)
+    faults = []
+    for name in plan.faults:
+        _print(f'fault: {name}')
+        fault = _faults.FAULTS[name]
+        faults.append(_loop.spawn(fault, scene, seconds * 0.3))
     load.wait()
+    for running in faults:
+        running.wait()
     drained = stop.wait()
     records = _checks.read_records(deployment)
+    killed = deployment.entries[0].name if 'kill' in plan.faults else ''
     return [
-        *_checks.check_calls(callers.calls, records),
-        _checks.check_urgent(callers.calls, _URGENT_LIMIT_SECONDS),
+        *_checks.check_calls(scene.callers.calls, records),
+        _checks.check_urgent(scene.callers.calls, _URGENT_LIMIT_SECONDS),
         _checks.check_pools(records),
-        _checks.check_stop(records, leaving),
+        _checks.check_interrupted(records),
         _checks.Check(f'planned stop of {leaving}', *drained),
-        _check_versions(deployment, victim.name),
+        _checks.check_budgets(deployment),
+        _check_versions(deployment, killed),
     ]
 
 
