Measure retry rules and keep those that gain

Plain retries with jittered exponential delays waste attempts on requests that fail everywhere and ignore Retry-After.

Kept: failure class before retry, Retry-After, a budget of which half is for urgent requests, with a reserve of 300 instead of 10.

--- a/skylarktally/_dispatch.py
+++ b/skylarktally/_dispatch.py
@@ -1,8 +1,6 @@
 """Filters select and dispatch: a slot, attempts, and retries."""
 
 from collections.abc import Iterator
-import datetime
-
 from returns import result
 
 from skylarktally import _admission
@@ -18,8 +16,6 @@
 from skylarktally import _slots
 from skylarktally import _worker_calls
 
-_TASK_FAILURES = (500, 502, 503, 504)
-
 
 class Grant:
     """A worker, a lease on one of its slots, and their return."""
@@ -259,23 +255,26 @@
         answer: _relay.Answer,
     ) -> Delivery | None:
         """Return the delivery, or None after the wait before a retry."""
-        failed = answer.status in _TASK_FAILURES
-        if failed:
+        failure_class = _retries.classify_status(answer.status)
+        if failure_class is not None:
             self._eject(pool, grant.worker, dead=False)
         else:
             pool.selection.outliers.note_success(grant.worker.instance.name)
         delivery = Delivery(answer, grant, pool)
         if answer.complete:
             delivery.close()
-        if not failed:
+        if failure_class is None:
             return delivery
         failure = _relay.AttemptFailure(
-            _retries.FailureClass.TASK, 'the task failed', True
+            failure_class,
+            'the task failed',
+            may_have_run=True,
+            retry_after=_relay.read_retry_after(dict(answer.headers)),
         )
+        exchange.tried.add(grant.worker.instance.name)
         if not self._wait_for_retry(exchange, pool, failure):
             return delivery
         delivery.close()
-        exchange.tried.add(grant.worker.instance.name)
         return None
 
     def _note_failure(
@@ -301,22 +300,23 @@
         untouched = not exchange.sent
         once = exchange.idempotent and exchange.body.replayable
         delay = self._retries.decide(
-            pool.name,
-            failure.failure_class,
-            untouched or once,
-            exchange.attempts,
-            exchange.deadline,
+            _retries.Failure(
+                pool.name,
+                exchange.job.urgency == 'urgent',
+                failure.failure_class,
+                untouched or once,
+                exchange.attempts,
+                exchange.deadline,
+                failure.retry_after,
+            )
         )
         if delay is None:
             return False
         self._metrics.retries.labels(pool.name).inc()
-        self._clock.sleep(max(delay, failure.retry_after or _NO_DELAY))
+        self._clock.sleep(delay)
         return True
 
 
-_NO_DELAY = datetime.timedelta()
-
-
 def _describe(failure: _relay.AttemptFailure) -> _errors.Failure:
     kind = _errors.ErrorKind.WORKER_REFUSED
     if failure.dead:
--- a/skylarktally/_limits.py
+++ b/skylarktally/_limits.py
@@ -123,8 +123,9 @@
     default_deadline: datetime.timedelta = _seconds(10)
     longest_deadline: datetime.timedelta = _seconds(3600)
     retry_ratio: float = 0.1
-    # Retries allowed before the ratio applies, for pools of low rate.
-    retry_reserve: int = 10
+    # Retries that the budget holds at most. 10 ran out in the first
+    # second of a short fault; see docs/notes/retries.md.
+    retry_reserve: int = 300
     retry_base: datetime.timedelta = _seconds(0.025)
     retry_cap: datetime.timedelta = _seconds(1)
     attempts: int = 4
--- a/skylarktally/_relay.py
+++ b/skylarktally/_relay.py
@@ -344,20 +344,24 @@
     return None
 
 
+def read_retry_after(headers: dict[str, str]) -> datetime.timedelta | None:
+    """Return the delay that an answer asks for, if it gives seconds."""
+    for name, value in headers.items():
+        if name.lower() == 'retry-after' and value.isdecimal():
+            return datetime.timedelta(seconds=min(int(value[:6]), 3600))
+    return None
+
+
 def _refuse(
     response: client.HTTPResponse,
 ) -> result.Result[Answer, AttemptFailure]:
-    seconds = response.getheader('Retry-After') or ''
-    retry_after = None
-    if seconds.isdecimal():
-        retry_after = datetime.timedelta(seconds=min(int(seconds), 3600))
     return result.Failure(
         AttemptFailure(
             _retries.FailureClass.NOT_STARTED,
             'the worker refused the task',
             may_have_run=False,
             blamed=False,
-            retry_after=retry_after,
+            retry_after=read_retry_after(dict(response.getheaders())),
         )
     )
 
--- a/skylarktally/_retries.py
+++ b/skylarktally/_retries.py
@@ -3,6 +3,7 @@
 import datetime
 import enum
 import random
+from typing import NamedTuple
 
 from skylarktally import _clock
 from skylarktally import _limits
@@ -15,10 +16,51 @@
     NOT_STARTED = 'not_started'
     # The connection failed, went silent or was cut short.
     TRANSPORT = 'transport'
-    # The task answered 500, 502, 503 or 504.
+    # The task answered 502, 503 or 504: the worker or what it needs.
+    UNAVAILABLE = 'unavailable'
+    # The task answered 500: the worker or the request itself.
     TASK = 'task'
 
 
+def classify_status(status: int) -> FailureClass | None:
+    """Return the class of a task's answer, or None if it is no failure."""
+    if status in (502, 503, 504):
+        return FailureClass.UNAVAILABLE
+    return FailureClass.TASK if status == 500 else None
+
+
+class RetryRules(NamedTuple):
+    """Rules on top of jittered exponential delays within the deadline.
+
+    The defaults are those that docs/notes/retries.md measured as better.
+    """
+
+    # Sends a request that failed with 500 once more and no further.
+    by_class: bool = True
+    # Waits as long as the answer asks for.
+    honour_retry_after: bool = True
+    # Limits retries to a share of the requests of the pool.
+    budget: bool = True
+    # Keeps half of the budget for urgent requests.
+    budget_by_priority: bool = True
+
+
+class Failure(NamedTuple):
+    """A failed attempt, as the decision sees it."""
+
+    pool: str
+    urgent: bool
+    failure_class: FailureClass
+    # False when the request may have run and must not run twice, or when
+    # its body cannot be sent again.
+    resendable: bool
+    # Number of attempts made, from 1.
+    attempt: int
+    # On the monotonic clock.
+    deadline: datetime.timedelta
+    retry_after: datetime.timedelta | None = None
+
+
 class RetryBudget:
     """Retries of one pool, as a share of its requests."""
 
@@ -31,9 +73,12 @@
         """Earn the share of one request."""
         self._tokens = min(self._tokens + self._ratio, self._most)
 
-    def spend(self) -> bool:
-        """Pay for one retry; False when the budget is used up."""
-        if self._tokens < 1:
+    def spend(self, kept: float = 0.0) -> bool:
+        """Pay for one retry; False when the budget is used up.
+
+        :param kept: share of the reserve that must remain afterwards
+        """
+        if self._tokens < 1 + kept * self._most:
             return False
         self._tokens -= 1
         return True
@@ -47,10 +92,12 @@
         clock: _clock.Clock,
         limits: _limits.ServingLimits,
         source: random.Random,
+        rules: RetryRules | None = None,
     ) -> None:
         self._clock = clock
         self._limits = limits
         self._random = source
+        self._rules = rules or RetryRules()
         self._budgets: dict[str, RetryBudget] = {}
 
     def note_request(self, pool: str) -> None:
@@ -62,29 +109,33 @@
             self._budgets[pool] = RetryBudget(self._limits)
         return self._budgets[pool]
 
-    def decide(
-        self,
-        pool: str,
-        failure: FailureClass,
-        resendable: bool,
-        attempt: int,
-        deadline: datetime.timedelta,
-    ) -> datetime.timedelta | None:
-        """Return the delay before the next attempt, or None to give up.
-
-        :param resendable: False when the request may have run and must
-            not run twice, or when its body cannot be sent again
-        :param attempt: number of attempts made, from 1
-        :param deadline: on the monotonic clock
-        """
-        refused = failure is FailureClass.NOT_STARTED
-        if not resendable or attempt >= self._limits.attempts:
+    def decide(self, failure: Failure) -> datetime.timedelta | None:
+        """Return the delay before the next attempt, or None to give up."""
+        if not failure.resendable or self._is_hopeless(failure):
             return None
-        ceiling = self._limits.retry_base * 2 ** (attempt - 1)
+        exponent = failure.attempt - 1
+        ceiling = self._limits.retry_base * 2**exponent
         ceiling = min(ceiling, self._limits.retry_cap)
         delay = ceiling * self._random.random()
-        if self._clock.monotonic() + delay >= deadline:
-            return None
-        if not refused and not self._find_budget(pool).spend():
+        if self._rules.honour_retry_after and failure.retry_after:
+            # The jitter keeps callers that were refused together apart.
+            delay += failure.retry_after
+        if self._clock.monotonic() + delay >= failure.deadline:
             return None
-        return delay
+        return delay if self._pay(failure) else None
+
+    def _is_hopeless(self, failure: Failure) -> bool:
+        if failure.attempt >= self._limits.attempts:
+            return True
+        task = failure.failure_class is FailureClass.TASK
+        # When a second worker has failed it too, it is the request.
+        return self._rules.by_class and task and failure.attempt >= 2
+
+    def _pay(self, failure: Failure) -> bool:
+        free = failure.failure_class is FailureClass.NOT_STARTED
+        if free or not self._rules.budget:
+            return True
+        kept = 0.0
+        if self._rules.budget_by_priority and not failure.urgent:
+            kept = 0.5
+        return self._find_budget(failure.pool).spend(kept)
