Give back a lease whose task may still run

After a missed deadline or a broken answer the router reused the lease while its task still ran at the worker, which refused the next task as a second one under the lease. Such a lease is now returned; the worker counts the running task on its own.

A task that the worker stopped at a short deadline with 504 no longer counts against the worker.

--- a/skylarktally/_dispatch.py
+++ b/skylarktally/_dispatch.py
@@ -33,21 +33,22 @@
         self._pool = pool
         self._slots = slots
         self._clock = clock
-        self._start = clock.monotonic()
+        self.start = clock.monotonic()
         self._returned = False
         pool.queue.note_start()
 
-    def give_back(self, valid: bool = True) -> None:
+    def give_back(self, reusable: bool = True) -> None:
         """Free the slot, once.
 
-        :param valid: False when the worker no longer knows the lease
+        :param reusable: False when the task may still run under the
+            lease, or when the worker has refused the lease
         """
         if self._returned:
             return
         self._returned = True
-        self._slots.release(self.lease, valid)
+        self._slots.release(self.lease, reusable)
         self._pool.selection.note_end(self.worker)
-        self._pool.queue.note_end(self._clock.monotonic() - self._start)
+        self._pool.queue.note_end(self._clock.monotonic() - self.start)
 
 
 class Delivery:
@@ -74,7 +75,8 @@
     def close(self) -> None:
         """Free the slot and the connection."""
         self.answer.close()
-        self._grant.give_back()
+        # The worker may still produce an answer that was not read whole.
+        self._grant.give_back(reusable=self.answer.complete)
 
 
 class Dispatcher:
@@ -126,7 +128,7 @@
             failure = sent.failure()
             may_have_run = may_have_run or failure.may_have_run
             self._note_failure(pool, grant, failure)
-            grant.give_back(valid=failure.may_have_run or failure.dead)
+            grant.give_back(reusable=failure.lease_unused)
             if not failure.silent:
                 exchange.tried.add(grant.worker.instance.name)
             if not self._wait_for_retry(exchange, pool, failure):
@@ -244,7 +246,7 @@
         try:
             return self._relay.send(exchange, target)
         except BaseException:
-            grant.give_back()
+            grant.give_back(reusable=not exchange.sent)
             raise
 
     def _settle(
@@ -257,7 +259,8 @@
         """Return the delivery, or None after the wait before a retry."""
         failure_class = _retries.classify_status(answer.status)
         if failure_class is not None:
-            self._eject(pool, grant.worker, dead=False)
+            if answer.status != 504 or self._had_time(exchange, grant):
+                self._eject(pool, grant.worker, dead=False)
         else:
             pool.selection.outliers.note_success(grant.worker.instance.name)
         delivery = Delivery(answer, grant, pool)
@@ -277,6 +280,15 @@
         delivery.close()
         return None
 
+    def _had_time(self, exchange: _exchange.Exchange, grant: Grant) -> bool:
+        """Tell whether the deadline left a worker the usual time.
+
+        Short deadlines of callers must not eject a worker that stops
+        tasks on time.
+        """
+        passed = self._clock.monotonic() - grant.start
+        return passed > _relay.compute_patience(exchange, self._limits)
+
     def _note_failure(
         self,
         pool: _pools.PoolState,
--- a/skylarktally/_relay.py
+++ b/skylarktally/_relay.py
@@ -52,6 +52,8 @@
     # Counts against the worker.
     blamed: bool = True
     retry_after: datetime.timedelta | None = None
+    # The lease never reached the worker and is still good.
+    lease_unused: bool = False
 
 
 class Target(NamedTuple):
@@ -189,6 +191,7 @@
                     may_have_run=False,
                     dead=dead,
                     blamed=dead,
+                    lease_unused=True,
                 )
             )
         connection = opened.unwrap()
@@ -286,10 +289,7 @@
             left = exchange.deadline - self._clock.monotonic()
             if left <= datetime.timedelta():
                 waited = self._clock.monotonic() - start
-                usual = datetime.timedelta(
-                    seconds=4 * exchange.job.expected_seconds
-                )
-                blamed = waited > max(usual, self._limits.response_timeout)
+                blamed = waited > compute_patience(exchange, self._limits)
                 return _describe('the deadline passed', blamed=blamed)
             wait = min(left, self._limits.response_timeout)
             if _loop.wait_readable(connection.sock, wait.total_seconds()):
@@ -326,6 +326,17 @@
         return _describe('the connection is silent', silent=True, blamed=False)
 
 
+def compute_patience(
+    exchange: _exchange.Exchange, limits: _limits.ServingLimits
+) -> datetime.timedelta:
+    """Return the time after which a missing answer is the worker's fault.
+
+    Declared run times are off by up to 4 times.
+    """
+    usual = datetime.timedelta(seconds=4 * exchange.job.expected_seconds)
+    return max(usual, limits.response_timeout)
+
+
 def _check_head(
     response: client.HTTPResponse, method: str, task_key: str
 ) -> str | None:
--- a/skylarktally/_slots.py
+++ b/skylarktally/_slots.py
@@ -141,17 +141,20 @@
         self._held[lease.lease_id] = lease
         return result.Success(lease)
 
-    def release(self, lease: Lease, valid: bool = True) -> None:
+    def release(self, lease: Lease, reusable: bool = True) -> None:
         """Make a lease free after its task.
 
-        :param valid: False when the worker no longer knows the lease
+        :param reusable: False when the task may still run under the
+            lease, or when the worker has refused the lease
         """
         now = self._clock.monotonic()
         lease.busy = False
         lease.used = now
-        if not valid or not self.is_usable(lease):
+        if not self.is_usable(lease):
             self._held.pop(lease.lease_id, None)
-        elif now - lease.granted >= self._limits.lease_tenure:
+        elif not reusable or (
+            now - lease.granted >= self._limits.lease_tenure
+        ):
             self._give_back(lease)
         else:
             free = self._free.setdefault(lease.fence, collections.deque())
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -73,6 +73,9 @@
         self.peak_open = 0
         self.granted = 0
         self.leases = set()
+        self.busy_leases = set()
+        # Tasks that came under a lease whose task still ran.
+        self.conflicts = 0
         # Answer of the task probe: running, ended or absent.
         self.probe_state = 'ended'
         self.listener, self.address = serving.listen()
@@ -135,11 +138,15 @@
         self.tasks.append(request)
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
+        lease = request.headers['Lease-Id']
+        self.conflicts += lease in self.busy_leases
+        self.busy_leases.add(lease)
         try:
             if self.script and not self.script(self, connection, request):
                 return False
         finally:
             self.running -= 1
+            self.busy_leases.discard(lease)
         connection.sendall(build_answer(build_body(request.token, self.size)))
         return True
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -59,6 +59,19 @@
         assert len(worker.record) == 200
 
 
+def test_lease_is_not_reused_while_its_task_runs():
+    """Guards against a second task in a slot after a missed deadline."""
+    with serving.Cell() as cell:
+        worker = cell.add_scripted(script=lambda *_: _loop.sleep(1) or True)
+        headers = {'Skylarktally-Timeout-Ms': '100'}
+        for _ in range(5):
+            path = '/v1/pools/desk/jobs/report/t'
+            reply = cell.call('GET', path, b'', headers)
+            assert reply.outcome == 'unknown'
+        assert len(worker.tasks) == 5
+        assert worker.conflicts == 0
+
+
 class FakeCalls:
     """Worker interface that grants every lease and notes the calls."""
 
