Test large bodies and close answers with their connection

A connection now closes the answer that reads from it, because the socket stayed open until garbage collection when an answer was refused by its head, and keeps its time limit when the worker announces a close.

--- a/skylarktally/_connections.py
+++ b/skylarktally/_connections.py
@@ -3,6 +3,7 @@
 import collections
 import datetime
 from http import client
+import socket
 from typing import Any
 
 from returns import result
@@ -95,24 +96,34 @@
         super().__init__(host, int(port), timeout=connect_timeout)
         self.address = address
         self.idle_since = datetime.timedelta()
-        self.reused = False
+        # Also known once the base class has let go of it, which it does
+        # at an answer after which the peer closes.
+        self._socket: socket.socket | None = None
+        self._response: WholeResponse | None = None
 
     def connect(self) -> None:
         """Open the cooperative socket."""
-        self.sock = _loop.connect(
+        self.sock = self._socket = _loop.connect(
             str(self.host), int(self.port or 0), self.timeout or 1
         )
 
+    def close(self) -> None:
+        """Close the connection and the answer that reads from it."""
+        super().close()
+        if self._response is not None:
+            self._response.close()
+
     def getresponse(self) -> WholeResponse:
         """Read the head of the answer."""
         response = super().getresponse()
         assert isinstance(response, WholeResponse)  # noqa: S101
+        self._response = response
         return response
 
     def limit(self, timeout: datetime.timedelta) -> None:
         """Set the longest time without progress on the socket."""
-        if self.sock is not None:
-            self.sock.settimeout(max(timeout.total_seconds(), 0.001))
+        if self._socket is not None:
+            self._socket.settimeout(max(timeout.total_seconds(), 0.001))
 
 
 class Connections:
@@ -167,7 +178,6 @@
             if connection.idle_since > oldest and not _loop.is_readable(
                 connection.sock
             ):
-                connection.reused = True
                 return connection
             self.close(connection)
         return None
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -64,6 +64,8 @@
     def __init__(self, fleet, name='w1', script=None, size=1000, **fields):
         self.name = name
         self.script = script
+        # Time before the body of a task is read, in seconds.
+        self.stall = 0.0
         self.size = size
         self.tasks = []
         self.probes = 0
@@ -98,15 +100,16 @@
     def _serve(self, connection):
         self.open += 1
         self.peak_open = max(self.peak_open, self.open)
+        stream = connection.makefile('rb')
         try:
-            stream = connection.makefile('rb')
-            while request := read_request(stream):
+            while request := read_request(stream, self.stall):
                 if not self._answer(connection, request):
                     break
         except (OSError, ValueError):
             pass
         finally:
             self.open -= 1
+            stream.close()
             connection.close()
 
     def _answer(self, connection, request):
@@ -151,14 +154,19 @@
         return True
 
 
-def read_request(stream):
-    """Read one request, or return None at the end of the stream."""
+def read_request(stream, stall=0.0):
+    """Read one request, or return None at the end of the stream.
+
+    :param stall: time in seconds before the body of a task is read
+    """
     line = stream.readline()
     if not line.strip():
         return None
     method, path, _ = line.decode().split(' ')
     headers = client.parse_headers(stream)
     body = b''
+    if 'Lease-Id' in headers:
+        _loop.sleep(stall)
     if headers.get('Transfer-Encoding') == 'chunked':
         while size := int(stream.readline(), 16):
             body += stream.read(size)
--- /dev/null
+++ b/tests/test_streaming.py
@@ -0,0 +1,80 @@
+"""Large bodies in both directions."""
+
+import json
+
+import pytest
+
+from skylarktally import _loop
+from tests import scripted
+from tests import serving
+
+MEGABYTE = 1000000
+PATH = '/v1/pools/desk/jobs/report/t'
+
+
+@pytest.mark.parametrize('chunked', [False, True])
+def test_large_body_arrives_whole(chunked):
+    """Guards against bytes lost or repeated between the pieces."""
+    with serving.Cell() as cell:
+        cell.add_worker()
+        pieces = [bytes([65 + i % 26]) * 10007 for i in range(200)]
+        body = b''.join(pieces)
+        sent = iter(pieces) if chunked else body
+        reply = cell.call('PUT', PATH, sent)
+        assert reply.status == 200
+        assert json.loads(reply.body)['body'].encode() == body
+
+
+@pytest.mark.parametrize('naive', [False, True])
+def test_upload_waits_for_the_worker(naive):
+    """Guards against a router that holds whole bodies in memory."""
+    with serving.Cell(naive=naive) as cell:
+        worker = cell.add_scripted()
+        worker.stall = 3.0
+        router = cell.add_router()
+        connection = serving.connect(router.serving_address)
+        size = 60 * MEGABYTE
+        head = f'PUT {PATH} HTTP/1.1\r\nHost: x\r\nContent-Length: {size}\r\n'
+        connection.sendall(head.encode() + b'\r\n')
+        connection.settimeout(1.0)
+        sent = 0
+        piece = b'x' * MEGABYTE
+        try:
+            while sent < size:
+                sent += connection.send(piece)
+        except TimeoutError:
+            pass
+        connection.close()
+
+        def check():
+            # Socket buffers on both sides hold some megabytes.
+            assert sent < size / 2
+
+        cell.expect_failure_if_naive(check)
+
+
+def test_download_waits_for_the_caller():
+    """Guards against a router that holds whole answers in memory."""
+    sent = []
+
+    def send(worker, connection, request):
+        connection.settimeout(1.0)
+        connection.sendall(scripted.CHUNKED_HEAD)
+        piece = scripted.build_chunks(b'x' * MEGABYTE, MEGABYTE)
+        try:
+            for _ in range(60):
+                connection.sendall(piece)
+                sent.append(MEGABYTE)
+        except TimeoutError:
+            pass
+        return False
+
+    with serving.Cell() as cell:
+        cell.add_scripted(script=send)
+        connection = serving.connect(cell.add_router().serving_address)
+        connection.sendall(f'GET {PATH} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
+        _loop.sleep(2.0)
+        assert 0 < sum(sent) < 30 * MEGABYTE
+        # The answer is cut short, so it must not end with a last chunk.
+        assert not serving.read_all(connection).endswith(b'0\r\n\r\n')
+        connection.close()
