--- a/skylarktally/_dispatch.py
+++ b/skylarktally/_dispatch.py
@@ -1,8 +1,6 @@
 """Filters select and dispatch: a slot, attempts, and retries."""
 
 from collections.abc import Iterator
-import datetime
-
 from returns import result
 
 from skylarktally import _admission
@@ -18,8 +16,6 @@
 from skylarktally import _slots
 from skylarktally import _worker_calls
 
-_TASK_FAILURES = (500, 502, 503, 504)
-
 
 class Grant:
     """A worker, a lease on one of its slots, and their return."""
@@ -37,21 +33,22 @@
         self._pool = pool
         self._slots = slots
         self._clock = clock
-        self._start = clock.monotonic()
+        self.start = clock.monotonic()
         self._returned = False
         pool.queue.note_start()
 
-    def give_back(self, valid: bool = True) -> None:
+    def give_back(self, reusable: bool = True) -> None:
         """Free the slot, once.
 
-        :param valid: False when the worker no longer knows the lease
+        :param reusable: False when the task may still run under the
+            lease, or when the worker has refused the lease
         """
         if self._returned:
             return
         self._returned = True
-        self._slots.release(self.lease, valid)
+        self._slots.release(self.lease, reusable)
         self._pool.selection.note_end(self.worker)
-        self._pool.queue.note_end(self._clock.monotonic() - self._start)
+        self._pool.queue.note_end(self._clock.monotonic() - self.start)
 
 
 class Delivery:
@@ -78,7 +75,8 @@
     def close(self) -> None:
         """Free the slot and the connection."""
         self.answer.close()
-        self._grant.give_back()
+        # The worker may still produce an answer that was not read whole.
+        self._grant.give_back(reusable=self.answer.complete)
 
 
 class Dispatcher:
@@ -130,7 +128,7 @@
             failure = sent.failure()
             may_have_run = may_have_run or failure.may_have_run
             self._note_failure(pool, grant, failure)
-            grant.give_back(valid=failure.may_have_run or failure.dead)
+            grant.give_back(reusable=failure.lease_unused)
             if not failure.silent:
                 exchange.tried.add(grant.worker.instance.name)
             if not self._wait_for_retry(exchange, pool, failure):
@@ -248,7 +246,7 @@
         try:
             return self._relay.send(exchange, target)
         except BaseException:
-            grant.give_back()
+            grant.give_back(reusable=not exchange.sent)
             raise
 
     def _settle(
@@ -259,25 +257,38 @@
         answer: _relay.Answer,
     ) -> Delivery | None:
         """Return the delivery, or None after the wait before a retry."""
-        failed = answer.status in _TASK_FAILURES
-        if failed:
-            self._eject(pool, grant.worker, dead=False)
+        failure_class = _retries.classify_status(answer.status)
+        if failure_class is not None:
+            if answer.status != 504 or self._had_time(exchange, grant):
+                self._eject(pool, grant.worker, dead=False)
         else:
             pool.selection.outliers.note_success(grant.worker.instance.name)
         delivery = Delivery(answer, grant, pool)
         if answer.complete:
             delivery.close()
-        if not failed:
+        if failure_class is None:
             return delivery
         failure = _relay.AttemptFailure(
-            _retries.FailureClass.TASK, 'the task failed', True
+            failure_class,
+            'the task failed',
+            may_have_run=True,
+            retry_after=_relay.read_retry_after(dict(answer.headers)),
         )
+        exchange.tried.add(grant.worker.instance.name)
         if not self._wait_for_retry(exchange, pool, failure):
             return delivery
         delivery.close()
-        exchange.tried.add(grant.worker.instance.name)
         return None
 
+    def _had_time(self, exchange: _exchange.Exchange, grant: Grant) -> bool:
+        """Tell whether the deadline left a worker the usual time.
+
+        Short deadlines of callers must not eject a worker that stops
+        tasks on time.
+        """
+        passed = self._clock.monotonic() - grant.start
+        return passed > _relay.compute_patience(exchange, self._limits)
+
     def _note_failure(
         self,
         pool: _pools.PoolState,
@@ -301,22 +312,23 @@
         untouched = not exchange.sent
         once = exchange.idempotent and exchange.body.replayable
         delay = self._retries.decide(
-            pool.name,
-            failure.failure_class,
-            untouched or once,
-            exchange.attempts,
-            exchange.deadline,
+            _retries.Failure(
+                pool.name,
+                exchange.job.urgency == 'urgent',
+                failure.failure_class,
+                untouched or once,
+                exchange.attempts,
+                exchange.deadline,
+                failure.retry_after,
+            )
         )
         if delay is None:
             return False
         self._metrics.retries.labels(pool.name).inc()
-        self._clock.sleep(max(delay, failure.retry_after or _NO_DELAY))
+        self._clock.sleep(delay)
         return True
 
 
-_NO_DELAY = datetime.timedelta()
-
-
 def _describe(failure: _relay.AttemptFailure) -> _errors.Failure:
     kind = _errors.ErrorKind.WORKER_REFUSED
     if failure.dead:
