--- a/tests/controls.py
+++ b/tests/controls.py
@@ -259,11 +259,13 @@
         )
         self.probes = _observations.Probes(clock)
         self.demand = _observations.DemandTracker(clock)
-        measures = _measures.Measures(prometheus_client.CollectorRegistry())
+        self.measures = _measures.Measures(
+            prometheus_client.CollectorRegistry()
+        )
         self.batch = _batch.Batch(
             self.tools,
             _runs.RunTable(self.calls),
-            measures,
+            self.measures,
             f'{name}/{seed}',
             lambda act, *rest: (
                 act(*rest) if act != self.batch._renew else None
@@ -274,7 +276,7 @@
             self.journal,
             self.probes,
             self.demand,
-            measures,
+            self.measures,
             self.batch,
         )
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -195,6 +195,14 @@
     assert get_kind(third[1]) == 'conflict'
 
 
+def test_a_move_leaves_a_pool_its_floor(harness):
+    harness.apply(apis.declare('pool', 'desk-s', team='south', floor=1))
+    body = {'pool': 'desk-n'}
+    status, answer = harness.call('POST', '/v1/instances/w3/move', body)
+    assert (status, get_kind(answer)) == (409, 'budget_exhausted')
+    assert 'its floor is 1' in answer['error']['message']
+
+
 def test_a_drain_repeated_under_its_operation_id_is_one_drain(harness):
     body = {'operation_id': 'reboot-1'}
     answers = [
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from skylarktally import _maintenance
 from skylarktally import _planning
 from skylarktally import _resources
 from tests import apis
@@ -9,6 +10,7 @@
 from tests import invariants
 
 Phase = controls.Phase
+BUSY = (Phase.DRAINING, Phase.STOPPING, Phase.MAINTENANCE)
 
 
 def declare_fleet(workers=6, spare=2, min_available=4, **wave):
@@ -100,6 +102,31 @@
     invariants.check(world)
 
 
+def test_controllers_of_two_zones_keep_a_wave_to_its_limit():
+    # Each plans a start before it has read the other's.
+    documents = declare_fleet(workers=2, spare=0, min_available=0)
+    documents.append(
+        apis.declare_worker('w3', 'desk', zone='a-first', port=9003)
+    )
+    wave = apis.declare('wave', 'reboot', pools=['desk'], canary=0)
+    world = controls.build_world([*documents, wave])
+    zones = ('z1', 'a-first')
+    first, second = (
+        controls.FakeController(world, zone, zone, seed).take_leases()
+        for seed, zone in enumerate(zones, start=1)
+    )
+    for controller in (first, second):
+        controller.journal.refresh()
+        controller.reconciler._stepper.refence('w1')
+    world.get_worker('w3').running.append((1, 'desk'))
+    plan = first.fleet.find(controls.Kind.WAVE, 'reboot')
+    second.step()
+    maintenance = _maintenance.Maintenance(first.tools, first.measures)
+    maintenance._start(plan['name'], 'w1')
+    busy = [i.name for i in list_instances(world) if i.phase in BUSY]
+    assert busy == ['w3']
+
+
 def list_instances(world):
     return sorted(world.read_instances().values())
 
@@ -163,6 +190,17 @@
     assert world.read_instances()['w1'].phase is Phase.SERVING
 
 
+def test_failures_count_from_the_last_success():
+    world, controller = build()
+    successes = failures = 0
+    for turn in range(40):
+        failures += 8 * (turn % 2)
+        successes += 1 - turn % 2
+        report(controller, 'r1', 'w1', successes, failures)
+        controller.step()
+    assert world.read_instances()['w1'].phase is Phase.SERVING
+
+
 def observe(controller, **slots):
     pools = {
         pool: {
--- a/tests/test_reconciler.py
+++ b/tests/test_reconciler.py
@@ -292,6 +292,28 @@
     }
 
 
+def test_only_controllers_of_the_zone_carry_a_drain_on(world, controller):
+    controller.drain('w1')
+    fence = world.get_worker('w1').fence
+    other = controls.FakeController(world, 'c9', 'z2', seed=9).take_leases()
+    other.step(10)
+    assert world.read_instances()['w1'].phase is Phase.DRAINING
+    assert world.get_worker('w1').fence == fence
+
+
+def test_what_an_operator_takes_out_stays_out(world, controller):
+    controller.drain('w1', then='cordon')
+    controller.step(150)
+    assert world.read_instances()['w1'].phase is Phase.CORDONED
+    controller.call(
+        lambda fleet, now: controls._transitions.return_to_service(
+            fleet, 'w1', 'inspected', now
+        )
+    )
+    controller.finish()
+    invariants.check(world)
+
+
 @pytest.mark.parametrize(
     ('first', 'second', 'expected'),
     [
