--- a/tests/apis.py
+++ b/tests/apis.py
@@ -48,8 +48,8 @@
 class ApiHarness:
     """One controller's API; several of them may share a table."""
 
-    def __init__(self, table=None, name='c1', seed=1):
-        self.clock = fakes.ManualClock()
+    def __init__(self, table=None, name='c1', seed=1, clock=None):
+        self.clock = clock or fakes.ManualClock()
         self.table = table or fakes.FaultyTable()
         self.fleet = _fleet.Fleet()
         self.tokens = hash_tokens()
--- a/tests/controls.py
+++ b/tests/controls.py
@@ -48,6 +48,8 @@
         self.running = []
         self.record = []
         self.interrupted = 0
+        # Fences raised for a pool while work of another one still ran.
+        self.shared = 0
         self.tasks = {}
         self.fences = []
 
@@ -60,6 +62,7 @@
         if self.fence and (epoch, pool) != self.fence:
             if epoch <= self.fence[0]:
                 return fakes.fail(_errors.ErrorKind.CONFLICT)
+        self.shared += any(owner != pool for _, owner in self.running)
         self.fence = (epoch, pool)
         self.fences.append((self.boots, epoch, pool))
         return result.Success(self.describe())
--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -61,6 +61,7 @@
     for instance in fleet.find_instances():
         worker = world.workers[instance.address]
         assert worker.interrupted == 0, f'{worker.name} cut off requests'
+        assert worker.shared == 0, f'{worker.name} served two pools'
         for epoch, pool in worker.record:
             assert owners[instance.name, epoch] == pool
         for boot, epoch, pool in worker.fences:
