--- a/skylarktally/_moves.py
+++ b/skylarktally/_moves.py
@@ -1,24 +1,36 @@
-"""Moves of instances between pools, after the demand that stays.
+"""Moves of instances between pools, as few as the demand allows.
 
-A move costs a drain, during which the instance serves nobody. It is made
-only for demand that held for some time, and only towards the pool's fair
-share. An instance stays where it last was needed until another pool needs
-it: returning it early would cost a second move.
+A move costs a drain, during which the instance serves nobody, and moves
+are made for three causes alone, in this order:
+
+* urgent work of a pool is about to wait for longer than its deadline
+  allows, and the pool is below its fair share;
+* maintenance of a pool waits for its budget, and the spare pool can lend;
+* deferrable work lasts in one pool while another pool has held more than
+  its urgent work needs.
+
+An instance stays where it last was needed until another pool needs it:
+returning it at once would cost a second move.
 """
 
 import collections
 import datetime
 import math
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from returns import result
 
 from skylarktally import _budgets
+from skylarktally import _forecasts
 from skylarktally import _resources
 from skylarktally import _sharing
+from skylarktally import _waves
 
 _Phase = _resources.Phase
+History = _forecasts.History
+Sample = _forecasts.Sample
+PastMove = _forecasts.PastMove
 
 
 class Move(NamedTuple):
@@ -30,143 +42,57 @@
     reason: str
 
 
-class Sample(NamedTuple):
-    """Slots that each pool could use at one moment."""
-
-    at: datetime.datetime
-    slots: Mapping[str, float]
-
-
-class PastMove(NamedTuple):
-    """A move that was started."""
-
-    at: datetime.datetime
-    instance: str
-    source: str
-    target: str
-
-
-class History(NamedTuple):
-    """Observations and moves of the last minute, oldest first."""
-
-    samples: tuple[Sample, ...] = ()
-    moves: tuple[PastMove, ...] = ()
-
-
 class Policy(NamedTuple):
     """Limits that keep moves few."""
 
-    # Demand must hold this long before an instance moves to it. A surge
-    # lasts some seconds, a burst within the mean less than one.
+    # Demand must hold this long before an instance moves to it. A burst
+    # within the mean lasts less than a second.
     hold: datetime.timedelta = datetime.timedelta(seconds=1)
-    # A pool lends what it has not needed for this long.
+    # A pool lends for urgent work what it has not needed for this long.
     release: datetime.timedelta = datetime.timedelta(seconds=5)
-    # Least time between two moves of one instance.
+    # Time over which the slots that a pool needs are measured, and for
+    # which deferrable work must last before an instance moves to it.
+    window: datetime.timedelta = datetime.timedelta(seconds=30)
+    # Least time between two moves of one instance, but for a pool that
+    # takes back its weighted part.
     dwell: datetime.timedelta = datetime.timedelta(seconds=10)
-    # Share of an instance's slots that must be missing: the cost of a move.
-    least_gain: float = 0.5
+    # Time until a moved instance serves: a drain and a fence.
+    move_time: datetime.timedelta = datetime.timedelta(seconds=2.5)
+    # Part of the urgent deadline that queueing may take.
+    deadline_share: float = 0.6
     # Slots that a lender keeps above its own demand, as a share of it.
     margin: float = 0.25
     in_flight: int = 4
+    # Instances above the budget that a pool under maintenance gets.
+    headroom: int = 2
 
 
 POLICY = Policy()
 
 
-class _Fleet(NamedTuple):
-    serving: dict[str, list[_resources.Instance]]
-    # Slots that serve the pool or are on their way to it.
-    supply: dict[str, float]
-    in_flight: int
-
-
 def plan_moves(
     pools: Iterable[_resources.Pool],
     instances: Collection[_resources.Instance],
     demands: Iterable[_sharing.Demand],
-    budgets: Iterable[_resources.Budget],
+    budgets: Collection[_resources.Budget],
     history: History,
     now: datetime.datetime,
     policy: Policy = POLICY,
 ) -> list[Move]:
     """Plan the moves to start now, most needed first."""
-    by_name = {pool.name: pool for pool in pools}
-    fleet = _count_fleet(instances)
-    wanted = {d.pool: d.slots for d in demands}
-    lasting = _find_lasting(wanted, history, now - policy.hold)
-    recent = _find_recent(wanted, history, now - policy.release)
-    shares = _sharing.share_capacity(
-        [_sharing.Demand(n, lasting.get(n, 0.0)) for n in sorted(by_name)],
-        by_name.values(),
-        (),
-        math.fsum(fleet.supply.values()),
-    ).slots
-    keep = {
-        name: _find_kept_slots(pool, recent, shares, policy)
-        for name, pool in by_name.items()
-    }
-    resting = {m.instance for m in history.moves if m.at > now - policy.dwell}
     planner = _Planner(
-        by_name, fleet, keep, resting, _budgets.Ledger(budgets, instances)
+        {pool.name: pool for pool in pools},
+        instances,
+        {demand.pool: demand for demand in demands},
+        budgets,
+        history,
+        now,
+        policy,
     )
-    return planner.plan(shares, policy)
-
-
-def _count_fleet(instances: Iterable[_resources.Instance]) -> _Fleet:
-    fleet = _Fleet({}, collections.defaultdict(float), 0)
-    in_flight = 0
-    for instance in sorted(instances):
-        if instance.phase is _Phase.SERVING:
-            fleet.serving.setdefault(instance.pool, []).append(instance)
-            fleet.supply[instance.pool] += instance.slots
-        elif instance.phase is _Phase.DRAINING and instance.target_pool:
-            fleet.supply[instance.target_pool] += instance.slots
-            in_flight += 1
-    return fleet._replace(in_flight=in_flight)
-
-
-def _find_lasting(
-    wanted: Mapping[str, float], history: History, start: datetime.datetime
-) -> dict[str, float]:
-    """Return the demand that never fell below since the start."""
-    if not any(sample.at <= start for sample in history.samples):
-        return {}
-    lasting = dict(wanted)
-    for sample in history.samples:
-        if sample.at >= start:
-            for pool in lasting:
-                lasting[pool] = min(lasting[pool], sample.slots.get(pool, 0))
-    return lasting
-
-
-def _find_recent(
-    wanted: Mapping[str, float], history: History, start: datetime.datetime
-) -> dict[str, float]:
-    """Return the highest demand since the start."""
-    recent = dict(wanted)
-    for sample in history.samples:
-        if sample.at >= start:
-            for pool, slots in sample.slots.items():
-                recent[pool] = max(recent.get(pool, 0.0), slots)
-    return recent
-
-
-def _find_kept_slots(
-    pool: _resources.Pool,
-    recent: Mapping[str, float],
-    shares: Mapping[str, float],
-    policy: Policy,
-) -> float:
-    """Return the slots that the pool does not lend to others.
-
-    The spare pool's own work is deferrable and gives way. A pool above its
-    fair share lends the excess even while it could use it.
-    """
-    if pool.spare:
-        return 0.0
-    needed = recent.get(pool.name, 0.0) * (1 + policy.margin)
-    share = shares.get(pool.name, 0.0)
-    return share if share and share < needed else needed
+    planner.serve_urgent()
+    planner.make_headroom()
+    planner.serve_deferrable()
+    return planner.moves
 
 
 class _Planner:
@@ -175,74 +101,209 @@
     def __init__(
         self,
         pools: Mapping[str, _resources.Pool],
-        fleet: _Fleet,
-        keep: Mapping[str, float],
-        resting: set[str],
-        ledger: _budgets.Ledger,
+        instances: Collection[_resources.Instance],
+        demands: Mapping[str, _sharing.Demand],
+        budgets: Collection[_resources.Budget],
+        history: History,
+        now: datetime.datetime,
+        policy: Policy,
     ) -> None:
         self._pools = pools
-        self._fleet = fleet
-        self._keep = keep
-        self._resting = resting
-        self._ledger = ledger
-
-    def plan(self, shares: Mapping[str, float], policy: Policy) -> list[Move]:
-        """Serve the largest gaps first, as far as moves are allowed."""
-        moves: list[Move] = []
-        room = policy.in_flight - self._fleet.in_flight
-        gaps = {
-            name: shares.get(name, 0.0) - self._fleet.supply[name]
+        self._demands = demands
+        self._budgets = budgets
+        self._history = history
+        self._now = now
+        self._policy = policy
+        self._ledger = _budgets.Ledger(budgets, instances)
+        self._serving: dict[str, list[_resources.Instance]] = (
+            collections.defaultdict(list)
+        )
+        # Slots that serve a pool or are on their way to it.
+        self._supply: dict[str, float] = collections.defaultdict(float)
+        self._room = policy.in_flight
+        for instance in sorted(instances):
+            if instance.phase is _Phase.SERVING:
+                self._serving[instance.pool].append(instance)
+                self._supply[instance.pool] += instance.slots
+            elif instance.phase is _Phase.DRAINING and instance.target_pool:
+                self._supply[instance.target_pool] += instance.slots
+                self._room -= 1
+        self._resting = {
+            m.instance for m in history.moves if m.at > now - policy.dwell
+        }
+        self._maintenance = _waves.was_started(
+            instances, now - 2 * _waves.CANARY_SOAK
+        )
+        self._shares = self._share()
+        self.moves: list[Move] = []
+
+    def _share(self) -> dict[str, float]:
+        lasting = _forecasts.find_lowest(
+            self._history, self._demands, self._now - self._policy.hold
+        )
+        return _sharing.share_capacity(
+            [
+                _sharing.Demand(name, lasting.get(name, 0.0))
+                for name in sorted(self._pools)
+            ],
+            self._pools.values(),
+            (),
+            math.fsum(self._supply.values()),
+        ).slots
+
+    def serve_urgent(self) -> None:
+        """Move to the pools whose urgent work would miss its deadline."""
+        recent = _forecasts.find_highest(
+            self._history, self._demands, self._now - self._policy.release
+        )
+        keep = {
+            name: self._find_kept(pool, recent.get(name, 0.0))
             for name, pool in self._pools.items()
-            if not pool.spare
         }
-        while len(moves) < room and gaps:
-            target = max(gaps, key=lambda n: (gaps[n], n))
-            instance = self._find_lent(target)
-            if (
-                instance is None
-                or gaps[target] < policy.least_gain * instance.slots
-            ):
-                del gaps[target]
+        risks = sorted(
+            (-self._find_risk(name), name) for name in self._demands
+        )
+        for risk, name in risks:
+            while -risk > 0 and self._find_risk(name) > 0:
+                own = self._is_below_part(name)
+                reason = f'urgent work would wait {self._wait(name):.1f} s'
+                if not self._move(name, keep, reason, at_once=own):
+                    break
+
+    def _find_kept(self, pool: _resources.Pool, recent: float) -> float:
+        """Return the slots that the pool does not lend to urgent work.
+
+        A pool above its fair share lends the excess even while it could
+        use it. The spare pool's own deferrable work gives way.
+        """
+        needed = recent * (1 + self._policy.margin)
+        share = self._shares.get(pool.name, 0.0)
+        return share if 0 < share < needed else needed
+
+    def _wait(self, name: str) -> float:
+        """Return the wait, in seconds, once a move could take effect."""
+        supply = self._supply[name]
+        demand = self._demands[name]
+        growth = max(self._shares.get(name, 0.0) - supply, 0.0)
+        ahead = self._policy.move_time.total_seconds()
+        work = demand.backlog + growth * ahead
+        return work / supply if supply else (math.inf if work else 0.0)
+
+    def _find_risk(self, name: str) -> float:
+        """Return by how much the wait exceeds its limit, in seconds."""
+        pool = self._pools.get(name)
+        if pool is None or self._shares.get(name, 0.0) <= self._supply[name]:
+            return 0.0
+        limit = pool.urgent_deadline_seconds * self._policy.deadline_share
+        return max(self._wait(name) - limit, 0.0)
+
+    def _is_below_part(self, name: str) -> bool:
+        """Tell whether the pool has less than its weighted part of all."""
+        total = math.fsum(p.weight for p in self._pools.values())
+        part = self._pools[name].weight / total
+        return self._supply[name] < part * math.fsum(self._supply.values())
+
+    def make_headroom(self) -> None:
+        """Lend to pools whose maintenance has used up their budget."""
+        if not self._maintenance:
+            return
+        keep = {
+            n: 0.0 if p.spare else math.inf for n, p in self._pools.items()
+        }
+        owed: dict[str, int] = collections.defaultdict(int)
+        for budget in self._budgets:
+            owed[budget.pool] = max(owed[budget.pool], budget.min_available)
+        for name in sorted(owed):
+            pool = self._pools.get(name)
+            if pool is None or pool.spare or not self._serving[name]:
                 continue
-            reason = (
-                f'pool {target} lacks {gaps[target]:.1f} slots of its share '
-                f'of {shares[target]:.1f}'
-            )
-            moves.append(Move(instance.name, instance.pool, target, reason))
-            self._book(instance, target)
-            gaps[target] -= instance.slots
-        return moves
-
-    def _book(self, instance: _resources.Instance, target: str) -> None:
-        self._ledger.lose(instance)
-        self._fleet.serving[instance.pool].remove(instance)
-        self._fleet.supply[instance.pool] -= instance.slots
-        self._fleet.supply[target] += instance.slots
-
-    def _find_lent(self, target: str) -> _resources.Instance | None:
-        """Return an instance that another pool can lend, the spare first."""
-        zones = collections.Counter(
-            i.zone for i in self._fleet.serving.get(target, ())
+            slots = self._serving[name][0].slots
+            wanted = (owed[name] + self._policy.headroom) * slots
+            while self._supply[name] < wanted:
+                if not self._move(name, keep, 'maintenance waits for budget'):
+                    break
+
+    def serve_deferrable(self) -> None:
+        """Move to lasting deferrable work what urgent work does not need."""
+        start = self._now - self._policy.window
+        if self._maintenance or not self._history.covers(start):
+            return
+        needed = {n: self._find_needed(n, start) for n in self._pools}
+        lasting = _forecasts.find_lowest_deferrable(
+            self._history, self._demands, start
         )
-        for lender in sorted(self._pools.values(), key=self._rank_lender):
-            if lender.name == target:
+        for name in sorted(lasting, key=lambda n: (-lasting[n], n)):
+            if name not in self._pools or not self._serving[name]:
                 continue
-            own = self._fleet.serving.get(lender.name, [])
-            if len(own) <= lender.floor:
+            slots = self._serving[name][0].slots
+            wanted = needed[name] + lasting[name]
+            if wanted < self._supply[name] + slots:
                 continue
-            for instance in sorted(own, key=lambda i: (zones[i.zone], i)):
-                if self._can_lend(instance):
-                    return instance
+            reason = f'{lasting[name]:.0f} slots of deferrable work wait'
+            # One move a pass: each one changes what the others need.
+            if self._move(name, needed, reason):
+                return
+
+    def _find_needed(self, name: str, start: datetime.datetime) -> float:
+        pool = self._pools[name]
+        limit = pool.urgent_deadline_seconds * self._policy.deadline_share
+        loads = [
+            (s.at, s.slots.get(name, 0.0))
+            for s in self._history.samples
+            if s.at >= start
+        ]
+        return _forecasts.find_needed_slots(loads, limit)
+
+    def _move(
+        self,
+        target: str,
+        keep: Mapping[str, float],
+        reason: str,
+        at_once: bool = False,
+    ) -> bool:
+        """Move one instance to the target, when any pool can lend one."""
+        if self._room <= 0:
+            return False
+        instance = self._find_lent(
+            target, lambda i: self._can_lend(i, keep, at_once)
+        )
+        if instance is None:
+            return False
+        self._room -= 1
+        self._ledger.lose(instance)
+        self._serving[instance.pool].remove(instance)
+        self._supply[instance.pool] -= instance.slots
+        self._supply[target] += instance.slots
+        self.moves.append(Move(instance.name, instance.pool, target, reason))
+        return True
+
+    def _find_lent(
+        self, target: str, can_lend: Callable[[_resources.Instance], bool]
+    ) -> _resources.Instance | None:
+        """Return an instance of another pool, the spare one first."""
+        zones = collections.Counter(i.zone for i in self._serving[target])
+        lenders = sorted(
+            (p for p in self._pools.values() if p.name != target),
+            key=lambda p: (not p.spare, -self._supply[p.name], p.name),
+        )
+        for lender in lenders:
+            own = self._serving[lender.name]
+            if len(own) > lender.floor:
+                ranked = sorted(own, key=lambda i: (zones[i.zone], i))
+                for instance in ranked:
+                    if can_lend(instance):
+                        return instance
         return None
 
-    def _rank_lender(self, pool: _resources.Pool) -> tuple[bool, float, str]:
-        surplus = self._fleet.supply[pool.name] - self._keep[pool.name]
-        return (not pool.spare, -surplus, pool.name)
-
-    def _can_lend(self, instance: _resources.Instance) -> bool:
-        left = self._fleet.supply[instance.pool] - instance.slots
-        if left < self._keep[instance.pool]:
+    def _can_lend(
+        self,
+        instance: _resources.Instance,
+        keep: Mapping[str, float],
+        at_once: bool,
+    ) -> bool:
+        left = self._supply[instance.pool] - instance.slots
+        if left < keep[instance.pool]:
             return False
-        if instance.name in self._resting:
+        if instance.name in self._resting and not at_once:
             return False
         return isinstance(self._ledger.check(instance), result.Success)
--- a/skylarktally/_sharing.py
+++ b/skylarktally/_sharing.py
@@ -22,6 +22,10 @@
     slots: float
     cores_per_slot: float = 0.0
     accelerators_per_slot: float = 0.0
+    # Urgent work that queues, in slots times seconds.
+    backlog: float = 0.0
+    # Slots that deferrable work could fill besides.
+    deferrable: float = 0.0
 
 
 class Shares(NamedTuple):
@@ -40,17 +44,24 @@
 
 
 def measure_demand(
-    pool: str, queued: int, running: int, arrival_rate: float, seconds: float
+    pool: str,
+    queued: int,
+    running: int,
+    arrival_rate: float,
+    seconds: float,
+    deferrable: float = 0.0,
 ) -> Demand:
     """Build a demand from the observations of routers.
 
-    :param arrival_rate: requests a second
+    :param arrival_rate: urgent requests a second
     :param seconds: run time of one request
+    :param deferrable: slots that deferrable work could fill
 
-    The arriving work alone needs rate times run time slots (Little's law);
-    what already queues or runs may be more.
+    The arriving work needs rate times run time slots (Little's law); what
+    already runs may be more.
     """
-    return Demand(pool, max(float(queued + running), arrival_rate * seconds))
+    slots = max(float(running), arrival_rate * seconds)
+    return Demand(pool, slots, backlog=queued * seconds, deferrable=deferrable)
 
 
 def share_capacity(
--- a/skylarktally/_waves.py
+++ b/skylarktally/_waves.py
@@ -95,6 +95,19 @@
         return None
 
 
+def was_started(
+    instances: Iterable[_resources.Instance], after: datetime.datetime
+) -> bool:
+    """Tell whether any wave has stopped an instance since then."""
+    for instance in instances:
+        parts = (instance.operation_id or '').split('/', 2)
+        if len(parts) == 3 and parts[0] == 'wave':
+            start = read_start(parts[1], instance.operation_id)
+            if start is not None and start >= after:
+                return True
+    return False
+
+
 def plan_wave(
     wave: _resources.Wave,
     instances: Collection[_resources.Instance],
