Let urgent work wait longer before a move

Cause: lenders kept just as much as made urgent work ask for it back.

Change: a move needs 0.9 of the deadline, lending plans with 0.6 of it, over the last 55 s instead of 30 s, so that each pool has surged once.

--- a/skylarktally/_moves.py
+++ b/skylarktally/_moves.py
@@ -50,16 +50,19 @@
     hold: datetime.timedelta = datetime.timedelta(seconds=1)
     # A pool lends for urgent work what it has not needed for this long.
     release: datetime.timedelta = datetime.timedelta(seconds=5)
-    # Time over which the slots that a pool needs are measured, and for
-    # which deferrable work must last before an instance moves to it.
-    window: datetime.timedelta = datetime.timedelta(seconds=30)
+    # Time over which the slots that a pool needs are measured, and
+    # for which deferrable work must last before an instance moves to it.
+    window: datetime.timedelta = datetime.timedelta(seconds=55)
     # Least time between two moves of one instance, but for a pool that
     # takes back its weighted part.
     dwell: datetime.timedelta = datetime.timedelta(seconds=10)
     # Time until a moved instance serves: a drain and a fence.
     move_time: datetime.timedelta = datetime.timedelta(seconds=2.5)
-    # Part of the urgent deadline that queueing may take.
-    deadline_share: float = 0.6
+    # Part of the urgent deadline that queueing may take before a move.
+    deadline_share: float = 0.9
+    # The same for a lender's expected surges; the difference keeps a pool
+    # that has just lent an instance from asking for it back.
+    lending_share: float = 0.6
     # Slots that a lender keeps above its own demand, as a share of it.
     margin: float = 0.25
     in_flight: int = 4
@@ -246,7 +249,7 @@
 
     def _find_needed(self, name: str, start: datetime.datetime) -> float:
         pool = self._pools[name]
-        limit = pool.urgent_deadline_seconds * self._policy.deadline_share
+        limit = pool.urgent_deadline_seconds * self._policy.lending_share
         loads = [
             (s.at, s.slots.get(name, 0.0))
             for s in self._history.samples
