Lend for maintenance only to pools with instances still to stop

Cause: every pool got two instances as soon as a wave began, the spare pool was left with too few to be maintained itself, and nothing came back until four minutes after the wave.

Change: pools the wave is through with lend as well, the spare pool keeps one instance to stop, and sizes count what comes back from maintenance.

--- a/skylarktally/_moves.py
+++ b/skylarktally/_moves.py
@@ -68,6 +68,8 @@
     in_flight: int = 4
     # Instances above the budget that a pool under maintenance gets.
     headroom: int = 2
+    # A wave that has stopped nothing for so long no longer needs headroom.
+    wave_pause: datetime.timedelta = datetime.timedelta(minutes=10)
 
 
 POLICY = Policy()
@@ -123,19 +125,25 @@
         )
         # Slots that serve a pool or are on their way to it.
         self._supply: dict[str, float] = collections.defaultdict(float)
+        # Instances of a pool that serve it, or will without a move.
+        self._sizes: collections.Counter[str] = collections.Counter()
         self._room = policy.in_flight
         for instance in sorted(instances):
             if instance.phase is _Phase.SERVING:
                 self._serving[instance.pool].append(instance)
                 self._supply[instance.pool] += instance.slots
+                self._sizes[instance.pool] += 1
             elif instance.phase is _Phase.DRAINING and instance.target_pool:
                 self._supply[instance.target_pool] += instance.slots
+                self._sizes[instance.target_pool] += 1
                 self._room -= 1
+            elif instance.phase in _waves.PLANNED:
+                self._sizes[instance.pool] += 1
         self._resting = {
             m.instance for m in history.moves if m.at > now - policy.dwell
         }
-        self._maintenance = _waves.was_started(
-            instances, now - 2 * _waves.CANARY_SOAK
+        self._pending = _waves.count_pending(
+            instances, now - policy.wave_pause
         )
         self._shares = self._share()
         self.moves: list[Move] = []
@@ -207,29 +215,43 @@
         return self._supply[name] < part * math.fsum(self._supply.values())
 
     def make_headroom(self) -> None:
-        """Lend to pools whose maintenance has used up their budget."""
-        if not self._maintenance:
+        """Lend to pools whose budget holds maintenance up.
+
+        A pool of just the size that its budget allows stops one instance
+        at a time; with one more it stops two. Pools that the wave is
+        through with lend, and the spare pool, which keeps one instance to
+        stop while it is not through itself.
+        """
+        if not self._pending:
             return
-        keep = {
-            n: 0.0 if p.spare else math.inf for n, p in self._pools.items()
-        }
+        start = self._now - self._policy.window
         owed: dict[str, int] = collections.defaultdict(int)
         for budget in self._budgets:
             owed[budget.pool] = max(owed[budget.pool], budget.min_available)
-        for name in sorted(owed):
-            pool = self._pools.get(name)
-            if pool is None or pool.spare or not self._serving[name]:
-                continue
-            slots = self._serving[name][0].slots
-            wanted = (owed[name] + self._policy.headroom) * slots
-            while self._supply[name] < wanted:
+        keep = {
+            name: self._find_kept_in_wave(name, owed[name], start)
+            for name in self._pools
+        }
+        for name in sorted(self._pending):
+            room = min(self._policy.headroom, self._pending[name])
+            while name in owed and self._sizes[name] < owed[name] + room:
                 if not self._move(name, keep, 'maintenance waits for budget'):
                     break
 
+    def _find_kept_in_wave(
+        self, name: str, owed: int, start: datetime.datetime
+    ) -> float:
+        slots = max((i.slots for i in self._serving[name]), default=0)
+        if self._pools[name].spare:
+            return (owed + 1) * slots if self._pending[name] else 0.0
+        if self._pending[name]:
+            return math.inf
+        return max(self._find_needed(name, start), (owed + 1) * slots)
+
     def serve_deferrable(self) -> None:
         """Move to lasting deferrable work what urgent work does not need."""
         start = self._now - self._policy.window
-        if self._maintenance or not self._history.covers(start):
+        if self._pending or not self._history.covers(start):
             return
         needed = {n: self._find_needed(n, start) for n in self._pools}
         lasting = _forecasts.find_lowest_deferrable(
@@ -277,6 +299,8 @@
         self._serving[instance.pool].remove(instance)
         self._supply[instance.pool] -= instance.slots
         self._supply[target] += instance.slots
+        self._sizes[instance.pool] -= 1
+        self._sizes[target] += 1
         self.moves.append(Move(instance.name, instance.pool, target, reason))
         return True
 
--- a/skylarktally/_waves.py
+++ b/skylarktally/_waves.py
@@ -5,9 +5,10 @@
 time of the stop; it stays on the instance after the stop.
 """
 
+import collections
+from collections.abc import Collection, Iterable
 import datetime
 import enum
-from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from returns import result
@@ -16,7 +17,8 @@
 from skylarktally import _resources
 
 _Phase = _resources.Phase
-_BUSY = (_Phase.DRAINING, _Phase.STOPPING, _Phase.MAINTENANCE)
+# Phases of a planned stop.
+PLANNED = (_Phase.DRAINING, _Phase.STOPPING, _Phase.MAINTENANCE)
 
 # A loss this soon after the start of the stop is put down to the wave: the
 # drain, the reboot and ten minutes in service.
@@ -95,17 +97,27 @@
         return None
 
 
-def was_started(
-    instances: Iterable[_resources.Instance], after: datetime.datetime
-) -> bool:
-    """Tell whether any wave has stopped an instance since then."""
+def count_pending(
+    instances: Collection[_resources.Instance], after: datetime.datetime
+) -> collections.Counter[str]:
+    """Count by pool what the last wave has not stopped yet.
+
+    Nothing is pending when that wave stopped nothing after the given time.
+    """
+    last: tuple[datetime.datetime, str] = (after, '')
     for instance in instances:
         parts = (instance.operation_id or '').split('/', 2)
         if len(parts) == 3 and parts[0] == 'wave':
             start = read_start(parts[1], instance.operation_id)
-            if start is not None and start >= after:
-                return True
-    return False
+            if start is not None:
+                last = max(last, (start, parts[1]))
+    if not last[1]:
+        return collections.Counter()
+    return collections.Counter(
+        instance.pool
+        for instance in instances
+        if read_start(last[1], instance.operation_id) is None
+    )
 
 
 def plan_wave(
@@ -154,7 +166,7 @@
             progress.pending.append(instance)
         elif _is_lost(instance, start, now):
             progress.failed.append(instance)
-        elif instance.phase in _BUSY and not instance.target_pool:
+        elif instance.phase in PLANNED and not instance.target_pool:
             progress.active.append(instance)
         else:
             progress.done.append(instance)
@@ -255,7 +267,7 @@
         return Waiting(Wait.HALTED, f'wave halted: {plan.halted_reason}')
     if plan.state is State.PAUSED:
         return Waiting(Wait.PAUSED, 'wave paused by an operator')
-    if instance.phase in _BUSY:
+    if instance.phase in PLANNED:
         text = f'{instance.phase.value} for another operation'
         return Waiting(Wait.BUSY, text)
     if instance.phase is not _Phase.SERVING:
