Give every pool headroom for one stop before any gets a second

Cause: the spare pool ran out before the last pool, at the size that its budget demands, could stop anything; pools above their need did not lend.

--- a/skylarktally/_moves.py
+++ b/skylarktally/_moves.py
@@ -232,11 +232,14 @@
             name: self._find_kept_in_wave(name, owed[name], start)
             for name in self._pools
         }
-        for name in sorted(self._pending):
-            room = min(self._policy.headroom, self._pending[name])
-            while name in owed and self._sizes[name] < owed[name] + room:
-                if not self._move(name, keep, 'maintenance waits for budget'):
-                    break
+        # Every pool gets one to stop before any gets a second one.
+        for extra in range(1, self._policy.headroom + 1):
+            for name in sorted(self._pending):
+                room = min(extra, self._pending[name])
+                while name in owed and self._sizes[name] < owed[name] + room:
+                    reason = 'maintenance waits for budget'
+                    if not self._move(name, keep, reason):
+                        break
 
     def _find_kept_in_wave(
         self, name: str, owed: int, start: datetime.datetime
@@ -245,7 +248,7 @@
         if self._pools[name].spare:
             return (owed + 1) * slots if self._pending[name] else 0.0
         if self._pending[name]:
-            return math.inf
+            return (owed + self._policy.headroom) * slots
         return max(self._find_needed(name, start), (owed + 1) * slots)
 
     def serve_deferrable(self) -> None:
