--- a/skylarktally/_moves.py
+++ b/skylarktally/_moves.py
@@ -59,7 +59,7 @@
     # Time until a moved instance serves: a drain and a fence.
     move_time: datetime.timedelta = datetime.timedelta(seconds=2.5)
     # Part of the urgent deadline that queueing may take before a move.
-    deadline_share: float = 0.9
+    deadline_share: float = 1.0
     # The same for a lender's expected surges; the difference keeps a pool
     # that has just lent an instance from asking for it back.
     lending_share: float = 0.6
