Leave canaries where they serve

Cause: a move of the canary restarted its soak time; one wave of Lumiere needed 619 s.

Change: what a wave stopped in the last five minutes is not lent.

--- a/skylarktally/_moves.py
+++ b/skylarktally/_moves.py
@@ -69,6 +69,7 @@
     # Instances above the budget that a pool under maintenance gets.
     headroom: int = 2
     # A wave that has stopped nothing for so long no longer needs headroom.
+    canary_time: datetime.timedelta = datetime.timedelta(minutes=5)
     wave_pause: datetime.timedelta = datetime.timedelta(minutes=10)
 
 
@@ -142,6 +143,10 @@
         self._resting = {
             m.instance for m in history.moves if m.at > now - policy.dwell
         }
+        # A move would end the time that a canary must serve undisturbed.
+        self._resting |= _waves.list_stopped(
+            instances, now - policy.canary_time
+        )
         self._pending = _waves.count_pending(
             instances, now - policy.wave_pause
         )
--- a/skylarktally/_waves.py
+++ b/skylarktally/_waves.py
@@ -97,6 +97,29 @@
         return None
 
 
+def find_start(
+    instance: _resources.Instance,
+) -> tuple[datetime.datetime, str] | None:
+    """Return when and by which wave the instance was last stopped."""
+    parts = (instance.operation_id or '').split('/', 2)
+    if len(parts) != 3 or parts[0] != 'wave':
+        return None
+    start = read_start(parts[1], instance.operation_id)
+    return None if start is None else (start, parts[1])
+
+
+def list_stopped(
+    instances: Iterable[_resources.Instance], after: datetime.datetime
+) -> set[str]:
+    """List the instances that a wave has stopped since then."""
+    stopped = set()
+    for instance in instances:
+        found = find_start(instance)
+        if found is not None and found[0] >= after:
+            stopped.add(instance.name)
+    return stopped
+
+
 def count_pending(
     instances: Collection[_resources.Instance], after: datetime.datetime
 ) -> collections.Counter[str]:
@@ -104,14 +127,9 @@
 
     Nothing is pending when that wave stopped nothing after the given time.
     """
-    last: tuple[datetime.datetime, str] = (after, '')
-    for instance in instances:
-        parts = (instance.operation_id or '').split('/', 2)
-        if len(parts) == 3 and parts[0] == 'wave':
-            start = read_start(parts[1], instance.operation_id)
-            if start is not None:
-                last = max(last, (start, parts[1]))
-    if not last[1]:
+    starts = [found for i in instances if (found := find_start(i))]
+    last = max(starts, default=(after, ''))
+    if last[0] < after or not last[1]:
         return collections.Counter()
     return collections.Counter(
         instance.pool
