Lend a second instance for maintenance only when all pools get one

Cause: a wave goes from zone to zone, so that it ends sooner only when every pool can stop two; for Ghala the spare pool cannot lend that many and keep two to stop itself.

--- a/skylarktally/_moves.py
+++ b/skylarktally/_moves.py
@@ -143,13 +143,14 @@
         self._resting = {
             m.instance for m in history.moves if m.at > now - policy.dwell
         }
-        # A move would end the time that a canary must serve undisturbed.
-        self._resting |= _waves.list_stopped(
-            instances, now - policy.canary_time
-        )
         self._pending = _waves.count_pending(
             instances, now - policy.wave_pause
         )
+        if self._pending:
+            # A move would end the time that a canary must serve undisturbed.
+            self._resting |= _waves.list_stopped(
+                instances, now - policy.canary_time
+            )
         self._shares = self._share()
         self.moves: list[Move] = []
 
@@ -224,8 +225,8 @@
 
         A pool of just the size that its budget allows stops one instance
         at a time; with one more it stops two. Pools that the wave is
-        through with lend, and the spare pool, which keeps one instance to
-        stop while it is not through itself.
+        through with lend, and the spare pool, which keeps instances to stop
+        while it is not through itself.
         """
         if not self._pending:
             return
@@ -237,21 +238,38 @@
             name: self._find_kept_in_wave(name, owed[name], start)
             for name in self._pools
         }
-        # Every pool gets one to stop before any gets a second one.
+        # Every pool gets one to stop before any gets a second one, which
+        # shortens the wave only when all of them get it.
         for extra in range(1, self._policy.headroom + 1):
-            for name in sorted(self._pending):
-                room = min(extra, self._pending[name])
-                while name in owed and self._sizes[name] < owed[name] + room:
+            gaps = {
+                name: owed[name] + min(extra, count) - self._sizes[name]
+                for name, count in sorted(self._pending.items())
+                if name in owed
+            }
+            wanted = sum(gap for gap in gaps.values() if gap > 0)
+            if extra > 1 and wanted > self._count_lendable(keep):
+                break
+            for name, gap in gaps.items():
+                for _ in range(gap):
                     reason = 'maintenance waits for budget'
                     if not self._move(name, keep, reason):
                         break
 
+    def _count_lendable(self, keep: Mapping[str, float]) -> int:
+        count = 0
+        for name, own in self._serving.items():
+            if own and name in keep:
+                surplus = self._supply[name] - keep[name]
+                count += max(int(surplus // own[0].slots), 0)
+        return count
+
     def _find_kept_in_wave(
         self, name: str, owed: int, start: datetime.datetime
     ) -> float:
         slots = max((i.slots for i in self._serving[name]), default=0)
         if self._pools[name].spare:
-            return (owed + 1) * slots if self._pending[name] else 0.0
+            extra = self._policy.headroom if self._pending[name] else 0
+            return (owed + extra) * slots
         if self._pending[name]:
             return (owed + self._policy.headroom) * slots
         return max(self._find_needed(name, start), (owed + 1) * slots)
