--- a/skylarktally/_moves.py
+++ b/skylarktally/_moves.py
@@ -59,7 +59,7 @@
     # Time until a moved instance serves: a drain and a fence.
     move_time: datetime.timedelta = datetime.timedelta(seconds=2.5)
     # Part of the urgent deadline that queueing may take before a move.
-    deadline_share: float = 0.9
+    deadline_share: float = 1.0
     # The same for a lender's expected surges; the difference keeps a pool
     # that has just lent an instance from asking for it back.
     lending_share: float = 0.6
@@ -68,6 +68,9 @@
     in_flight: int = 4
     # Instances above the budget that a pool under maintenance gets.
     headroom: int = 2
+    # A wave that has stopped nothing for so long no longer needs headroom.
+    canary_time: datetime.timedelta = datetime.timedelta(minutes=5)
+    wave_pause: datetime.timedelta = datetime.timedelta(minutes=10)
 
 
 POLICY = Policy()
@@ -123,20 +126,31 @@
         )
         # Slots that serve a pool or are on their way to it.
         self._supply: dict[str, float] = collections.defaultdict(float)
+        # Instances of a pool that serve it, or will without a move.
+        self._sizes: collections.Counter[str] = collections.Counter()
         self._room = policy.in_flight
         for instance in sorted(instances):
             if instance.phase is _Phase.SERVING:
                 self._serving[instance.pool].append(instance)
                 self._supply[instance.pool] += instance.slots
+                self._sizes[instance.pool] += 1
             elif instance.phase is _Phase.DRAINING and instance.target_pool:
                 self._supply[instance.target_pool] += instance.slots
+                self._sizes[instance.target_pool] += 1
                 self._room -= 1
+            elif instance.phase in _waves.PLANNED:
+                self._sizes[instance.pool] += 1
         self._resting = {
             m.instance for m in history.moves if m.at > now - policy.dwell
         }
-        self._maintenance = _waves.was_started(
-            instances, now - 2 * _waves.CANARY_SOAK
+        self._pending = _waves.count_pending(
+            instances, now - policy.wave_pause
         )
+        if self._pending:
+            # A move would end the time that a canary must serve undisturbed.
+            self._resting |= _waves.list_stopped(
+                instances, now - policy.canary_time
+            )
         self._shares = self._share()
         self.moves: list[Move] = []
 
@@ -207,29 +221,63 @@
         return self._supply[name] < part * math.fsum(self._supply.values())
 
     def make_headroom(self) -> None:
-        """Lend to pools whose maintenance has used up their budget."""
-        if not self._maintenance:
+        """Lend to pools whose budget holds maintenance up.
+
+        A pool of just the size that its budget allows stops one instance
+        at a time; with one more it stops two. Pools that the wave is
+        through with lend, and the spare pool, which keeps instances to stop
+        while it is not through itself.
+        """
+        if not self._pending:
             return
-        keep = {
-            n: 0.0 if p.spare else math.inf for n, p in self._pools.items()
-        }
+        start = self._now - self._policy.window
         owed: dict[str, int] = collections.defaultdict(int)
         for budget in self._budgets:
             owed[budget.pool] = max(owed[budget.pool], budget.min_available)
-        for name in sorted(owed):
-            pool = self._pools.get(name)
-            if pool is None or pool.spare or not self._serving[name]:
-                continue
-            slots = self._serving[name][0].slots
-            wanted = (owed[name] + self._policy.headroom) * slots
-            while self._supply[name] < wanted:
-                if not self._move(name, keep, 'maintenance waits for budget'):
-                    break
+        keep = {
+            name: self._find_kept_in_wave(name, owed[name], start)
+            for name in self._pools
+        }
+        # Every pool gets one to stop before any gets a second one, which
+        # shortens the wave only when all of them get it.
+        for extra in range(1, self._policy.headroom + 1):
+            gaps = {
+                name: owed[name] + min(extra, count) - self._sizes[name]
+                for name, count in sorted(self._pending.items())
+                if name in owed
+            }
+            wanted = sum(gap for gap in gaps.values() if gap > 0)
+            if extra > 1 and wanted > self._count_lendable(keep):
+                break
+            for name, gap in gaps.items():
+                for _ in range(gap):
+                    reason = 'maintenance waits for budget'
+                    if not self._move(name, keep, reason):
+                        break
+
+    def _count_lendable(self, keep: Mapping[str, float]) -> int:
+        count = 0
+        for name, own in self._serving.items():
+            if own and name in keep:
+                surplus = self._supply[name] - keep[name]
+                count += max(int(surplus // own[0].slots), 0)
+        return count
+
+    def _find_kept_in_wave(
+        self, name: str, owed: int, start: datetime.datetime
+    ) -> float:
+        slots = max((i.slots for i in self._serving[name]), default=0)
+        if self._pools[name].spare:
+            extra = self._policy.headroom if self._pending[name] else 0
+            return (owed + extra) * slots
+        if self._pending[name]:
+            return (owed + self._policy.headroom) * slots
+        return max(self._find_needed(name, start), (owed + 1) * slots)
 
     def serve_deferrable(self) -> None:
         """Move to lasting deferrable work what urgent work does not need."""
         start = self._now - self._policy.window
-        if self._maintenance or not self._history.covers(start):
+        if self._pending or not self._history.covers(start):
             return
         needed = {n: self._find_needed(n, start) for n in self._pools}
         lasting = _forecasts.find_lowest_deferrable(
@@ -277,6 +325,8 @@
         self._serving[instance.pool].remove(instance)
         self._supply[instance.pool] -= instance.slots
         self._supply[target] += instance.slots
+        self._sizes[instance.pool] -= 1
+        self._sizes[target] += 1
         self.moves.append(Move(instance.name, instance.pool, target, reason))
         return True
 
