--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -64,6 +64,8 @@
     def __init__(self, fleet, name='w1', script=None, size=1000, **fields):
         self.name = name
         self.script = script
+        # Time before the body of a task is read, in seconds.
+        self.stall = 0.0
         self.size = size
         self.tasks = []
         self.probes = 0
@@ -73,6 +75,9 @@
         self.peak_open = 0
         self.granted = 0
         self.leases = set()
+        self.busy_leases = set()
+        # Tasks that came under a lease whose task still ran.
+        self.conflicts = 0
         # Answer of the task probe: running, ended or absent.
         self.probe_state = 'ended'
         self.listener, self.address = serving.listen()
@@ -95,15 +100,16 @@
     def _serve(self, connection):
         self.open += 1
         self.peak_open = max(self.peak_open, self.open)
+        stream = connection.makefile('rb')
         try:
-            stream = connection.makefile('rb')
-            while request := read_request(stream):
+            while request := read_request(stream, self.stall):
                 if not self._answer(connection, request):
                     break
         except (OSError, ValueError):
             pass
         finally:
             self.open -= 1
+            stream.close()
             connection.close()
 
     def _answer(self, connection, request):
@@ -135,23 +141,32 @@
         self.tasks.append(request)
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
+        lease = request.headers['Lease-Id']
+        self.conflicts += lease in self.busy_leases
+        self.busy_leases.add(lease)
         try:
             if self.script and not self.script(self, connection, request):
                 return False
         finally:
             self.running -= 1
+            self.busy_leases.discard(lease)
         connection.sendall(build_answer(build_body(request.token, self.size)))
         return True
 
 
-def read_request(stream):
-    """Read one request, or return None at the end of the stream."""
+def read_request(stream, stall=0.0):
+    """Read one request, or return None at the end of the stream.
+
+    :param stall: time in seconds before the body of a task is read
+    """
     line = stream.readline()
     if not line.strip():
         return None
     method, path, _ = line.decode().split(' ')
     headers = client.parse_headers(stream)
     body = b''
+    if 'Lease-Id' in headers:
+        _loop.sleep(stall)
     if headers.get('Transfer-Encoding') == 'chunked':
         while size := int(stream.readline(), 16):
             body += stream.read(size)
