Serve callers within limits and read tokens again when they change

The router served callers with the plain WSGI server and kept the tokens of its start; a peer's token was accepted from callers.

It now uses the server of the request path, whose limits on headers and times apply, and the token store of the controller. Only the roles caller and operator are served.

--- a/skylarktally/_router.py
+++ b/skylarktally/_router.py
@@ -4,7 +4,6 @@
 import dataclasses
 import datetime
 import functools
-import hashlib
 import logging
 import random
 import signal
@@ -12,6 +11,7 @@
 from typing import Any
 import uuid
 
+import prometheus_client
 from returns import result
 
 from skylarktally import _admin
@@ -33,9 +33,11 @@
 from skylarktally import _peers
 from skylarktally import _pipeline
 from skylarktally import _replies
+from skylarktally import _server
 from skylarktally import _settings
 from skylarktally import _snapshots
 from skylarktally import _table
+from skylarktally import _tokens
 
 log = logging.getLogger(__name__)
 
@@ -62,9 +64,19 @@
     """One router process."""
 
     def __init__(
-        self, settings: _settings.RouterSettings, clock: _clock.Clock
+        self,
+        settings: _settings.RouterSettings,
+        path: str,
+        clock: _clock.Clock,
     ) -> None:
+        """Create the router.
+
+        :param path: the settings file, whose tokens are read again when
+            it changes
+        """
         self._settings = settings
+        token_file = _tokens.TokenFile(_settings.RouterSettings, path)
+        self._tokens = _tokens.TokenStore(token_file.read, clock)
         self._clock = clock
         self._random = random.Random()
         self._draining = False
@@ -176,6 +188,8 @@
         ):
             self._dump.add_section(name, read)
         prefix = 'skylarktally_router'
+        prometheus_client.ProcessCollector(registry=self._registry)
+        self._registry.register(_tokens.REFUSALS)
         self._registry.register(
             _collectors.StateCollector(
                 (
@@ -242,15 +256,18 @@
             signal.signal(number, self._handle_stop)
         peer_listener = _listen(settings.peer_address)
         _loop.spawn(self._server.serve, peer_listener)
-        self._serve_wsgi(
-            settings.admin_address,
+        _loop.spawn(
+            _loop.serve,
+            _listen(settings.admin_address),
             self._admin.application,
-            _ADMIN_CONNECTIONS,
+            max_size=_ADMIN_CONNECTIONS,
+            socket_timeout=settings.progress_timeout.total_seconds(),
         )
-        self._serve_wsgi(
-            settings.serving_address,
+        _loop.spawn(
+            _server.serve,
+            _listen(settings.serving_address),
             self.application,
-            settings.client_connections,
+            settings.limits,
         )
         _loop.spawn(self._follow_table)
         _loop.spawn(self._repeat, self._start_gossip, settings.gossip_interval)
@@ -258,17 +275,6 @@
         self._finished.wait()
         log.info('router stopped')
 
-    def _serve_wsgi(
-        self, address: str, application: Callable[..., Any], limit: int
-    ) -> None:
-        _loop.spawn(
-            _loop.serve,
-            _listen(address),
-            application,
-            max_size=limit,
-            socket_timeout=self._settings.progress_timeout.total_seconds(),
-        )
-
     def application(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
@@ -341,17 +347,8 @@
 
     def _authenticate(
         self, header: str | None
-    ) -> result.Result[Any, _errors.Failure]:
-        scheme, _, secret = (header or '').partition(' ')
-        digest = hashlib.sha256(secret.strip().encode('latin-1', 'replace'))
-        token = self._settings.tokens.get(digest.hexdigest())
-        if scheme.lower() != 'bearer' or token is None:
-            return result.Failure(
-                _errors.Failure(
-                    _errors.ErrorKind.UNAUTHENTICATED, 'unknown token'
-                )
-            )
-        return result.Success(token)
+    ) -> result.Result[_tokens.Identity, _errors.Failure]:
+        return self._tokens.identify(header or '').bind(_check_role)
 
     def _handle_stop(self, number: int, frame: Any) -> None:
         # The handler runs in the middle of any code; a repeated signal
@@ -375,6 +372,14 @@
         self._finished.send(False)
 
 
+def _check_role(
+    identity: _tokens.Identity,
+) -> result.Result[_tokens.Identity, _errors.Failure]:
+    if identity.role in (_tokens.CALLER, _tokens.OPERATOR):
+        return result.Success(identity)
+    return result.Failure(_tokens.refuse_access(identity, 'requests'))
+
+
 def _listen(address: str) -> Any:
     host, port = _settings.split_address(address)
     family = _loop.AF_INET6 if ':' in host else _loop.AF_INET
--- a/skylarktally/router.py
+++ b/skylarktally/router.py
@@ -8,6 +8,7 @@
 _loop.patch_standard_library()
 
 from absl import app  # noqa: E402
+from absl import flags  # noqa: E402
 
 from skylarktally import _clock  # noqa: E402
 from skylarktally import _launch  # noqa: E402
@@ -19,7 +20,8 @@
     """Serve until a signal asks for a graceful shutdown."""
     del arguments
     settings = _launch.load(_settings.RouterSettings)
-    _router.Router(settings, _clock.SystemClock()).run()
+    path = str(flags.FLAGS.settings)
+    _router.Router(settings, path, _clock.SystemClock()).run()
 
 
 def main() -> None:
--- a/tests/test_router_processes.py
+++ b/tests/test_router_processes.py
@@ -78,12 +78,12 @@
     return sum(member['state'] == state for member in members)
 
 
-def send(started, name, seconds=0.0):
+def send(started, name, seconds=0.0, token=TOKEN):
     address = started.routers[name]['serving_address']
     return started.http.request(
         'POST',
         f'http://{address}/v1/pools/p/jobs/j/x?seconds={seconds}',
-        headers={'Authorization': f'Bearer {TOKEN}'},
+        headers={'Authorization': f'Bearer {token}'},
         timeout=10,
     )
 
@@ -188,6 +188,7 @@
     assert read_versions(started) == {version}
     assert send(started, 'r0').status == 200
     pool = futures.ThreadPoolExecutor(1)
+    assert send(started, 'r0', token='unknown').status == 401
     running = pool.submit(send, started, 'r0', 3.0)
     time.sleep(0.3)
     begun = time.monotonic()
