Refuse requests at a surplus router and end every shutdown

A surplus router of a zone reported itself as not ready but still served what the balancer sent, with more connections to a worker than its share. A fault while draining would have kept the process for ever.

A surplus router, the youngest of its zone, now refuses with no_capacity, not run. The shutdown ends whatever happens while it drains.

--- a/skylarktally/_handlers.py
+++ b/skylarktally/_handlers.py
@@ -4,13 +4,17 @@
 import json
 from typing import Any
 
+from returns import result
+
 from skylarktally import _claims
 from skylarktally import _dumps
+from skylarktally import _errors
 from skylarktally._gen.peer import ttypes
 from skylarktally import _gossip
 from skylarktally import _membership
 from skylarktally import _peers
 from skylarktally import _snapshots
+from skylarktally import _tokens
 
 
 class PeerHandler:
@@ -71,3 +75,12 @@
     ) -> list[_membership.Member]:
         """List the other routers that are alive, of one zone or of all."""
         return self._membership.list_alive(zone)
+
+
+def check_role(
+    identity: _tokens.Identity,
+) -> result.Result[_tokens.Identity, _errors.Failure]:
+    """Let callers and operators send requests, and no peers."""
+    if identity.role in (_tokens.CALLER, _tokens.OPERATOR):
+        return result.Success(identity)
+    return result.Failure(_tokens.refuse_access(identity, 'requests'))
--- a/skylarktally/_router.py
+++ b/skylarktally/_router.py
@@ -82,6 +82,7 @@
         self._draining = False
         self._finished = _loop.Event()
         self._gossiping = 0
+        self._surplus = False
         incarnation = time.time_ns()
         self.fleet = _fleet.Fleet()
         self._build_membership(incarnation)
@@ -236,17 +237,22 @@
             reasons.append('no state from the table, a peer or a snapshot')
         if self.membership.superseded_by is not None:
             reasons.append('a newer process uses the name of this one')
-        settings = self._settings
+        if self._is_surplus():
+            reasons.append('the zone has its limit of routers already')
+        return reasons
+
+    def _is_surplus(self) -> bool:
+        """Tell whether the zone has its limit of routers without this one.
+
+        All routers of the zone order them alike, so that a surplus one does
+        not take the others out of service.
+        """
         oldest = sorted(
-            self.membership.list_live(settings.zone),
+            self.membership.list_live(self._settings.zone),
             key=lambda member: (member.incarnation, member.name),
         )
-        # All routers of the zone order them alike, so that a surplus one
-        # does not take the others out of service.
-        surplus = oldest[settings.routers_per_zone_limit :]
-        if self.membership.own in surplus:
-            reasons.append('the zone has its limit of routers already')
-        return reasons
+        surplus = oldest[self._settings.routers_per_zone_limit :]
+        return self.membership.own in surplus
 
     def run(self) -> None:
         """Serve until a graceful shutdown has finished."""
@@ -278,13 +284,23 @@
     def application(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        """Answer a caller; refuse everything until a state is in force."""
-        if self._gossip.loaded:
+        """Answer a caller; refuse everything until a state is in force.
+
+        A surplus router refuses as well: the connections to a worker are
+        divided among the others.
+        """
+        if not self._gossip.loaded:
+            failure = _errors.Failure(
+                _errors.ErrorKind.PLATFORM_UNAVAILABLE,
+                'the router has no state yet',
+            )
+        elif self._surplus:
+            failure = _errors.Failure(
+                _errors.ErrorKind.NO_CAPACITY,
+                'the zone has its limit of routers already',
+            )
+        else:
             return self._pipeline.application(environ, start_response)
-        failure = _errors.Failure(
-            _errors.ErrorKind.PLATFORM_UNAVAILABLE,
-            'the router has no state yet',
-        )
         reply = _replies.create_error(failure, uuid.uuid4().hex)
         start_response(reply.status, reply.headers)
         return reply.body
@@ -322,6 +338,7 @@
         return version is not None and version >= 0
 
     def _start_gossip(self) -> None:
+        self._surplus = self._is_surplus()
         # A step lasts as long as a silent peer takes to time out.
         if self._gossiping < _GOSSIP_LIMIT:
             _loop.spawn(self._run_gossip_step)
@@ -348,11 +365,10 @@
     def _authenticate(
         self, header: str | None
     ) -> result.Result[_tokens.Identity, _errors.Failure]:
-        return self._tokens.identify(header or '').bind(_check_role)
+        return self._tokens.identify(header or '').bind(_handlers.check_role)
 
     def _handle_stop(self, number: int, frame: Any) -> None:
-        # The handler runs in the middle of any code; a repeated signal
-        # changes nothing.
+        # Runs in the middle of any code; a repeated signal changes nothing.
         if not self._draining:
             self._draining = True
             _loop.spawn_after(0, self._stop)
@@ -363,21 +379,16 @@
         log.info('graceful shutdown begins')
         self.membership.leave()
         self._clock.sleep(settings.drain_notice)
-        with _loop.Timeout(settings.drain_limit.total_seconds(), False):
-            self._pipeline.drain()
+        finished = False
+        try:
+            with _loop.Timeout(settings.drain_limit.total_seconds(), False):
+                self._pipeline.drain()
+                finished = True
+        finally:
+            if not finished:
+                log.error('requests were still running at the end')
             self._calls.close()
-            self._finished.send(True)
-            return
-        log.error('requests were still running at the limit')
-        self._finished.send(False)
-
-
-def _check_role(
-    identity: _tokens.Identity,
-) -> result.Result[_tokens.Identity, _errors.Failure]:
-    if identity.role in (_tokens.CALLER, _tokens.OPERATOR):
-        return result.Success(identity)
-    return result.Failure(_tokens.refuse_access(identity, 'requests'))
+            self._finished.send(finished)
 
 
 def _listen(address: str) -> Any:
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,68 @@
+"""Guards when a router tells the balancer that it is not ready."""
+
+import pytest
+
+from skylarktally import _membership
+from skylarktally import _router
+from tests import fakes
+from tests import test_settings
+
+OLDER, YOUNGER = 1, 1 << 62
+
+
+@pytest.fixture
+def router():
+    settings = test_settings.check(zone='z').settings
+    return _router.Router(settings, '', fakes.ManualClock())
+
+
+def add_members(router, count, incarnation, zone='z'):
+    for number in range(count):
+        address = f'127.0.0.1:{9000 + number}'
+        router.membership.merge(
+            _membership.Member(
+                f'm{number}', zone, incarnation + number, address, address
+            )
+        )
+
+
+def refuse(router):
+    """Return the status of a refusal, which must say that nothing ran."""
+    answer = []
+    router.application({}, lambda *parts: answer.extend(parts))
+    assert ('Skylarktally-Outcome', 'not-run') in answer[1]
+    return answer[0][:3]
+
+
+@pytest.mark.parametrize(
+    ('count', 'incarnation', 'zone', 'ready'),
+    [
+        (0, OLDER, 'z', True),
+        (3, OLDER, 'z', True),
+        # The fifth of a zone is surplus, and it is the youngest.
+        (4, OLDER, 'z', False),
+        (4, YOUNGER, 'z', True),
+        (9, OLDER, 'other', True),
+    ],
+)
+def test_only_the_surplus_router_is_not_ready(
+    router, count, incarnation, zone, ready
+):
+    router._gossip.loaded = True
+    add_members(router, count, incarnation, zone)
+    assert (router.find_reasons() == []) is ready
+    router._start_gossip()
+    if not ready:
+        assert refuse(router) == '503'
+
+
+def test_not_ready_without_a_state(router):
+    assert 'no state' in router.find_reasons()[0]
+    assert refuse(router) == '503'
+
+
+def test_not_ready_when_replaced_by_a_newer_process(router):
+    router._gossip.loaded = True
+    own = router.membership.own
+    router.membership.merge(own._replace(incarnation=YOUNGER))
+    assert 'newer process' in router.find_reasons()[0]
