Give each run of the demo a loopback network of its own

Cause: two runs with one seed used the same addresses, reached each other's workers and reported requests as run twice or never. Ruled out: a second run of a request; the records of the doubled keys named other jobs, 25 s apart, which belong to the other run's callers. Change: a run holds a listener that marks its network as taken. Conclusion: no check changed; the seed no longer chooses addresses.

--- a/demo/_deployment.py
+++ b/demo/_deployment.py
@@ -3,8 +3,8 @@
 import hashlib
 import json
 import pathlib
-import random
 import secrets
+import socket
 from typing import Any, NamedTuple
 
 import json5
@@ -17,6 +17,8 @@
 _PEER_PORT = 8082
 _API_PORT = 8083
 _CONTROLLER_ADMIN_PORT = 8084
+# Tests of single modules use other loopback networks.
+_FIRST_NETWORK, _LAST_NETWORK = 224, 254
 
 
 class Worker(NamedTuple):
@@ -82,14 +84,36 @@
         return self.link_addresses[zone]
 
 
-def read_deployment(path: str, seed: int) -> Deployment:
+class Network:
+    """A loopback network that no other run on this machine uses.
+
+    The network is taken by a listener on one of its addresses. Two runs
+    that shared a network would reach each other's workers.
+    """
+
+    def __init__(self) -> None:
+        for number in range(_FIRST_NETWORK, _LAST_NETWORK):
+            try:
+                self._listener = socket.create_server(
+                    (f'127.{number}.255.254', _SERVING_PORT)
+                )
+            except OSError:
+                continue
+            self.number = number
+            return
+        raise RuntimeError('no free loopback network')
+
+    def release(self) -> None:
+        """Let another run use the network."""
+        self._listener.close()
+
+
+def read_deployment(path: str, network: int) -> Deployment:
     """Read a deployment file in JSON with comments.
 
-    :param seed: chooses the loopback network, so that two runs on one
-        machine do not share addresses
+    :param network: second part of the loopback addresses to use
     """
     data = json5.loads(pathlib.Path(path).read_text(encoding='utf-8'))
-    network = random.Random(seed).randrange(16, 250)
     zones = tuple(data['zones'])
     return Deployment(
         name=data['name'],
--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -35,7 +35,8 @@
 
 def run(path: str, directory: pathlib.Path, plan: Plan) -> list[_checks.Check]:
     """Run a deployment as planned and return the checks."""
-    deployment = _deployment.read_deployment(path, plan.seed)
+    network = _deployment.Network()
+    deployment = _deployment.read_deployment(path, network.number)
     processes = _processes.Processes(directory)
     links = _faults.start_links(deployment)
     try:
@@ -60,6 +61,7 @@
         killed = processes.stop_all()
         if killed:
             _print(f'had to kill: {", ".join(killed)}')
+        network.release()
 
 
 def _hold(
