Release the claim of a request that was refused before it ran

A claim was also recognised by its time, so that two claims within one tick of the clock passed as one. Change: the router deletes the row on condition of its version; a claim has an id of its own. An undecided claim is granted once to the same router, which never ran it. Conclusion: a refusal as not run can be repeated through any entry.

--- a/skylarktally/_claims.py
+++ b/skylarktally/_claims.py
@@ -114,8 +114,11 @@
         self._secret = secrets.token_bytes(32)
         # Keys in use, by the time they were claimed, oldest first.
         self._used: dict[str, datetime.timedelta] = {}
-        # Claimed rows whose request was refused before it ran.
+        # Keys whose request was refused, or whose claim stayed undecided;
+        # a row of this incarnation does not stand for a run of theirs.
         self._abandoned: dict[str, datetime.timedelta] = {}
+        # Versions of the claimed rows, by key.
+        self._versions: dict[str, int] = {}
         self._answers: collections.OrderedDict[str, RecordedAnswer] = (
             collections.OrderedDict()
         )
@@ -193,8 +196,10 @@
     def _claim_row(
         self, key: str
     ) -> result.Result[ClaimState, _errors.Failure]:
-        row_key = 'claim/' + hashlib.sha256(key.encode()).hexdigest()
+        row_key = _format_row_key(key)
         value = {
+            # Tells this claim from an earlier one at the same time.
+            'claim_id': uuid.uuid4().hex,
             'owner': self._owner.name,
             'incarnation': self._owner.incarnation,
             'owner_address': self._owner.peer_address,
@@ -208,6 +213,7 @@
         for _ in range(_COMMIT_ATTEMPTS):
             committed = self._table.commit(transaction)
             if isinstance(committed, result.Success):
+                self._versions[key] = committed.unwrap()
                 return result.Success(ClaimState(ClaimStatus.GRANTED))
             kind = committed.failure().kind
             if kind not in (
@@ -220,14 +226,16 @@
                 break
             row = read.unwrap()
             if row is not None:
-                return result.Success(self._judge_row(key, row.value, value))
+                return result.Success(self._judge_row(key, row, value))
+        self._abandoned[key] = self._clock.monotonic()
         return _refuse(
             _errors.ErrorKind.PLATFORM_UNAVAILABLE, 'the claim is undecided'
         )
 
     def _judge_row(
-        self, key: str, found: dict[str, Any], written: dict[str, Any]
+        self, key: str, row: Any, written: dict[str, Any]
     ) -> ClaimState:
+        found = row.value
         # A row of this incarnation but of an earlier claim stands for a
         # request that may have run longer ago than the memory goes.
         if found == written or (
@@ -235,6 +243,7 @@
             and found['owner'] == self._owner.name
             and self._abandoned.pop(key, None) is not None
         ):
+            self._versions[key] = row.version
             return ClaimState(ClaimStatus.GRANTED)
         return ClaimState(
             ClaimStatus.HELD,
@@ -244,9 +253,33 @@
         )
 
     def abandon(self, key: str) -> None:
-        """Note that a claimed request was refused and did not run."""
+        """Release the claim of a request that was refused and did not run.
+
+        The caller may then send the key again through any router. A key
+        whose release is undecided stays claimed: a delayed release could
+        otherwise remove the row of a later run.
+        """
+        version = self._versions.pop(key, None)
+        if version is not None:
+            self._release(key, version)
         self._used.pop(key, None)
-        if not key.startswith(ISSUED_PREFIX):
+
+    def _release(self, key: str, version: int) -> None:
+        row_key = _format_row_key(key)
+        released = self._table.commit(
+            _Transaction(
+                uuid.uuid4().hex,
+                (_Condition(row_key, version),),
+                (_Write(row_key, None),),
+            )
+        )
+        if isinstance(released, result.Success):
+            return
+        if released.failure().kind in (
+            _errors.ErrorKind.PLATFORM_UNAVAILABLE,
+            _errors.ErrorKind.RATE_LIMITED,
+        ):
+            # Not applied: the row stays, and this router may use it again.
             self._abandoned[key] = self._clock.monotonic()
 
     def record(self, key: str, answer: RecordedAnswer) -> None:
@@ -273,6 +306,11 @@
                     break
                 del memory[key]
                 self._answers.pop(key, None)
+                self._versions.pop(key, None)
+
+
+def _format_row_key(key: str) -> str:
+    return 'claim/' + hashlib.sha256(key.encode()).hexdigest()
 
 
 def _is_granted(claimed: result.Result[ClaimState, Any]) -> bool:
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -125,7 +125,10 @@
                 return self._fail(_errors.ErrorKind.CONFLICT)
         self.version += 1
         for key, value in transaction.writes:
-            self.rows[key] = Row(key, value, self.version)
+            if value is None:
+                self.rows.pop(key, None)
+            else:
+                self.rows[key] = Row(key, value, self.version)
         if self.lost_answers:
             self.lost_answers -= 1
             return self._fail(_errors.ErrorKind.OUTCOME_UNKNOWN)
--- /dev/null
+++ b/tests/test_claim_release.py
@@ -0,0 +1,79 @@
+"""Guards against a refused request whose key can never be used again.
+
+It also guards against the opposite fault, a release that lets the key run
+twice. Routers A and B share a table with faults.
+"""
+
+import pytest
+from returns import result
+
+from skylarktally import _claims
+from skylarktally import _limits
+from tests import fakes
+
+GRANTED, HELD = _claims.ClaimStatus.GRANTED, _claims.ClaimStatus.HELD
+
+
+class Routers:
+    def __init__(self):
+        self.table = fakes.FaultyTable()
+        self.clock = fakes.ManualClock()
+        self.claims = {
+            name: _claims.Claims(
+                self.table,
+                self.clock,
+                _claims.Owner(name, 1, f'127.0.0.1:{port}'),
+                _limits.ServingLimits(),
+            )
+            for port, name in enumerate('ab', start=1)
+        }
+
+    def claim(self, name):
+        claimed = self.claims[name].claim('key')
+        if isinstance(claimed, result.Success):
+            return claimed.unwrap().status
+        return claimed.failure().kind
+
+
+@pytest.mark.parametrize(
+    'fault, at_other, at_owner',
+    [
+        (None, GRANTED, HELD),
+        ('duplicate', GRANTED, HELD),
+        # The row is gone, which the owner does not know.
+        ('lose', GRANTED, HELD),
+        # The row stays; the owner knows that it may use it again.
+        ('refuse', HELD, GRANTED),
+        ('limit', HELD, GRANTED),
+        # The row stays, and the owner can not tell.
+        ('drop', HELD, HELD),
+        ('delay', HELD, HELD),
+    ],
+)
+def test_release_after_a_refusal(fault, at_other, at_owner):
+    routers = Routers()
+    assert routers.claim('a') is GRANTED
+    routers.table.faults = [fault]
+    routers.claims['a'].abandon('key')
+    assert (routers.claim('b'), routers.claim('a')) == (at_other, at_owner)
+
+
+def test_delayed_release_does_not_free_a_key_that_ran():
+    routers = Routers()
+    assert routers.claim('a') is GRANTED
+    routers.table.faults = ['delay']
+    routers.claims['a'].abandon('key')
+    ran = routers.claim('a') is GRANTED
+    routers.table.deliver()
+    assert [ran, routers.claim('b') is GRANTED].count(True) <= 1
+
+
+@pytest.mark.parametrize('lands', [False, True])
+def test_undecided_claim_can_be_repeated(lands):
+    routers = Routers()
+    routers.table.faults = ['delay'] * 3
+    assert routers.claim('a') is not GRANTED
+    if lands:
+        routers.table.deliver()
+    assert routers.claim('a') is GRANTED
+    assert routers.claim('b') is HELD
