Take the times of the lease protocol as an argument

Cause: the beat interval, hold limit and expiry were constants, so the settings of the same names could not take effect. A proposal's resources were shared with the fleet, where a later change by their owner would show.

Change: ShardLeases takes LeaseTimes, with the design's figures as default; the controller does not pass its settings yet. The test of silent connections ends its server threads instead of waiting at a broken barrier.

Conclusion: the controller can hand its settings over.

--- a/skylarktally/_journal.py
+++ b/skylarktally/_journal.py
@@ -5,6 +5,7 @@
 transaction took effect finds out from the transaction id in the log.
 """
 
+import copy
 import datetime
 import random
 import uuid
@@ -309,7 +310,8 @@
     value = change['value']
     if value is None:
         return change
-    versioned = _resources.Resource(**value)
+    # The caller keeps its own; the fleet shares this one with its readers.
+    versioned = copy.deepcopy(value)
     versioned['resource_version'] = version
     return _resources.Change(
         kind=change['kind'], name=change['name'], value=versioned
--- a/skylarktally/_leases.py
+++ b/skylarktally/_leases.py
@@ -19,10 +19,6 @@
 log = logging.getLogger(__name__)
 
 SHARDS = 4
-_BEAT_INTERVAL = datetime.timedelta(seconds=4)
-# The holder stops 4 s before a candidate may take over.
-_HOLD_LIMIT = datetime.timedelta(seconds=8)
-_TAKE_AFTER = datetime.timedelta(seconds=12)
 # After a longer gap in its reads a candidate watches anew, because in an
 # outage of the table the holder cannot beat either.
 _WATCH_GAP = datetime.timedelta(seconds=4)
@@ -33,6 +29,16 @@
     return xxhash.xxh64_intdigest(pool.encode()) % SHARDS
 
 
+class LeaseTimes(NamedTuple):
+    """Times of the lease protocol, the same for all controllers."""
+
+    beat_interval: datetime.timedelta = datetime.timedelta(seconds=4)
+    # Since the last beat. The difference to the expiry covers pauses of the
+    # holder and the drift between clocks.
+    hold: datetime.timedelta = datetime.timedelta(seconds=8)
+    expiry: datetime.timedelta = datetime.timedelta(seconds=12)
+
+
 class _Sighting(NamedTuple):
     """A lease and its holder's beat, unchanged since a time."""
 
@@ -51,12 +57,14 @@
         zone: str,
         controller: str,
         incarnation: int,
+        times: LeaseTimes | None = None,
     ) -> None:
         self._table = table
         self._clock = clock
         self._prefix = f'lease/{zone}/'
         self._controller = controller
         self._incarnation = incarnation
+        self._times = times or LeaseTimes()
         self._beat_key = f'beat/{controller}'
         self._beat_version: int | None = None
         self._count = 0
@@ -72,7 +80,10 @@
         if self._stopped:
             return
         now = self._clock.monotonic()
-        if self._beat_at is None or now - self._beat_at >= _BEAT_INTERVAL:
+        if (
+            self._beat_at is None
+            or now - self._beat_at >= self._times.beat_interval
+        ):
             self._beat(now)
         self._watch()
 
@@ -81,7 +92,7 @@
         return (
             shard in self._held
             and self._beat_at is not None
-            and self._clock.monotonic() - self._beat_at < _HOLD_LIMIT
+            and self._clock.monotonic() - self._beat_at < self._times.hold
         )
 
     def find_fence(self, shard: int) -> _table.Condition | None:
@@ -181,7 +192,7 @@
         if seen is None or seen[:2] != (row.version, beat_version):
             seen = _Sighting(row.version, beat_version, now)
             self._sightings[shard] = seen
-        return now - seen.since >= _TAKE_AFTER
+        return now - seen.since >= self._times.expiry
 
     def _take(self, shard: int, row: _table.Row | None) -> None:
         if self._beat_at is None:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,5 +1,7 @@
 """Guards against two controllers acting for one shard."""
 
+import datetime
+
 import pytest
 from returns import result
 
@@ -16,14 +18,15 @@
 class Zone:
     """Controllers of a zone, stepped once a second."""
 
-    def __init__(self, *names):
+    def __init__(self, *names, times=None):
+        self.times = times
         self.clock = fakes.ManualClock()
         self.table = fakes.FaultyTable()
         self.controllers = {name: self.start(name, 1) for name in names}
 
     def start(self, name, incarnation):
         return _leases.ShardLeases(
-            self.table, self.clock, 'z1', name, incarnation
+            self.table, self.clock, 'z1', name, incarnation, self.times
         )
 
     def run(self, seconds, *names):
@@ -57,7 +60,11 @@
     assert zone.run(600, 'a', 'b') == before
 
 
-def test_a_paused_holder_stops_before_anyone_takes_over(zone):
+@pytest.mark.parametrize('hold, expiry', [(8, 12), (5, 7)])
+def test_a_paused_holder_stops_before_anyone_takes_over(hold, expiry):
+    seconds = [datetime.timedelta(seconds=s) for s in (4, hold, expiry)]
+    zone = Zone('a', 'b', times=_leases.LeaseTimes(*seconds))
+    zone.run(5, 'a', 'b')
     lost = find_shard(zone, 'a')
     free_at = None
     for second in range(1, 20):
@@ -66,10 +73,10 @@
             free_at = second
         if holders[lost] == ['b']:
             break
-    assert free_at <= 8
-    # 12 s without a beat, and at most 4 s since the last one was seen;
-    # one lease is taken a second.
-    assert 12 <= second <= 14
+    assert free_at <= hold
+    # The last beat was seen as the pause began; one lease is taken a
+    # second.
+    assert expiry <= second <= expiry + 2
     assert zone.run(5, 'a', 'b')[lost] == ['b']
 
 
--- a/tests/test_slow_platform.py
+++ b/tests/test_slow_platform.py
@@ -94,6 +94,7 @@
             peer.sendall(HEAD % len(ROW) + b'\r\n' + ROW)
             if number < 2:
                 stop.wait(10)
+                return
 
     clock = _clock.SystemClock()
     timeout = datetime.timedelta(seconds=0.3)
