Check a slow table and measure the end of an outage

Cause: copies of a transaction that reach a slow table after their author gave up were only covered by fakes, the end of an outage by simulation.

Checked: the slow table answers outcome_unknown and holds the change once.

--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -19,6 +19,7 @@
 from skylarktally import _objects
 from skylarktally import _resources
 from skylarktally import _table
+from tests import test_journal_machine
 
 pytestmark = pytest.mark.processes
 
@@ -176,14 +177,7 @@
     journal = _journal.Journal(table, fleet, clock, 'author')
     set_faults(address, lose_answers=0.5, seed=7)
     for count in range(1, 11):
-        pool = _resources.Resource(
-            kind='pool',
-            name='p',
-            spec={'n': count},
-            status={},
-            resource_version=0,
-        )
-        change = _resources.Change(kind='pool', name='p', value=pool)
+        change = test_journal_machine.build_change('p', {'n': count})
         outcome = journal.propose([change], count - 1)
         while outcome != result.Success(count):
             # Only a definite refusal may be repeated by the caller.
@@ -194,5 +188,28 @@
     replica = _fleet.Fleet()
     follower = _journal.Journal(table, replica, clock, 'follower')
     assert follower.refresh() == result.Success(10)
-    found = replica.find(_resources.Kind.POOL, 'p')
+    found = replica.find(_resources.Kind.CONFIGURATION, 'p')
     assert (found['spec'], found['resource_version']) == ({'n': 10}, 10)
+
+
+def test_copies_sent_to_a_slow_table_take_effect_once(address, limits):
+    # Every answer comes after the client's timeout, and every copy of the
+    # transaction reaches the table.
+    table = make(_table.HttpTable, address, limits)
+    clock = _clock.SystemClock()
+    fleet = _fleet.Fleet()
+    journal = _journal.Journal(
+        table, fleet, clock, 'slow', settle_limit=datetime.timedelta(seconds=2)
+    )
+    base = journal.refresh().unwrap()
+    change = test_journal_machine.build_change('slow', {})
+    # Only the commit and its look-up are slow, not the first read.
+    journal.propose([change], base).unwrap()
+    set_faults(address, delay_seconds=0.8)
+    failure = journal.propose([change], base + 1).failure()
+    assert failure.kind is _errors.ErrorKind.OUTCOME_UNKNOWN
+    set_faults(address, delay_seconds=0)
+    time.sleep(1)
+    assert journal.refresh().unwrap() == base + 2
+    written = fleet.read_records(base, 10)
+    assert [record['author'] for record in written] == ['slow'] * 2
--- a/tools/measure_state.py
+++ b/tools/measure_state.py
@@ -8,14 +8,17 @@
 _loop.patch_standard_library()
 
 from collections.abc import Callable  # noqa: E402
+import datetime  # noqa: E402
 import gc  # noqa: E402
 import json  # noqa: E402
+import random  # noqa: E402
 import socket  # noqa: E402
 import statistics  # noqa: E402
 import subprocess  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
 import tracemalloc  # noqa: E402
+from typing import Any  # noqa: E402
 
 from absl import app  # noqa: E402
 from absl import flags  # noqa: E402
@@ -36,11 +39,15 @@
 _WRITES = flags.DEFINE_float('writes', 50 / 9, 'Writes of an author a second.')
 _READS = flags.DEFINE_float('reads', 500 / 18, 'Reads of an author a second.')
 _PROPOSALS = flags.DEFINE_integer('proposals', 10, 'Proposals of an author.')
+_OUTAGE = flags.DEFINE_float(
+    'outage', 0, 'Seconds for which the platform is down, from the start.'
+)
 
 _AUTHORS = 9
 _SIZES = (30, 320, 3200)
 _REPEATS = 2000
 _START_SECONDS = 3.0
+_GIVE_UP = datetime.timedelta(seconds=60)
 
 
 def measure_fleet(size: int) -> dict[str, float]:
@@ -120,15 +127,21 @@
     )
     durations = []
     failures: dict[str, int] = {}
+    source = random.Random(_AUTHOR.value)
     # All authors start at the same instant.
     time.sleep(max(0.0, float(sys.stdin.readline()) - time.time()))
     for _ in range(_PROPOSALS.value):
         start = time.monotonic()
-        outcome = journal.transact(lambda _fleet: result.Success([change]))
-        durations.append(time.monotonic() - start)
-        if not isinstance(outcome, result.Success):
+        backoff = _limits.Backoff(clock, source, _GIVE_UP)
+        while True:
+            outcome = journal.transact(lambda _: result.Success([change]))
+            if isinstance(outcome, result.Success):
+                break
             kind = outcome.failure().kind.value
             failures[kind] = failures.get(kind, 0) + 1
+            if not backoff.wait():
+                break
+        durations.append(time.monotonic() - start)
     print(
         json.dumps(
             {
@@ -176,11 +189,11 @@
         for n in range(_AUTHORS)
     ]
     begin = time.time() + _START_SECONDS
-    for author in authors:
-        assert author.stdin is not None
-        author.stdin.write(f'{begin}\n')
-        author.stdin.flush()
-    reports = [json.loads(author.communicate()[0]) for author in authors]
+    try:
+        reports = _collect_reports(authors, address, begin)
+    finally:
+        for author in authors:
+            author.kill()
     elapsed = time.time() - begin
     durations = sorted(d for r in reports for d in r['durations'])
     record = urllib3.request('GET', f'http://{address}/standin/record')
@@ -195,6 +208,27 @@
     }
 
 
+def _collect_reports(
+    authors: list[subprocess.Popen[str]], address: str, begin: float
+) -> list[dict[str, Any]]:
+    for author in authors:
+        assert author.stdin is not None
+        author.stdin.write(f'{begin}\n')
+        author.stdin.flush()
+    _impose_outage(address, begin)
+    return [json.loads(author.communicate()[0]) for author in authors]
+
+
+def _impose_outage(address: str, begin: float) -> None:
+    if _OUTAGE.value <= 0:
+        return
+    url = f'http://{address}/standin/faults'
+    start = urllib3.Retry(10, backoff_factor=0.05)
+    urllib3.request('PUT', url, json={'down': True}, retries=start)
+    time.sleep(begin + _OUTAGE.value - time.time())
+    urllib3.request('PUT', url, json={'down': False})
+
+
 def main(_argv: list[str]) -> None:
     """Run one author, or all measurements."""
     if _AUTHOR.value:
