--- a/tests/controls.py
+++ b/tests/controls.py
@@ -48,6 +48,8 @@
         self.running = []
         self.record = []
         self.interrupted = 0
+        # Fences raised for a pool while work of another one still ran.
+        self.shared = 0
         self.tasks = {}
         self.fences = []
 
@@ -60,6 +62,7 @@
         if self.fence and (epoch, pool) != self.fence:
             if epoch <= self.fence[0]:
                 return fakes.fail(_errors.ErrorKind.CONFLICT)
+        self.shared += any(owner != pool for _, owner in self.running)
         self.fence = (epoch, pool)
         self.fences.append((self.boots, epoch, pool))
         return result.Success(self.describe())
@@ -259,11 +262,13 @@
         )
         self.probes = _observations.Probes(clock)
         self.demand = _observations.DemandTracker(clock)
-        measures = _measures.Measures(prometheus_client.CollectorRegistry())
+        self.measures = _measures.Measures(
+            prometheus_client.CollectorRegistry()
+        )
         self.batch = _batch.Batch(
             self.tools,
             _runs.RunTable(self.calls),
-            measures,
+            self.measures,
             f'{name}/{seed}',
             lambda act, *rest: (
                 act(*rest) if act != self.batch._renew else None
@@ -274,7 +279,7 @@
             self.journal,
             self.probes,
             self.demand,
-            measures,
+            self.measures,
             self.batch,
         )
 
