--- a/skylarktally/_router.py
+++ b/skylarktally/_router.py
@@ -4,7 +4,6 @@
 import dataclasses
 import datetime
 import functools
-import hashlib
 import logging
 import random
 import signal
@@ -12,6 +11,7 @@
 from typing import Any
 import uuid
 
+import prometheus_client
 from returns import result
 
 from skylarktally import _admin
@@ -33,9 +33,11 @@
 from skylarktally import _peers
 from skylarktally import _pipeline
 from skylarktally import _replies
+from skylarktally import _server
 from skylarktally import _settings
 from skylarktally import _snapshots
 from skylarktally import _table
+from skylarktally import _tokens
 
 log = logging.getLogger(__name__)
 
@@ -62,14 +64,25 @@
     """One router process."""
 
     def __init__(
-        self, settings: _settings.RouterSettings, clock: _clock.Clock
+        self,
+        settings: _settings.RouterSettings,
+        path: str,
+        clock: _clock.Clock,
     ) -> None:
+        """Create the router.
+
+        :param path: the settings file, whose tokens are read again when
+            it changes
+        """
         self._settings = settings
+        token_file = _tokens.TokenFile(_settings.RouterSettings, path)
+        self._tokens = _tokens.TokenStore(token_file.read, clock)
         self._clock = clock
         self._random = random.Random()
         self._draining = False
         self._finished = _loop.Event()
         self._gossiping = 0
+        self._surplus = False
         incarnation = time.time_ns()
         self.fleet = _fleet.Fleet()
         self._build_membership(incarnation)
@@ -176,6 +189,8 @@
         ):
             self._dump.add_section(name, read)
         prefix = 'skylarktally_router'
+        prometheus_client.ProcessCollector(registry=self._registry)
+        self._registry.register(_tokens.REFUSALS)
         self._registry.register(
             _collectors.StateCollector(
                 (
@@ -222,17 +237,22 @@
             reasons.append('no state from the table, a peer or a snapshot')
         if self.membership.superseded_by is not None:
             reasons.append('a newer process uses the name of this one')
-        settings = self._settings
+        if self._is_surplus():
+            reasons.append('the zone has its limit of routers already')
+        return reasons
+
+    def _is_surplus(self) -> bool:
+        """Tell whether the zone has its limit of routers without this one.
+
+        All routers of the zone order them alike, so that a surplus one does
+        not take the others out of service.
+        """
         oldest = sorted(
-            self.membership.list_live(settings.zone),
+            self.membership.list_live(self._settings.zone),
             key=lambda member: (member.incarnation, member.name),
         )
-        # All routers of the zone order them alike, so that a surplus one
-        # does not take the others out of service.
-        surplus = oldest[settings.routers_per_zone_limit :]
-        if self.membership.own in surplus:
-            reasons.append('the zone has its limit of routers already')
-        return reasons
+        surplus = oldest[self._settings.routers_per_zone_limit :]
+        return self.membership.own in surplus
 
     def run(self) -> None:
         """Serve until a graceful shutdown has finished."""
@@ -242,15 +262,18 @@
             signal.signal(number, self._handle_stop)
         peer_listener = _listen(settings.peer_address)
         _loop.spawn(self._server.serve, peer_listener)
-        self._serve_wsgi(
-            settings.admin_address,
+        _loop.spawn(
+            _loop.serve,
+            _listen(settings.admin_address),
             self._admin.application,
-            _ADMIN_CONNECTIONS,
+            max_size=_ADMIN_CONNECTIONS,
+            socket_timeout=settings.progress_timeout.total_seconds(),
         )
-        self._serve_wsgi(
-            settings.serving_address,
+        _loop.spawn(
+            _server.serve,
+            _listen(settings.serving_address),
             self.application,
-            settings.client_connections,
+            settings.limits,
         )
         _loop.spawn(self._follow_table)
         _loop.spawn(self._repeat, self._start_gossip, settings.gossip_interval)
@@ -258,27 +281,26 @@
         self._finished.wait()
         log.info('router stopped')
 
-    def _serve_wsgi(
-        self, address: str, application: Callable[..., Any], limit: int
-    ) -> None:
-        _loop.spawn(
-            _loop.serve,
-            _listen(address),
-            application,
-            max_size=limit,
-            socket_timeout=self._settings.progress_timeout.total_seconds(),
-        )
-
     def application(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        """Answer a caller; refuse everything until a state is in force."""
-        if self._gossip.loaded:
+        """Answer a caller; refuse everything until a state is in force.
+
+        A surplus router refuses as well: the connections to a worker are
+        divided among the others.
+        """
+        if not self._gossip.loaded:
+            failure = _errors.Failure(
+                _errors.ErrorKind.PLATFORM_UNAVAILABLE,
+                'the router has no state yet',
+            )
+        elif self._surplus:
+            failure = _errors.Failure(
+                _errors.ErrorKind.NO_CAPACITY,
+                'the zone has its limit of routers already',
+            )
+        else:
             return self._pipeline.application(environ, start_response)
-        failure = _errors.Failure(
-            _errors.ErrorKind.PLATFORM_UNAVAILABLE,
-            'the router has no state yet',
-        )
         reply = _replies.create_error(failure, uuid.uuid4().hex)
         start_response(reply.status, reply.headers)
         return reply.body
@@ -316,6 +338,7 @@
         return version is not None and version >= 0
 
     def _start_gossip(self) -> None:
+        self._surplus = self._is_surplus()
         # A step lasts as long as a silent peer takes to time out.
         if self._gossiping < _GOSSIP_LIMIT:
             _loop.spawn(self._run_gossip_step)
@@ -341,21 +364,11 @@
 
     def _authenticate(
         self, header: str | None
-    ) -> result.Result[Any, _errors.Failure]:
-        scheme, _, secret = (header or '').partition(' ')
-        digest = hashlib.sha256(secret.strip().encode('latin-1', 'replace'))
-        token = self._settings.tokens.get(digest.hexdigest())
-        if scheme.lower() != 'bearer' or token is None:
-            return result.Failure(
-                _errors.Failure(
-                    _errors.ErrorKind.UNAUTHENTICATED, 'unknown token'
-                )
-            )
-        return result.Success(token)
+    ) -> result.Result[_tokens.Identity, _errors.Failure]:
+        return self._tokens.identify(header or '').bind(_handlers.check_role)
 
     def _handle_stop(self, number: int, frame: Any) -> None:
-        # The handler runs in the middle of any code; a repeated signal
-        # changes nothing.
+        # Runs in the middle of any code; a repeated signal changes nothing.
         if not self._draining:
             self._draining = True
             _loop.spawn_after(0, self._stop)
@@ -366,13 +379,16 @@
         log.info('graceful shutdown begins')
         self.membership.leave()
         self._clock.sleep(settings.drain_notice)
-        with _loop.Timeout(settings.drain_limit.total_seconds(), False):
-            self._pipeline.drain()
+        finished = False
+        try:
+            with _loop.Timeout(settings.drain_limit.total_seconds(), False):
+                self._pipeline.drain()
+                finished = True
+        finally:
+            if not finished:
+                log.error('requests were still running at the end')
             self._calls.close()
-            self._finished.send(True)
-            return
-        log.error('requests were still running at the limit')
-        self._finished.send(False)
+            self._finished.send(finished)
 
 
 def _listen(address: str) -> Any:
