Leave workers to the oldest routers of a zone

A worker's connections are divided by 4 routers in a zone, but a fifth router used them as well. It now refuses, not run, or sends requests to another zone, and reports itself as not ready.

--- a/skylarktally/_pipeline.py
+++ b/skylarktally/_pipeline.py
@@ -12,6 +12,7 @@
 from skylarktally import _claims
 from skylarktally import _clock
 from skylarktally import _connections
+from skylarktally import _deliveries
 from skylarktally import _dispatch
 from skylarktally import _errors
 from skylarktally import _exchange
@@ -95,6 +96,10 @@
             settings.serving_address,
             source,
         )
+        self._peers = peers
+        self._name = settings.name
+        self._zone = settings.zone
+        self._has_place = True
         self._running = 0
         self._draining = False
         self._maintenance: Any = None
@@ -104,6 +109,7 @@
     ) -> _replies.Body:
         """Answer one request of a caller."""
         if self._maintenance is None:
+            self._check_place()
             self._maintenance = _loop.spawn(self._maintain)
         self._running += 1
         try:
@@ -191,7 +197,7 @@
                 return result.Failure(_errors.Failure(kind, message))
             self._metrics.forwarded.labels('issuer').inc()
             sent = self._forwarder.forward_to_issuer(exchange, issuer)
-            return sent.map(lambda x: _pass_on(x, exchange))
+            return sent.map(lambda x: _deliveries.pass_on(x, exchange))
         served = self._admit(exchange)
         if isinstance(served, result.Success):
             return served
@@ -216,16 +222,16 @@
             return result.Failure(failure)
         self._metrics.forwarded.labels('capacity').inc()
         sent = self._forwarder.forward(exchange, routers[:2])
-        return sent.map(lambda x: _pass_on(x, exchange))
+        return sent.map(lambda x: _deliveries.pass_on(x, exchange))
 
     def _admit(
         self, exchange: _exchange.Exchange
     ) -> result.Result[_replies.Reply, _errors.Failure]:
         pool = self._pools.find(exchange.pool)
         self._retries.note_request(exchange.pool)
-        if not pool.selection.slots:
+        if not (pool.selection.slots and self._has_place):
             kind = _errors.ErrorKind.NO_CAPACITY
-            message = 'no worker of the pool serves in this zone'
+            message = 'no worker of the pool can be used from here'
             return result.Failure(_errors.Failure(kind, message))
         admitted = pool.queue.admit(
             exchange.job.urgency, exchange.deadline, pool.selection.slots
@@ -235,7 +241,7 @@
         if exchange.idempotent:
             return self._dispatcher.dispatch(
                 exchange, pool, admitted.unwrap(), self._pools
-            ).map(lambda x: _deliver(x, exchange))
+            ).map(lambda x: _deliveries.deliver(x, exchange))
         claimed = self._claims.claim(exchange.key or '')
         if not isinstance(claimed, result.Success):
             return result.Failure(claimed.failure())
@@ -243,7 +249,7 @@
         if state.status is not _claims.ClaimStatus.GRANTED:
             return self._forwarder.find_repeated(
                 exchange, state, self._claims.find
-            ).map(lambda x: _repeat(x, exchange))
+            ).map(lambda x: _deliveries.repeat(x, exchange))
         exchange.claimed = True
         return self._run_once(exchange, pool, admitted.unwrap())
 
@@ -283,12 +289,13 @@
                     answer.first,
                 ),
             )
-        return result.Success(_deliver(delivery, exchange))
+        return result.Success(_deliveries.deliver(delivery, exchange))
 
     def _maintain(self) -> None:
         """Renew leases, close idle connections and probe workers."""
         while True:
             try:
+                self._check_place()
                 self._slots.maintain(self._pools.is_current)
                 self._connections.close_idle()
                 self._start_probes()
@@ -296,6 +303,35 @@
                 log.exception('maintenance of the request path failed')
             self._clock.sleep(_MAINTENANCE_PERIOD)
 
+    def _check_place(self) -> None:
+        """Find out whether this router may connect to workers.
+
+        The connections of a worker are divided by a fixed number of
+        routers in a zone. The oldest ones keep their place, so that a
+        further router takes it from none.
+        """
+        members = self._peers.list_routers(self._zone)
+        own = [x for x in members if x.name == self._name]
+        older = [
+            x
+            for x in members
+            if not own
+            or (x.incarnation, x.name) < (own[0].incarnation, self._name)
+        ]
+        has_place = len(older) < self._limits.routers_per_zone
+        if has_place != self._has_place:
+            log.warning(
+                'zone %s has %d older routers; serving: %s',
+                self._zone,
+                len(older),
+                has_place,
+            )
+        self._has_place = has_place
+
+    def is_ready(self) -> bool:
+        """Tell whether this router should get requests."""
+        return self._has_place and not self._draining
+
     def _start_probes(self) -> None:
         for pool in self._pools.list_states():
             for name in pool.selection.outliers.list_due():
@@ -324,61 +360,3 @@
             'connections': dict(self._connections.open_counts),
             **self.observe(),
         }
-
-
-def _list_common_headers(
-    exchange: _exchange.Exchange, outcome: str = 'complete'
-) -> list[tuple[str, str]]:
-    return [
-        ('Skylarktally-Outcome', outcome),
-        ('Skylarktally-Request-Id', exchange.request_id),
-    ]
-
-
-def _build_reply(
-    answer: _relay.Answer,
-    headers: list[tuple[str, str]],
-    body: Any,
-    close: Callable[[], None],
-) -> _replies.Reply:
-    if answer.length is not None:
-        headers = [*headers, ('Content-Length', str(answer.length))]
-    status = _replies.format_status(answer.status, answer.reason)
-    return _replies.Reply(status, headers, body, close)
-
-
-def _deliver(
-    delivery: _dispatch.Delivery, exchange: _exchange.Exchange
-) -> _replies.Reply:
-    headers = [
-        *delivery.answer.headers,
-        *_list_common_headers(exchange),
-        ('Skylarktally-Instance', delivery.instance),
-    ]
-    return _build_reply(
-        delivery.answer, headers, delivery.iterate(), delivery.close
-    )
-
-
-def _pass_on(
-    answer: _relay.Answer, exchange: _exchange.Exchange
-) -> _replies.Reply:
-    """Return another router's answer, with its outcome."""
-    headers = [
-        x for x in answer.headers if x[0].lower() != 'skylarktally-request-id'
-    ]
-    headers.append(('Skylarktally-Request-Id', exchange.request_id))
-    return _build_reply(answer, headers, answer.iterate(), answer.close)
-
-
-def _repeat(
-    answer: _claims.RecordedAnswer, exchange: _exchange.Exchange
-) -> _replies.Reply:
-    """Return the recorded answer of an earlier request of the key."""
-    headers = [
-        *(x for x in answer.headers if x[0] != _forwarding.DIGEST_HEADER),
-        *_list_common_headers(exchange),
-        ('Content-Length', str(len(answer.body))),
-    ]
-    status = _replies.format_status(answer.status)
-    return _replies.Reply(status, headers, [answer.body])
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,6 +1,5 @@
 """A worker that runs tasks under leases, as a WSGI application."""
 
-import functools
 import itertools
 import json
 import random
@@ -276,7 +275,10 @@
             body = environ['wsgi.input'].read()
             # The echo of the key lets a router tell its answer from others.
             echo = ('Request-Key', task.key)
-            answer = functools.partial(_start, respond, echo)
+
+            def answer(status: str, headers: list[tuple[str, str]]) -> None:
+                respond(status, [*headers, echo])
+
             yield from self._produce(task, environ, body, deadline, answer)
         except Stopped:
             respond('504 Gateway Timeout', [('Content-Length', '0'), echo])
@@ -321,15 +323,6 @@
         yield from pieces
 
 
-def _start(
-    respond: Any,
-    echo: tuple[str, str],
-    status: str,
-    headers: list[tuple[str, str]],
-) -> None:
-    respond(status, [*headers, echo])
-
-
 def _rest(task: Task, seconds: float, deadline: float) -> None:
     """Spend the run time in short steps, so that a stop takes effect."""
     end = time.monotonic() + min(seconds, deadline)
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -196,7 +196,7 @@
         clock = _clock.SystemClock()
         self.name = name
         self.zone = zone
-        self.incarnation = 1
+        self.incarnation = len(peers.routers) + 1
         self.server = Server(self._call, limits)
         self.serving_address = self.server.address
         self.settings = Settings(
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -72,6 +72,25 @@
         assert worker.conflicts == 0
 
 
+def test_further_router_in_a_zone_uses_no_worker():
+    """Guards against more routers than a worker has connections for."""
+    with serving.Cell() as cell:
+        worker = cell.add_worker()
+        routers = [cell.add_router() for _ in range(5)]
+        path = '/v1/pools/desk/jobs/report/t'
+        replies = [
+            serving.call(x.serving_address, 'GET', path) for x in routers
+        ]
+        assert [x.status for x in replies] == [200] * 4 + [503]
+        assert replies[4].outcome == 'not-run'
+        assert [x.pipeline.is_ready() for x in routers] == [True] * 4 + [False]
+        assert len(worker.record) == 4
+        # A router that leaves makes room.
+        del cell.peers.routers[0]
+        _loop.sleep(0.3)
+        assert routers[4].pipeline.is_ready()
+
+
 class FakeCalls:
     """Worker interface that grants every lease and notes the calls."""
 
