Close gaps that changed copies of the code showed in the tests

On scratch copies with one rule removed each, three rules had no test that failed: the phase filter of workers (the old fence hid it), one failure that ends a trial, and the key of a request that cannot be sent on.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -198,6 +198,8 @@
     pool = serving.POOL if phase is _resources.Phase.DRAINING else 'other'
     address = cell.workers[0].server.address
     cell.fleet.put_instance('w1', address, phase=phase, epoch=epoch, pool=pool)
+    # The worker itself would grant leases under its new fence.
+    worker.raise_fence({'epoch': epoch, 'pool': pool})
     before = len(worker.record)
     replies = cell.burst(16, path)
     assert {x.status for x in replies} == {200}
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -85,6 +85,18 @@
     assert count_runs(product) == 1
 
 
+def test_request_that_cannot_be_sent_does_not_use_up_its_key(product):
+    """Guards against a "not run" whose key is refused afterwards."""
+    connection = serving.connect(product.routers[0].serving_address)
+    head = f'POST {PATH}\x7f HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k1\r\n'
+    connection.sendall(head.encode() + b'Connection: close\r\n\r\n')
+    answer = serving.read_all(connection)
+    connection.close()
+    assert answer.startswith(b'HTTP/1.1 400 ')
+    assert b'Skylarktally-Outcome: not-run' in answer
+    assert post(product.routers[0], 'k1').outcome == 'complete'
+
+
 def issue(router):
     reply = serving.call(router.serving_address, 'POST', '/v1/request-keys')
     return json.loads(reply.body)['key']
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -143,6 +143,18 @@
     assert len(ejected) == most
 
 
+def test_one_failure_ends_a_trial():
+    """Guards against a dead worker that returns and fails every task."""
+    clock = serving.ManualClock()
+    outliers = _outliers.Outliers(clock, _limits.ServingLimits())
+    outliers.track({'w1', 'w2'})
+    outliers.note_failure('w1', dead=True)
+    clock.advance(1)
+    outliers.note_probe('w1', answered=True)
+    outliers.note_failure('w1')
+    assert outliers.records['w1'].health is _outliers.Health.EJECTED
+
+
 def test_ejection_grows_and_ends_by_probe():
     """Guards against a failing worker that returns at a constant rate."""
     clock = serving.ManualClock()
