Lend the instances for a second stop from the same zone

Cause: a pool with three instances in a zone needs two rounds there, and the instances lent were spread over all zones.

--- a/skylarktally/_moves.py
+++ b/skylarktally/_moves.py
@@ -252,7 +252,7 @@
             for name, gap in gaps.items():
                 for _ in range(gap):
                     reason = 'maintenance waits for budget'
-                    if not self._move(name, keep, reason):
+                    if not self._move(name, keep, reason, by_wave=extra > 1):
                         break
 
     def _count_lendable(self, keep: Mapping[str, float]) -> int:
@@ -311,12 +311,17 @@
         keep: Mapping[str, float],
         reason: str,
         at_once: bool = False,
+        by_wave: bool = False,
     ) -> bool:
-        """Move one instance to the target, when any pool can lend one."""
+        """Move one instance to the target, when any pool can lend one.
+
+        :param at_once: also an instance that has just moved
+        :param by_wave: prefer the instances that prolong a wave least
+        """
         if self._room <= 0:
             return False
         instance = self._find_lent(
-            target, lambda i: self._can_lend(i, keep, at_once)
+            target, by_wave, lambda i: self._can_lend(i, keep, at_once)
         )
         if instance is None:
             return False
@@ -331,10 +336,22 @@
         return True
 
     def _find_lent(
-        self, target: str, can_lend: Callable[[_resources.Instance], bool]
+        self,
+        target: str,
+        by_wave: bool,
+        can_lend: Callable[[_resources.Instance], bool],
     ) -> _resources.Instance | None:
         """Return an instance of another pool, the spare one first."""
         zones = collections.Counter(i.zone for i in self._serving[target])
+
+        def rank(instance: _resources.Instance) -> tuple[object, ...]:
+            if by_wave:
+                # What the wave has yet to visit prolongs its time in that
+                # zone: all from one zone prolong it in that zone alone.
+                pending = _waves.find_start(instance) is None
+                return (pending, instance.zone, instance.name)
+            return (zones[instance.zone], instance)
+
         lenders = sorted(
             (p for p in self._pools.values() if p.name != target),
             key=lambda p: (not p.spare, -self._supply[p.name], p.name),
@@ -342,7 +359,7 @@
         for lender in lenders:
             own = self._serving[lender.name]
             if len(own) > lender.floor:
-                ranked = sorted(own, key=lambda i: (zones[i.zone], i))
+                ranked = sorted(own, key=rank)
                 for instance in ranked:
                     if can_lend(instance):
                         return instance
