Count only capacity that floors do not lock, report the comparison

Cause: capacity that floors keep in idle pools was counted as shareable; a pool below its part got back one instance of three while another surged.

Change: shares leave out what floors lock.

--- a/skylarktally/_moves.py
+++ b/skylarktally/_moves.py
@@ -165,9 +165,18 @@
             ],
             self._pools.values(),
             (),
-            math.fsum(self._supply.values()),
+            math.fsum(self._supply.values()) - self._sum_locked(lasting),
         ).slots
 
+    def _sum_locked(self, lasting: Mapping[str, float]) -> float:
+        """Return the slots that floors keep in pools without need of them."""
+        locked = 0.0
+        for name, pool in self._pools.items():
+            own = self._serving[name]
+            held = math.fsum(i.slots for i in own[: pool.floor])
+            locked += max(held - lasting.get(name, 0.0), 0.0)
+        return locked
+
     def serve_urgent(self) -> None:
         """Move to the pools whose urgent work would miss its deadline."""
         recent = _forecasts.find_highest(
--- a/tools/compare_decisions.py
+++ b/tools/compare_decisions.py
@@ -5,17 +5,23 @@
 
 from collections.abc import Mapping, Sequence
 import statistics
+import sys
 from xml.etree import ElementTree
 
-from absl import app
 from absl import flags
 
 from tools import baselines
 from tools import replay
 
-_SEEDS = flags.DEFINE_integer('seeds', 10, 'replays of each policy')
-_SECONDS = flags.DEFINE_integer('seconds', 900, 'length of a replay')
-_SVG = flags.DEFINE_string('svg', '', 'file for the plot')
+# Not the global flags: other tools define flags of the same names.
+_FLAGS = flags.FlagValues()
+_SEEDS = flags.DEFINE_integer(
+    'seeds', 10, 'replays of each policy', flag_values=_FLAGS
+)
+_SECONDS = flags.DEFINE_integer(
+    'seconds', 900, 'length of a replay', flag_values=_FLAGS
+)
+_SVG = flags.DEFINE_string('svg', '', 'file for the plot', flag_values=_FLAGS)
 
 MEASURES = ('buffer', 'rollout', 'moves')
 # By how much the product may be worse than the better baseline.
@@ -150,8 +156,9 @@
         )
 
 
-def main(arguments: Sequence[str]) -> None:
+def main() -> None:
     """Print the comparison of both deployments."""
+    _FLAGS(sys.argv)
     results = {}
     for deployment in (replay.GHALA, replay.LUMIERE):
         figures = collect(deployment, _SEEDS.value, _SECONDS.value)
@@ -161,10 +168,5 @@
         draw_plot(results).write(_SVG.value, encoding='unicode')
 
 
-def run() -> None:
-    """Parse the flags and start."""
-    app.run(main)
-
-
 if __name__ == '__main__':
-    run()
+    main()
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -17,6 +17,7 @@
 from skylarktally import _resources
 from skylarktally import _sharing
 from skylarktally import _waves
+from tools import rollouts
 
 _Phase = _resources.Phase
 START = datetime.datetime(2026, 3, 2, tzinfo=datetime.UTC)
@@ -84,8 +85,10 @@
     late: int
     # Worst wait of urgent work, in seconds.
     worst_wait: float
-    # Difference between the pools' shares of urgent work started in time.
+    # Mean urgent wait of the worst pool less that of the best, in seconds.
     unfairness: float
+    # Seconds from the first stage of a configuration to the last one.
+    configuration: float
     violations: int
 
 
@@ -101,6 +104,7 @@
         self.filler_backlog = 0.0
         self.arrived = 0
         self.late = 0
+        self.waited = 0
         self.worst = 0
         # Urgent work of the last step, in slots.
         self.offered = 0.0
@@ -116,6 +120,7 @@
             count = min(entry[1], free - started)
             wait = now - entry[0]
             self.worst = max(self.worst, wait)
+            self.waited += count * wait
             self.late += count * (wait > DEADLINE_STEPS)
             started += count
             entry[1] -= count
@@ -370,7 +375,10 @@
 
     def _measure(self) -> Outcome:
         loads = self.loads.values()
-        in_time = [1 - p.late / max(p.arrived, 1) for p in loads]
+        waits = [
+            self.loads[p].waited / max(self.loads[p].arrived, 1)
+            for p in self.deployment.pools[:-1]
+        ]
         seconds = self.idle / SLOTS / STEPS_A_SECOND
         whole = len(self.fleet) * self.steps / STEPS_A_SECOND
         return Outcome(
@@ -380,6 +388,7 @@
             self.moves,
             sum(p.late for p in loads),
             max(p.worst for p in loads) / STEPS_A_SECOND,
-            max(in_time) - min(in_time),
+            (max(waits) - min(waits)) / STEPS_A_SECOND,
+            rollouts.roll_out(self.deployment.zones, self.rng),
             self.violations,
         )
