Raise own drains' fences beside the push, and rest without batch jobs

Cause: a worker that does not answer held the push of log entries to the routers back by its timeout, once for each attempt. A controller read the run rows every 2 s even without a batch job. Change: fences are raised once a version, in green threads of their own; without batch jobs the rows are read every 30 s; routers are looked up every 3 s and read only by a controller that holds a shard.

--- a/skylarktally/_batch.py
+++ b/skylarktally/_batch.py
@@ -24,6 +24,8 @@
 State = _runs.State
 
 _INTERVAL = datetime.timedelta(seconds=2)
+# Without batch jobs only the rows of deleted ones are left to clear.
+_IDLE_INTERVAL = datetime.timedelta(seconds=30)
 _STARTS_LIMIT = 16
 _DRAIN_PATIENCE = datetime.timedelta(seconds=30)
 
@@ -56,14 +58,15 @@
     def step(self) -> None:
         """Start, adopt and preempt runs on the instances held."""
         now = self._tools.clock.monotonic()
-        last = self._stepped_at
-        if last is not None and now - last < _INTERVAL:
-            return
-        self._stepped_at = now
         jobs = {
             job.name: job
             for job in _planning.read_jobs(self._tools.fleet, 'batch')
         }
+        interval = _INTERVAL if jobs else _IDLE_INTERVAL
+        last = self._stepped_at
+        if last is not None and now - last < interval:
+            return
+        self._stepped_at = now
         listed = self._runs.list()
         if not isinstance(listed, result.Success):
             return
--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -42,6 +42,8 @@
 # A drain is looked at more often than the interval of the settings, because
 # its instance serves nobody until it ends.
 _DRAIN_INTERVAL = datetime.timedelta(seconds=0.25)
+# Well below the time after which a router counts as dead.
+_LEARN_INTERVAL = datetime.timedelta(seconds=3)
 _PARALLEL_WORKERS = 16
 _API_CONNECTIONS = 256
 _ADMIN_CONNECTIONS = 64
@@ -66,7 +68,9 @@
         self._stopping = False
         self._finished = _loop.Event()
         self._bell = _watches.Bell()
+        # Versions pushed to the local router, and looked at for own drains.
         self._pushed = 0
+        self._fenced = 0
         incarnation = time.time_ns()
         self.fleet = _fleet.Fleet()
         self.fleet.subscribe(self._bell.ring)
@@ -203,6 +207,7 @@
             _loop.spawn(_loop.serve, listener, application, max_size=limit)
         for act, interval in (
             (self.leases.renew, _RENEW_INTERVAL),
+            (self._learn_routers, _LEARN_INTERVAL),
             (self._observe, settings.reconcile_interval),
             (self._push, settings.reconcile_interval),
             (self._snapshots.step, settings.reconcile_interval),
@@ -241,11 +246,16 @@
                 self._bell.wait(max(rest.total_seconds(), 0.01))
 
     def _observe(self) -> None:
-        self._routers.refresh(self.fleet.version)
+        """Read the routers, if this controller decides anything by it."""
+        if not any(map(self.leases.holds, range(_leases.SHARDS))):
+            return
         for router, report in self._routers.observe():
             self._demand.note_report(router, report)
             self._probes.note_counters(router, report.get('workers', {}))
 
+    def _learn_routers(self) -> None:
+        self._routers.refresh(self.fleet.version)
+
     def _push(self) -> None:
         """Hand new log entries to the local router."""
         while self._pushed < self.fleet.version:
@@ -277,14 +287,21 @@
         harm whoever raises it.
         """
         for record in records:
-            if record['author'] != self._settings.name:
+            own = record['author'] == self._settings.name
+            if not own or record['version'] <= self._fenced:
                 continue
+            self._fenced = record['version']
             for change in record['changes']:
                 value = change['value']
                 if value and value['status'].get('phase') == 'draining':
                     instance = _resources.read_instance(value)
-                    self._workers.raise_fence(
-                        instance.address, instance.epoch, instance.pool
+                    # A worker that does not answer must not hold back
+                    # the push to the routers.
+                    _loop.spawn(
+                        self._workers.raise_fence,
+                        instance.address,
+                        instance.epoch,
+                        instance.pool,
                     )
 
     def _handle_stop(self, number: int, frame: Any) -> None:
