Generate the settings reference from the declarations

Cause: operators had no page of settings, their units, defaults and bounds. Change: 'ctl reference-settings' prints it from the declared fields; a test compares the page with it. Conclusion: a changed default fails the test until the page follows.

--- a/skylarktally/ctl.py
+++ b/skylarktally/ctl.py
@@ -2,7 +2,7 @@
 
 Commands: apply FILE, get KIND [NAME], delete KIND NAME, watch, drain NAME,
 move NAME POOL, return NAME, explain KIND NAME, dump ADMIN_ADDRESS,
-check-settings FILE, reference.
+check-settings FILE, reference, reference-settings.
 
 Exit codes: 0 done, 1 refused, 2 wrong use, 3 conflict with another change,
 4 no controller or table could be reached, 5 still waiting at the time limit.
@@ -59,6 +59,7 @@
     'dump': (1,),
     'check-settings': (1,),
     'reference': (0,),
+    'reference-settings': (0,),
 }
 
 
@@ -83,8 +84,8 @@
     return _commands.DONE
 
 
-def _show_reference() -> int:
-    sys.stdout.write(_reference.describe_kinds())
+def _show_reference(page: str) -> int:
+    sys.stdout.write(page)
     return _commands.DONE
 
 
@@ -134,7 +135,9 @@
         case 'dump':
             return _dump_state(screen, *arguments)
         case 'reference':
-            return _show_reference()
+            return _show_reference(_reference.describe_kinds())
+        case 'reference-settings':
+            return _show_reference(_reference.describe_settings())
     token = _read_token()
     if not isinstance(token, result.Success):
         return _commands.explain_failure(screen, token.failure())
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -375,10 +375,17 @@
     assert list(watch.lines) == []
 
 
-def test_the_reference_page_is_up_to_date():
-    with open('docs/reference-resources.md', encoding='utf-8') as file:
-        assert file.read() == _reference.describe_kinds(), (
-            'run python -m skylarktally.ctl reference'
+@pytest.mark.parametrize(
+    'page, describe, command',
+    [
+        ('resources', _reference.describe_kinds, 'reference'),
+        ('settings', _reference.describe_settings, 'reference-settings'),
+    ],
+)
+def test_the_reference_pages_are_up_to_date(page, describe, command):
+    with open(f'docs/reference-{page}.md', encoding='utf-8') as file:
+        assert file.read() == describe(), (
+            f'run python -m skylarktally.ctl {command}'
         )
 
 
