--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -75,7 +75,9 @@
     _print(f'caller token    {deployment.caller_token}')
     _print(f'state dump      http://{entry.admin_address}/debug/state')
     _print('press Ctrl-D to stop')
-    sys.stdin.read()
+    # A blocking read would stop the links, which run in this process.
+    while not (_loop.is_readable(sys.stdin) and not sys.stdin.readline()):
+        _loop.sleep(_POLL_SECONDS)
 
 
 def _run_load(scene: _faults.Scene, plan: Plan) -> list[_checks.Check]:
--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -9,7 +9,7 @@
 import datetime
 import socket
 import time
-from typing import Any
+from typing import Any, TextIO
 import warnings
 
 warnings.filterwarnings(
@@ -64,8 +64,8 @@
     return connection
 
 
-def is_readable(connection: socket.socket) -> bool:
-    """Tell whether bytes or an end of stream wait on a connection."""
+def is_readable(connection: socket.socket | TextIO) -> bool:
+    """Tell whether bytes or an end of stream wait on a connection or pipe."""
     poller = _SELECT.poll()
     poller.register(connection.fileno(), _SELECT.POLLIN)
     return bool(poller.poll(0))
