--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -20,6 +20,7 @@
 from skylarktally import _journal
 from skylarktally import _leases
 from skylarktally import _limits
+from skylarktally import _listeners
 from skylarktally import _loop
 from skylarktally import _measures
 from skylarktally import _objects
@@ -208,7 +209,7 @@
             ),
             (settings.api_address, self._api.application, _API_CONNECTIONS),
         ):
-            listener = _listen(address)
+            listener = _listeners.open_listener(address)
             _loop.spawn(_loop.serve, listener, application, max_size=limit)
         for act, interval in (
             (self.leases.renew, _RENEW_INTERVAL),
@@ -328,11 +329,3 @@
             self.leases.release()
         self._calls.close()
         self._finished.send(True)
-
-
-def _listen(address: str) -> Any:
-    host, port = _settings.split_address(address)
-    family = _loop.AF_INET6 if ':' in host else _loop.AF_INET
-    return _loop.listen(
-        (host, port), family=family, backlog=512, reuse_port=False
-    )
--- a/skylarktally/_router.py
+++ b/skylarktally/_router.py
@@ -26,6 +26,7 @@
 from skylarktally import _handlers
 from skylarktally import _journal
 from skylarktally import _limits
+from skylarktally import _listeners
 from skylarktally import _loop
 from skylarktally import _membership
 from skylarktally import _metrics
@@ -261,18 +262,18 @@
         self._dump.install_signal()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._handle_stop)
-        peer_listener = _listen(settings.peer_address)
+        peer_listener = _listeners.open_listener(settings.peer_address)
         _loop.spawn(self._server.serve, peer_listener)
         _loop.spawn(
             _loop.serve,
-            _listen(settings.admin_address),
+            _listeners.open_listener(settings.admin_address),
             self._admin.application,
             max_size=_ADMIN_CONNECTIONS,
             socket_timeout=settings.progress_timeout.total_seconds(),
         )
         _loop.spawn(
             _server.serve,
-            _listen(settings.serving_address),
+            _listeners.open_listener(settings.serving_address),
             self.application,
             settings.limits,
         )
@@ -400,11 +401,3 @@
                 log.error('requests were still running at the end')
             self._calls.close()
             self._finished.send(finished)
-
-
-def _listen(address: str) -> Any:
-    host, port = _settings.split_address(address)
-    family = _loop.AF_INET6 if ':' in host else _loop.AF_INET
-    return _loop.listen(
-        (host, port), family=family, backlog=512, reuse_port=False
-    )
