Refuse a claim after one silent call of the table

Cause: with a zone cut off from the platform and an entry of another zone paused, urgent requests with callers' own keys took up to 8.75 s: each router of the cut zone held each request for two silent calls of 2 s. Ruled out: the paused entry; idempotent urgent requests give up after 2 s. Change: a claim without a decision after 1.5 s is refused as not run, and the router refuses further claims at once for 4 s.

--- a/skylarktally/_claims.py
+++ b/skylarktally/_claims.py
@@ -19,8 +19,13 @@
 # Marks a key issued by a router; keys of callers never start with it.
 ISSUED_PREFIX = 'skylarktally-key-1.'
 _COMMIT_ATTEMPTS = 5
-# A silent table takes this long to refuse a claim.
-_CLAIM_LIMIT = datetime.timedelta(seconds=4)
+# A claim without a decision by then is refused. It is below the 2 s time
+# limit of one call, so a silent table costs a caller one call: two routers
+# of a zone that is cut off may each take that long of 5.5 s.
+_CLAIM_LIMIT = datetime.timedelta(seconds=1.5)
+# After a silent claim further ones are refused at once for this long, so
+# that their callers can try a router that reaches the table.
+_SILENCE_PAUSE = datetime.timedelta(seconds=4)
 
 
 class AnswerState(enum.Enum):
@@ -119,6 +124,8 @@
         # Keys whose request was refused, or whose claim stayed undecided;
         # a row of this incarnation does not stand for a run of theirs.
         self._abandoned: dict[str, datetime.timedelta] = {}
+        # Monotonic time until which no claim is sent to the table.
+        self._paused_until = datetime.timedelta.min
         # Versions of the claimed rows, by key.
         self._versions: dict[str, int] = {}
         self._answers: collections.OrderedDict[str, RecordedAnswer] = (
@@ -212,7 +219,11 @@
             (_Condition(row_key, 0),),
             (_Write(row_key, value),),
         )
-        end = self._clock.monotonic() + _CLAIM_LIMIT
+        start = self._clock.monotonic()
+        if start < self._paused_until:
+            return _refuse(
+                _errors.ErrorKind.PLATFORM_UNAVAILABLE, 'the table is silent'
+            )
         for _ in range(_COMMIT_ATTEMPTS):
             committed = self._table.commit(transaction)
             if isinstance(committed, result.Success):
@@ -224,12 +235,13 @@
                 _errors.ErrorKind.OUTCOME_UNKNOWN,
             ):
                 return result.Failure(committed.failure())
-            read = self._table.read(row_key)
-            row = read.value_or(None)
+            now = self._clock.monotonic()
+            if now - start >= _CLAIM_LIMIT:
+                self._paused_until = now + _SILENCE_PAUSE
+                break
+            row = self._table.read(row_key).value_or(None)
             if row is not None:
                 return result.Success(self._judge_row(key, row, value))
-            if self._clock.monotonic() >= end:
-                break
         self._abandoned[key] = self._clock.monotonic()
         return _refuse(
             _errors.ErrorKind.PLATFORM_UNAVAILABLE, 'the claim is undecided'
--- a/tests/test_claim_release.py
+++ b/tests/test_claim_release.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from skylarktally import _claims
+from skylarktally import _errors
 from skylarktally import _limits
 from tests import fakes
 
@@ -77,3 +78,29 @@
         routers.table.deliver()
     assert routers.claim('a') is GRANTED
     assert routers.claim('b') is HELD
+
+
+def test_silent_table_delays_one_claim_and_not_the_next():
+    """Guards against callers that each wait for a table that is cut off."""
+    routers = Routers()
+
+    class SilentTable(fakes.FaultyTable):
+        def commit(self, transaction):
+            routers.clock.advance(2)
+            return fakes.fail(_errors.ErrorKind.OUTCOME_UNKNOWN)
+
+        def read(self, key):
+            routers.clock.advance(2)
+            return fakes.fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE)
+
+    routers.claims['a']._table = SilentTable()
+    refused = _errors.ErrorKind.PLATFORM_UNAVAILABLE
+    times = []
+    for _ in range(2):
+        before = routers.clock.monotonic()
+        assert routers.claim('a') is refused
+        times.append((routers.clock.monotonic() - before).total_seconds())
+    assert times == [2, 0]
+    routers.claims['a']._table = routers.table
+    routers.clock.advance(4)
+    assert routers.claim('a') is GRANTED
