Wait for the log line of a dead member before waking it

Cause: a full run failed once. The dead count is made when it is asked for, the log line in the next gossip period; the test could wake the paused router in between. Change: the test waits for the line first; every assertion stays. Conclusion: the race was in the test.

--- a/tests/test_router_processes.py
+++ b/tests/test_router_processes.py
@@ -104,6 +104,8 @@
     )
     noticed = time.monotonic() - stopped
     assert noticed < 4
+    # The count is made when asked, the line in the next period.
+    wait_until(lambda: 'member is dead' in read_messages(started, 'r1'))
     started.routers['r0'] = started.last_settings('r0')
     started.send_signal('r0', signal.SIGCONT)
     wait_until(lambda: read_versions(started) == {version}, 5)
