Compare answer bodies without a text diff

The stack was inside difflib: the baseline is expected to break the assertion, and pytest then builds a line diff of two bodies of 300 kB. Its time depends on where the bodies differ, so it passed elsewhere. Ruled out: a hang of the router or of the fake worker.

Change: check_body raises with the lengths and the first difference. The silent connection test names its baseline's failure too: an AttributeError of the baseline no longer counts as the expected failure.

Conclusion: same assertions, bounded time.

--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -46,6 +46,23 @@
     return (f'{token};' * size)[:size].encode()
 
 
+def check_body(body, token, size):
+    """Fail if a body is not the one that belongs to the token.
+
+    The failure names lengths and the first difference: pytest's own
+    comparison of 300 kB of bytes runs for minutes.
+    """
+    expected = build_body(token, size)
+    if body == expected:
+        return
+    pairs = zip(body, expected, strict=False)
+    at = next((i for i, (a, b) in enumerate(pairs) if a != b), None)
+    raise AssertionError(
+        f'body of {token}: {len(body)} of {len(expected)} bytes, '
+        f'first difference at {at}'
+    )
+
+
 def reset(connection):
     """Close a connection with a reset instead of an end of stream."""
     linger = struct.pack('ii', 1, 0)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -131,7 +131,7 @@
     if reply is None:
         return
     if reply.status == 200:
-        assert reply.body == scripted.build_body(token, size)
+        scripted.check_body(reply.body, token, size)
     if reply.outcome == 'not-run':
         assert token not in arrivals
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -57,18 +57,15 @@
                 )
             )
             assert replies[0].status == 200
-            assert replies[0].body == scripted.build_body(token)
+            scripted.check_body(replies[0].body, token, 1000)
             assert seconds < STATED_SECONDS
+
+    cell.expect_failure_if_naive(check)
+    if not cell.naive:
         observed = cell.routers[0].pipeline.observe()['workers']['w1']
         assert not observed['ejected']
         assert observed['failures'] == 0
 
-    if cell.naive:
-        with pytest.raises((AssertionError, AttributeError)):
-            check()
-    else:
-        check()
-
 
 def test_long_task_is_not_taken_for_silence():
     """Guards against a second run of a task that takes its time."""
