Raise a fence only under the entity tag that was read

Cause: a controller paused for more than 4 s between its lease check and its fence call could put an old fence on a worker that had restarted meanwhile. Routers with an old state could then use the worker under the old pool until its present controller probed it, up to 4 s later. Ruled out: a check of the clock after the call (the harm is done by then) and a longer lease margin (a pause has no bound).

Change: the fence has an entity tag of boot and epoch. A controller reads the fence, then checks its lease, then raises the fence with If-Match. A fence that is already right is no longer raised again. The mark of a leaving instance no longer fences a worker without a fence, since the mark may be out of date by then.

After: the worker stays unfenced until its present controller fences it.

--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -303,12 +303,7 @@
                     instance = _resources.read_instance(value)
                     # A worker that does not answer must not hold back
                     # the push to the routers.
-                    _loop.spawn(
-                        self._workers.raise_fence,
-                        instance.address,
-                        instance.epoch,
-                        instance.pool,
-                    )
+                    _loop.spawn(_steps.fence_leaving, self._workers, instance)
 
     def _handle_stop(self, number: int, frame: Any) -> None:
         # The handler runs in the middle of any code; a repeated signal
--- a/skylarktally/_steps.py
+++ b/skylarktally/_steps.py
@@ -156,17 +156,30 @@
         if unfenced and not (fresh and instance.phase is Phase.SERVING):
             return
         if fence.epoch < instance.epoch:
-            self._raise_fence(instance)
+            self._raise_fence(instance, fence)
 
-    def _raise_fence(
+    def _bring_fence(
         self, instance: _resources.Instance
     ) -> _workers.Fence | None:
-        # Checked last before the call: a controller that was paused for
-        # longer than its lease must not fence a restarted worker.
+        """Return the fence of a worker once it is that of the instance."""
+        seen = self._tools.workers.read_fence(instance.address)
+        if isinstance(seen, result.Success):
+            fence = seen.unwrap()
+            if (fence.epoch, fence.pool) != (instance.epoch, instance.pool):
+                return self._raise_fence(instance, fence)
+        self._probes.note(instance, seen)
+        return seen.value_or(None)
+
+    def _raise_fence(
+        self, instance: _resources.Instance, seen: _workers.Fence
+    ) -> _workers.Fence | None:
+        # The lease is checked after the fence was read. A controller that
+        # is paused between this check and the call meets another entity
+        # tag if the worker has restarted or was fenced by its successor.
         if not self._tools.leases.holds(find_shard(instance)):
             return None
         raised = self._tools.workers.raise_fence(
-            instance.address, instance.epoch, instance.pool
+            instance.address, seen, instance.epoch, instance.pool
         )
         self._probes.note(instance, raised)
         if isinstance(raised, result.Success):
@@ -174,7 +187,7 @@
         return None
 
     def _drain(self, instance: _resources.Instance, fresh: bool) -> None:
-        fence = self._raise_fence(instance)
+        fence = self._bring_fence(instance)
         if fence is None or not fresh:
             return
         now = self._tools.clock.now()
@@ -283,7 +296,7 @@
         instance = _resources.read_instance(resource)
         if instance.phase in (Phase.STOPPING, Phase.MAINTENANCE):
             return
-        self._raise_fence(instance)
+        self._bring_fence(instance)
 
 
 def advance(
@@ -309,3 +322,18 @@
             instance.epoch,
         )
     return committed
+
+
+def fence_leaving(
+    workers: _workers.Workers, instance: _resources.Instance
+) -> None:
+    """Fence a worker whose leaving mark has just been committed.
+
+    A worker without a fence has restarted and gives out no lease: it is
+    left to the controllers of its zone, since the mark may be out of date.
+    """
+    seen = workers.read_fence(instance.address)
+    if isinstance(seen, result.Success) and seen.unwrap().epoch:
+        workers.raise_fence(
+            instance.address, seen.unwrap(), instance.epoch, instance.pool
+        )
--- a/skylarktally/_workers.py
+++ b/skylarktally/_workers.py
@@ -25,6 +25,8 @@
     # Tasks in progress, under whatever epoch they started.
     running: int
     boot_id: str
+    # Entity tag of the fence; changes with each fence and each restart.
+    etag: str
 
 
 class SlotLease(NamedTuple):
@@ -62,9 +64,9 @@
         """Return the fence and the number of running tasks."""
 
     def raise_fence(
-        self, address: str, epoch: int, pool: str
+        self, address: str, seen: Fence, epoch: int, pool: str
     ) -> result.Result[Fence, _errors.Failure]:
-        """Raise the fence; CONFLICT when it is higher already."""
+        """Raise the fence; CONFLICT when it is no longer the one seen."""
 
     def lease(
         self,
@@ -122,11 +124,14 @@
         return self._call(address, 'GET', '/v1/fence').bind(_read_fence)
 
     def raise_fence(
-        self, address: str, epoch: int, pool: str
+        self, address: str, seen: Fence, epoch: int, pool: str
     ) -> result.Result[Fence, _errors.Failure]:
-        """Raise the fence; CONFLICT when it is higher already."""
+        """Raise the fence; CONFLICT when it is no longer the one seen."""
         body = {'epoch': epoch, 'pool': pool}
-        return self._call(address, 'PUT', '/v1/fence', body).bind(_read_fence)
+        headers = {'If-Match': seen.etag}
+        return self._call(address, 'PUT', '/v1/fence', body, headers).bind(
+            _read_fence
+        )
 
     def lease(
         self,
@@ -219,16 +224,20 @@
         method: str,
         path: str,
         body: dict[str, Any] | None = None,
+        headers: dict[str, str] | None = None,
     ) -> result.Result[tuple[int, dict[str, Any]], _errors.Failure]:
         try:
             response = self._http.request(
                 method,
                 f'http://{address}{path}',
                 body=None if body is None else json.dumps(body),
+                headers=headers,
                 timeout=self._timeout,
             )
             answer = json.loads(response.data or b'{}')
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            if 'ETag' in response.headers:
+                answer['etag'] = response.headers['ETag']
+        except (urllib3.exceptions.HTTPError, ValueError, TypeError) as error:
             return _fail(ErrorKind.WORKER_UNREACHABLE, f'{address}: {error}')
         if response.status >= 500 or not isinstance(answer, dict):
             text = f'{address}: status {response.status}'
@@ -252,6 +261,7 @@
             body.get('pool'),
             int(body['running']),
             str(body['boot_id']),
+            str(body['etag']),
         )
     )
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -132,6 +132,8 @@
             if match and method == environ['REQUEST_METHOD']:
                 body = environ['wsgi.input'].read()
                 data = json.loads(body) if body else {}
+                if 'HTTP_IF_MATCH' in environ:
+                    data['if_match'] = environ['HTTP_IF_MATCH']
                 reply = handler(self, data, *match.groups())
                 return _answer(start_response, reply)
         if path.startswith('/v1/tasks/'):
@@ -177,6 +179,8 @@
     def raise_fence(self, data: dict[str, Any]) -> Reply:
         """Void all leases under an older epoch."""
         wanted = (int(data['epoch']), str(data['pool']))
+        if data.get('if_match', self._build_etag()) != self._build_etag():
+            return Reply('412 Precondition Failed', self._describe_fence())
         if self.fence is not None and wanted != self.fence:
             if wanted[0] <= self.fence[0]:
                 return Reply('409 Conflict', self._describe_fence())
@@ -188,10 +192,15 @@
         epoch, pool = self.fence or (0, None)
         return {'epoch': epoch, 'pool': pool}
 
+    def _build_etag(self) -> str:
+        epoch = self.fence[0] if self.fence else 0
+        return f'"{self.boot_id}/{epoch}"'
+
     def read_fence(self, _data: dict[str, Any]) -> Reply:
         """Return the fence and how many tasks run."""
         running = {'running': len(self.running), 'boot_id': self.boot_id}
-        return Reply('200 OK', {**self._describe_fence(), **running})
+        body = {**self._describe_fence(), **running}
+        return Reply('200 OK', body, (('ETag', self._build_etag()),))
 
     def read_usage(self, _data: dict[str, Any]) -> Reply:
         """Return the number of running tasks as it was some time ago."""
--- a/tests/controls.py
+++ b/tests/controls.py
@@ -56,9 +56,12 @@
     def describe(self):
         epoch, pool = self.fence or (0, None)
         boot_id = f'{self.name}-{self.boots}'
-        return _workers.Fence(epoch, pool, len(self.running), boot_id)
+        etag = f'{boot_id}/{epoch}'
+        return _workers.Fence(epoch, pool, len(self.running), boot_id, etag)
 
-    def raise_fence(self, epoch, pool):
+    def raise_fence(self, seen, epoch, pool):
+        if seen.etag != self.describe().etag:
+            return fakes.fail(_errors.ErrorKind.CONFLICT)
         if self.fence and (epoch, pool) != self.fence:
             if epoch <= self.fence[0]:
                 return fakes.fail(_errors.ErrorKind.CONFLICT)
@@ -174,11 +177,13 @@
             return fakes.fail(_errors.ErrorKind.WORKER_UNREACHABLE)
         return self.call(lambda: result.Success(worker.describe()))
 
-    def raise_fence(self, address, epoch, pool):
+    def raise_fence(self, address, seen, epoch, pool):
         worker = self._reach(address)
         if worker is None:
             return fakes.fail(_errors.ErrorKind.WORKER_UNREACHABLE)
-        return self.call(lambda: worker.raise_fence(epoch, pool), 'fence')
+        return self.call(
+            lambda: worker.raise_fence(seen, epoch, pool), 'fence'
+        )
 
     def lease(self, address, holder, epoch, pool, slots, ttl):
         worker = self._reach(address)
--- a/tests/test_reconciler.py
+++ b/tests/test_reconciler.py
@@ -244,6 +244,32 @@
     invariants.check(world)
 
 
+def test_a_pause_before_the_fence_call_leaves_a_restarted_worker_alone(
+    world, controller
+):
+    # Guards against an old fence on a worker that restarts twice while
+    # its controller stands still between the check and the call.
+    heir = controls.FakeController(world, 'c2', seed=2)
+    worker = world.get_worker('w3')
+    worker.reboot()
+
+    def run_heir():
+        for _ in range(30):
+            heir.leases.renew()
+            controls.age(world, 1)
+        heir.move('w3', 'desk-n')
+        heir.finish()
+        worker.reboot()
+
+    controller.calls.hooks['before fence'] = run_heir
+    controller.step(5)
+    assert not controller.calls.hooks
+    assert world.read_instances()['w3'].pool == 'desk-n'
+    assert worker.fence is None
+    heir.finish()
+    invariants.check(world)
+
+
 def test_a_step_based_on_an_older_epoch_is_not_taken(world, controller):
     controller.drain('w1')
     other = controls.FakeController(world, 'c2', seed=2)
