Record and measure how long a wave takes

Change: the status of a wave has started_at and completed_at, and the controller that records the end observes skylarktally_wave_seconds. A wave that was complete and is declared anew starts again; the time that it is halted or paused counts.

Before: no figure. After: tests/test_planning.py reads the metric once for a wave of 8 instances and checks that it equals the recorded times and is not counted again in later passes.

Conclusion: both kinds of roll-out are measured.

--- a/skylarktally/_maintenance.py
+++ b/skylarktally/_maintenance.py
@@ -1,6 +1,7 @@
 """Carries maintenance waves out, in the zone of this controller."""
 
 import datetime
+from typing import Any
 
 from returns import result
 
@@ -116,28 +117,45 @@
         whichever controller sees it first.
         """
         name = resource['name']
+        now = self._tools.clock.now()
+        decided: list[_resources.Change] = []
 
         def decide(fleet: _fleet.Fleet) -> _transitions.Changes:
             found = fleet.find(Kind.WAVE, name)
-            if found is None:
-                return result.Success([])
-            return result.Success(
-                _update_wave(found, self._plan_wave(fleet, found))
+            decided.clear()
+            if found is not None:
+                plan = self._plan_wave(fleet, found)
+                decided.extend(_update_wave(found, plan, now))
+            return result.Success(list(decided))
+
+        held = filter(self._tools.leases.holds, range(_steps.SHARDS))
+        shard = next(held, None)
+        if shard is None or not _update_wave(resource, plan, now):
+            return
+        committed = _steps.commit(self._tools, shard, decide)
+        if decided and isinstance(committed, result.Success):
+            self._measure_wave(decided[0])
+
+    def _measure_wave(self, change: _resources.Change) -> None:
+        """Observe how long a wave took, once, where its end is recorded."""
+        status = change['value']['status'] if change['value'] else {}
+        if status.get('completed_at'):
+            start, end = (
+                datetime.datetime.fromisoformat(status[field])
+                for field in ('started_at', 'completed_at')
             )
-
-        if _update_wave(resource, plan):
-            for shard in range(_steps.SHARDS):
-                if self._tools.leases.holds(shard):
-                    _steps.commit(self._tools, shard, decide)
-                    return
+            self._measures.wave_seconds.observe((end - start).total_seconds())
 
 
 def _update_wave(
-    resource: _resources.Resource, plan: _waves.WavePlan
+    resource: _resources.Resource,
+    plan: _waves.WavePlan,
+    now: datetime.datetime,
 ) -> list[_resources.Change]:
     """Return the change of a wave's status, none when it is as recorded."""
     status = {
         **resource['status'],
+        **_find_times(resource['status'], plan.state, now),
         'phase': plan.state.value,
         'done': len(plan.done),
         'failed': list(plan.failed),
@@ -157,3 +175,21 @@
             kind=resource['kind'], name=resource['name'], value=value
         )
     ]
+
+
+def _find_times(
+    status: dict[str, Any], state: _waves.State, now: datetime.datetime
+) -> dict[str, str | None]:
+    """Return when a wave started and when it was complete, if it is."""
+    started = status.get('started_at')
+    completed = status.get('completed_at')
+    complete = state is _waves.State.COMPLETE
+    if not started or (completed and not complete):
+        # A wave that was complete and is declared anew starts again.
+        started = now.isoformat()
+    if complete:
+        completed = completed or now.isoformat()
+    return {
+        'started_at': started,
+        'completed_at': completed if complete else None,
+    }
--- a/skylarktally/_measures.py
+++ b/skylarktally/_measures.py
@@ -3,6 +3,8 @@
 import prometheus_client
 
 _ROLLOUT_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 10, 30, 120, 600)
+# From minutes to the three weeks in which every instance has its turn.
+_WAVE_BUCKETS = (60, 300, 900, 3600, 4 * 3600, 86400, 604800, 1814400)
 
 
 class Measures:
@@ -28,6 +30,12 @@
             buckets=_ROLLOUT_BUCKETS,
             registry=registry,
         )
+        self.wave_seconds = prometheus_client.Histogram(
+            'skylarktally_wave_seconds',
+            'Time from the start of a maintenance wave to its end.',
+            buckets=_WAVE_BUCKETS,
+            registry=registry,
+        )
         self.stops = prometheus_client.Counter(
             'skylarktally_planned_stops',
             'Planned stops that this controller began, by cause.',
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -1,5 +1,7 @@
 """Guards waves, repairs and moves that a controller begins by itself."""
 
+import datetime
+
 import pytest
 
 from skylarktally import _maintenance
@@ -46,6 +48,12 @@
     return world.read_fleet().find(controls.Kind.WAVE, 'reboot')['status']
 
 
+def read_wave_seconds(controller):
+    read = controller.measures.registry.get_sample_value
+    name = 'skylarktally_wave_seconds'
+    return read(f'{name}_count'), read(f'{name}_sum')
+
+
 def run_wave(world, controller, passes, until='complete'):
     for _ in range(passes):
         world.boot_all()
@@ -59,7 +67,15 @@
     world, controller = build(pools=['desk', 'spare'], max_parallel=3)
     run_wave(world, controller, 900)
     assert [w.boots for w in world.workers.values()] == [2] * 8
-    assert get_wave(world)['done'] == 8
+    status = get_wave(world)
+    assert status['done'] == 8
+    took = datetime.datetime.fromisoformat(
+        status['completed_at']
+    ) - datetime.datetime.fromisoformat(status['started_at'])
+    assert read_wave_seconds(controller) == (1, took.total_seconds())
+    # Another pass over the complete wave must not count it again.
+    controller.step(10)
+    assert read_wave_seconds(controller)[0] == 1
     invariants.check(world)
 
 
