Read resources of a later version during an upgrade

Cause: an upgrade runs two versions on one log. Ruled out: a version number on each resource with a refusal (the old processes would stop serving, which an upgrade must not do).

Change: unknown fields are ignored and kept on writing. A budget with one permits no planned stop and a wave with one is left alone, since the earlier version cannot know what it would break.

Conclusion: upgrades by adding fields need no stop of the fleet.

--- a/skylarktally/_maintenance.py
+++ b/skylarktally/_maintenance.py
@@ -19,9 +19,9 @@
 
 def read_wave(resource: _resources.Resource) -> _resources.Wave:
     """Return a wave in the form that the decisions read."""
-    spec = dict(resource['spec'])
-    pools = tuple(spec.pop('pools'))
-    return _resources.Wave(name=resource['name'], pools=pools, **spec)
+    fields = _resources.pick_fields(_resources.Wave, resource['spec'])
+    fields['pools'] = tuple(fields['pools'])
+    return _resources.Wave(name=resource['name'], **fields)
 
 
 class Maintenance:
@@ -45,6 +45,11 @@
         for resource in fleet.list(Kind.WAVE):
             if resource['status'].get('phase') == 'complete':
                 continue
+            # Left to the controllers of the version that declared it.
+            if _resources.has_unknown_fields(
+                _resources.Wave, resource['spec']
+            ):
+                continue
             plan = self._plan_wave(fleet, resource)
             self._explain_wave(resource['name'], plan)
             self._record_wave(resource, plan)
--- a/skylarktally/_parsing.py
+++ b/skylarktally/_parsing.py
@@ -157,8 +157,7 @@
 
 
 def _read_job(resource: _resources.Resource) -> _resources.Job:
-    fields = _resources.Job._fields
-    spec = {k: v for k, v in resource['spec'].items() if k in fields}
+    spec = _resources.pick_fields(_resources.Job, resource['spec'])
     return _resources.Job(name=resource['name'], **spec)
 
 
--- a/skylarktally/_planning.py
+++ b/skylarktally/_planning.py
@@ -33,7 +33,10 @@
 def read_pools(fleet: _fleet.Fleet) -> list[_resources.Pool]:
     """Return the declared pools."""
     return [
-        _resources.Pool(name=item['name'], **item['spec'])
+        _resources.Pool(
+            name=item['name'],
+            **_resources.pick_fields(_resources.Pool, item['spec']),
+        )
         for item in fleet.list(Kind.POOL)
     ]
 
@@ -41,7 +44,10 @@
 def read_jobs(fleet: _fleet.Fleet, mode: str) -> list[_resources.Job]:
     """Return the declared jobs of a mode."""
     return [
-        _resources.Job(name=item['name'], **item['spec'])
+        _resources.Job(
+            name=item['name'],
+            **_resources.pick_fields(_resources.Job, item['spec']),
+        )
         for item in fleet.list(Kind.JOB)
         if item['spec']['mode'] == mode
     ]
--- a/skylarktally/_resources.py
+++ b/skylarktally/_resources.py
@@ -139,8 +139,26 @@
     accelerators: int | None = None
 
 
+def pick_fields(
+    kind: type[NamedTuple], spec: dict[str, Any]
+) -> dict[str, Any]:
+    """Return the fields of a specification that this version knows.
+
+    During an upgrade the log also has resources of a newer version.
+    """
+    return {name: spec[name] for name in kind._fields if name in spec}
+
+
+def has_unknown_fields(kind: type[NamedTuple], spec: dict[str, Any]) -> bool:
+    """Return whether a newer version has declared more than is read."""
+    return not spec.keys() <= set(kind._fields)
+
+
 def read_instance(resource: Resource) -> Instance:
-    """Build an instance from a validated resource."""
+    """Build an instance from a validated resource.
+
+    An unknown phase is a ValueError: what it permits is not known here.
+    """
     status = dict(resource['status'])
     phase = Phase(status.pop('phase', 'serving'))
     epoch = status.pop('epoch', 1)
@@ -149,7 +167,7 @@
         name=resource['name'],
         phase=phase,
         epoch=epoch,
-        **resource['spec'],
+        **pick_fields(Instance, resource['spec']),
         **known,
     )
 
--- a/skylarktally/_transitions.py
+++ b/skylarktally/_transitions.py
@@ -104,12 +104,22 @@
     """Return the declared budgets, of all pools or of some."""
     wanted = None if pools is None else set(pools)
     return [
-        _resources.Budget(name=item['name'], **item['spec'])
+        _read_budget(item)
         for item in fleet.list(Kind.BUDGET)
         if wanted is None or item['spec']['pool'] in wanted
     ]
 
 
+def _read_budget(resource: Resource) -> _resources.Budget:
+    kind, spec = _resources.Budget, resource['spec']
+    fields = _resources.pick_fields(kind, spec)
+    if _resources.has_unknown_fields(kind, spec):
+        # A newer version limits more than is known here, so no planned
+        # stop of the pool can be shown to hold the budget.
+        fields['max_unavailable'] = 0
+    return _resources.Budget(name=resource['name'], **fields)
+
+
 def _find_serving(
     fleet: Replica, name: str
 ) -> result.Result[Resource, _errors.Failure]:
--- /dev/null
+++ b/tests/test_mixed_versions.py
@@ -0,0 +1,95 @@
+"""Guards an upgrade: resources of a newer version in an older process."""
+
+from returns import result
+
+from skylarktally import _errors
+from skylarktally import _fleet
+from skylarktally._gen.peer import ttypes
+from skylarktally import _planning
+from skylarktally import _resources
+from skylarktally import _snapshots
+from tests import apis
+from tests import controls
+from tests import fleets
+
+Kind = _resources.Kind
+DESK = 'desk'
+DOCUMENTS = [
+    apis.declare('pool', DESK, team='north'),
+    apis.declare('pool', 'spare', team='shared', spare=True),
+    apis.declare('job', 'codes', pool=DESK),
+    apis.declare('budget', DESK, pool=DESK, min_available=1),
+    apis.declare('wave', 'reboot', pools=[DESK]),
+    *(
+        apis.declare_worker(f'w{n}', DESK, rack=f'r{n}', port=9000 + n)
+        for n in (1, 2, 3)
+    ),
+]
+
+
+def build_world(*kinds):
+    """Build a world in which these kinds have a field of a later version."""
+    world = controls.build_world(DOCUMENTS)
+    controller = controls.FakeController(world).take_leases()
+
+    def declare_field(fleet):
+        return result.Success(
+            [
+                _resources.Change(
+                    kind=kind.value,
+                    name=item['name'],
+                    value={**item, 'spec': {**item['spec'], 'later': 1}},
+                )
+                for kind in kinds
+                for item in fleet.list(kind)
+            ]
+        )
+
+    assert isinstance(
+        controller.journal.transact(declare_field), result.Success
+    )
+    return world, controller
+
+
+def test_unknown_fields_are_kept_and_hide_nothing():
+    # An instance with a field of a later version once vanished from the
+    # replicas of the earlier one, which then served nothing with it.
+    world, controller = build_world(Kind.INSTANCE, Kind.POOL, Kind.JOB)
+    fleet = world.read_fleet()
+    assert len(fleet.find_instances(pool=DESK)) == 3
+    assert len(_planning.read_pools(fleet)) == 2
+    assert _planning.read_jobs(fleet, 'request')[0].name == 'codes'
+    assert isinstance(controller.move('w3', 'spare'), result.Success)
+    controller.finish()
+    moved = world.read_fleet().find(Kind.INSTANCE, 'w3')
+    assert moved['spec']['pool'] == 'spare'
+    assert moved['spec']['later'] == 1
+
+
+def test_a_budget_that_is_not_understood_permits_no_planned_stop():
+    world, controller = build_world(Kind.BUDGET)
+    refused = controller.drain('w1')
+    assert refused.failure().kind is _errors.ErrorKind.BUDGET_EXHAUSTED
+    controller.step(60)
+    assert not world.reboots
+
+
+def test_a_wave_that_is_not_understood_is_left_alone():
+    # Its status would go back and forth between the two versions.
+    world, controller = build_world(Kind.WAVE)
+    before = world.read_fleet().find(Kind.WAVE, 'reboot')
+    controller.step(60)
+    assert not world.reboots
+    assert world.read_fleet().find(Kind.WAVE, 'reboot') == before
+
+
+def test_a_snapshot_with_an_unknown_phase_still_loads():
+    resources = [fleets.build_instance(n, 1) for n in range(3)]
+    resources[1]['status']['phase'] = 'later'
+    source, fleet = _fleet.Fleet(), _fleet.Fleet()
+    source.load(resources, 7)
+    snapshot = _snapshots.Snapshots(source).build()
+    assert isinstance(snapshot, ttypes.Snapshot)
+    assert _snapshots.Snapshots(fleet).load(snapshot)
+    assert fleet.version == 7
+    assert len(fleet.find_instances()) == 2
