Check the shape of what peers and the object store send

Ruled out: full validation against the schemas (it would refuse fields of a later version during an upgrade).

Change: check_resource and check_change look at the shape before anything is applied; an instance needs text for its pool and zone, since replicas index by both.

--- a/skylarktally/_messages.py
+++ b/skylarktally/_messages.py
@@ -102,6 +102,8 @@
                 and isinstance(record['version'], int)
                 and isinstance(record['changes'], list)
             )
+            for change in record['changes']:
+                _resources.check_change(change)
         except (ValueError, TypeError, KeyError):
             valid = False
         if not valid:
--- a/skylarktally/_resources.py
+++ b/skylarktally/_resources.py
@@ -154,11 +154,38 @@
     return not spec.keys() <= set(kind._fields)
 
 
+def check_resource(value: Any) -> None:
+    """Raise ValueError unless a replica can hold the value.
+
+    Only the shape is checked, so that fields of a later version pass.
+    """
+    if not isinstance(value, dict):
+        raise ValueError('a resource is not an object')
+    if not all(isinstance(value.get(x), str) for x in ('kind', 'name')):
+        raise ValueError('kind or name is not text')
+    if not all(isinstance(value.get(x), dict) for x in ('spec', 'status')):
+        raise ValueError('spec or status is not an object')
+
+
+def check_change(value: Any) -> None:
+    """Raise ValueError unless a replica can apply the value as a change."""
+    if not isinstance(value, dict) or 'value' not in value:
+        raise ValueError('a change is not complete')
+    if not all(isinstance(value.get(x), str) for x in ('kind', 'name')):
+        raise ValueError('kind or name of a change is not text')
+    if value['value'] is not None:
+        check_resource(value['value'])
+
+
 def read_instance(resource: Resource) -> Instance:
-    """Build an instance from a validated resource.
+    """Build an instance from a resource.
 
-    An unknown phase is a ValueError: what it permits is not known here.
+    An unknown phase is a ValueError: what it permits is not known here. A
+    pool or zone that is no text is one too, since replicas index by both.
     """
+    places = resource['spec'].get('pool'), resource['spec'].get('zone')
+    if not all(isinstance(place, str) for place in places):
+        raise ValueError('pool or zone is not text')
     status = dict(resource['status'])
     phase = Phase(status.pop('phase', 'serving'))
     epoch = status.pop('epoch', 1)
--- a/skylarktally/_snapshots.py
+++ b/skylarktally/_snapshots.py
@@ -88,12 +88,7 @@
     if not isinstance(data, list):
         raise ValueError('resources are not a list')
     for resource in data:
-        texts = resource['kind'], resource['name']
-        objects = resource['spec'], resource['status']
-        if not all(isinstance(text, str) for text in texts):
-            raise ValueError('kind or name is not text')
-        if not all(isinstance(item, dict) for item in objects):
-            raise ValueError('spec or status is not an object')
+        _resources.check_resource(resource)
         if resource['kind'] == _resources.Kind.INSTANCE.value:
             # A phase of a later version is no damage: the replica leaves
             # that instance out and serves with the others.
