Read run rows of a later version

Cause: read_run passed every field of a row to Run, so one row with a field of a later version raised TypeError and ended the batch step of every pass of an earlier controller. Change: unknown fields are ignored, as in resources. Before: the new test raises TypeError. After: it passes, and tests/test_batch.py is unchanged. Conclusion: batch jobs go on during an upgrade.

--- a/skylarktally/_runs.py
+++ b/skylarktally/_runs.py
@@ -54,7 +54,7 @@
 
 def read_run(row: _table.Row) -> Run:
     """Return the run that a row holds."""
-    value = dict(row.value)
+    value = _resources.pick_fields(Run, row.value)
     value['state'] = State(value['state'])
     return Run(**value, version=row.version)
 
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -7,7 +7,9 @@
 from skylarktally._gen.peer import ttypes
 from skylarktally import _planning
 from skylarktally import _resources
+from skylarktally import _runs
 from skylarktally import _snapshots
+from skylarktally import _table
 from tests import apis
 from tests import controls
 from tests import fleets
@@ -93,3 +95,12 @@
     assert _snapshots.Snapshots(fleet).load(snapshot)
     assert fleet.version == 7
     assert len(fleet.find_instances()) == 2
+
+
+def test_a_run_with_an_unknown_field_is_still_looked_after():
+    # One such row once ended the batch step of each pass.
+    run = _runs.Run('bill', 0, _runs.State.RUNNING, 'w1', 'a', 'k', 'c', 't')
+    value = {**_runs.write_run(run), 'later': 1}
+    assert _runs.read_run(_table.Row(run.key, value, 3)) == run._replace(
+        version=3
+    )
