Print the attempts behind the slowest urgent requests of the demo

Cause: the demo reported how slow the slowest urgent request was, not which entry, attempt or error took the time. The cut of a zone also closed each connection that it had swallowed as soon as the next one arrived, since nothing kept the socket; callers of the platform then failed early. Change: each call keeps its attempts, and the five slowest are printed. The cut keeps the connections that it swallows. Ruled out by the trace: forwarding between zones, and the retries of idempotent requests, which end after 2 s. The five slowest, 8.36 to 8.93 s, are non-idempotent requests that were sent once, to the paused entry within the second before the balancer takes it out, and waited until it woke. The next ones, 1.3 to 3.6 s, were refused several times by the two entries of the cut zone, one or two of these refusals after up to 2.0 s. Conclusion: two causes, the caller that never leaves a paused entry, and claims in the cut zone that find out about the silent table one by one.

--- a/demo/_callers.py
+++ b/demo/_callers.py
@@ -17,6 +17,17 @@
 _PAUSE_SECONDS = 0.2
 
 
+class Attempt(NamedTuple):
+    """One sending of a request."""
+
+    entry: str
+    # Since the request's first attempt.
+    start_seconds: float
+    seconds: float
+    outcome: str
+    error: str
+
+
 class Call(NamedTuple):
     """What became of one request."""
 
@@ -27,7 +38,7 @@
     idempotent: bool
     # complete, not-run, unknown or wrong-answer
     outcome: str
-    attempts: int
+    attempts: tuple[Attempt, ...]
     seconds: float
     # Error kind of the last attempt, empty after an answer.
     error: str
@@ -84,15 +95,25 @@
     def _call(self, number: int, job: dict[str, Any]) -> None:
         key = self._choose_key(number, job)
         started = time.monotonic()
-        outcome, error, attempts = 'not-run', '', 0
-        while attempts < _MOST_ATTEMPTS:
-            attempts += 1
+        outcome, error = 'not-run', ''
+        attempts: list[Attempt] = []
+        while len(attempts) < _MOST_ATTEMPTS:
             entry = self._random.choice(self._entries)
+            sent = time.monotonic()
             outcome, error = self._send(entry, job, key)
+            attempts.append(
+                Attempt(
+                    entry.name,
+                    sent - started,
+                    time.monotonic() - sent,
+                    outcome,
+                    error,
+                )
+            )
             final = outcome in ('complete', 'wrong-answer')
             if final or not self._may_resend(job, outcome):
                 break
-            _loop.sleep(_PAUSE_SECONDS * attempts)
+            _loop.sleep(_PAUSE_SECONDS * len(attempts))
         spec = job['spec']
         self.calls.append(
             Call(
@@ -102,7 +123,7 @@
                 urgency=spec['urgency'],
                 idempotent=spec['idempotent'],
                 outcome=outcome,
-                attempts=attempts,
+                attempts=tuple(attempts),
                 seconds=time.monotonic() - started,
                 error=error,
             )
--- a/demo/_checks.py
+++ b/demo/_checks.py
@@ -9,6 +9,10 @@
 from demo import _deployment
 
 
+# Slowest urgent requests whose attempts are printed.
+_SLOWEST = 5
+
+
 class Check(NamedTuple):
     """One line of the final table."""
 
@@ -143,6 +147,21 @@
     )
 
 
+def describe_slowest(calls: list[_callers.Call]) -> list[str]:
+    """Return a line on each of the slowest urgent requests."""
+    urgent = [call for call in calls if call.urgency == 'urgent']
+    urgent.sort(key=lambda call: call.seconds, reverse=True)
+    return [
+        f'{call.seconds:.2f} s {call.job} key {call.key[:12]}: '
+        + '; '.join(
+            f'{x.entry} at {x.start_seconds:.2f} for {x.seconds:.2f} s, '
+            f'{x.outcome} {x.error}'.strip()
+            for x in call.attempts
+        )
+        for call in urgent[:_SLOWEST]
+    ]
+
+
 def check_pools(records: Records) -> Check:
     """Check that no worker ever ran work of two pools under one epoch."""
     owners: dict[tuple[str, int], set[str]] = collections.defaultdict(set)
--- a/demo/_faults.py
+++ b/demo/_faults.py
@@ -26,6 +26,8 @@
         self._target = _split(target)
         self._listener = _loop.listen(_split(address))
         self._silent = False
+        # Accepted during a cut; a dropped socket would be closed.
+        self._swallowed: list[socket.socket] = []
         _loop.spawn(self._accept)
 
     def cut(self) -> None:
@@ -39,7 +41,9 @@
     def _accept(self) -> None:
         while True:
             client, _address = self._listener.accept()
-            if not self._silent:
+            if self._silent:
+                self._swallowed.append(client)
+            else:
                 _loop.spawn(self._relay, client)
 
     def _relay(self, client: socket.socket) -> None:
--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -98,6 +98,8 @@
     for running in faults:
         running.wait()
     drained = stop.wait()
+    for line in _checks.describe_slowest(scene.callers.calls):
+        _print(line)
     records = _checks.read_records(deployment)
     outage = 'outage' in plan.faults
     killed = deployment.entries[0].name if 'kill' in plan.faults else ''
