Refuse claims until the table answers again

Cause: after a silent claim a router refused further ones for 4 s and then let the next requests find out again, 2 s each, as long as the cut lasted. Ruled out: a longer pause, which refuses claims after the cut has healed; a probe of its own, since the router polls the table every 2 s anyway. Change: the platform client notes whether its last call ended without an answer. Claims are refused at once while it did; the poll of the log finds out when the table answers again. The pause of 4 s is gone. Tests: the test of the pause claims a third time after 4 s (refused after 2 s before) and asks for a grant as soon as the table answers; the test of silent connections reads the mark. Conclusion: one silent call for each router and cut, not one every 4 s.

--- a/skylarktally/_claims.py
+++ b/skylarktally/_claims.py
@@ -23,9 +23,6 @@
 # limit of one call, so a silent table costs a caller one call: two routers
 # of a zone that is cut off may each take that long of 5.5 s.
 _CLAIM_LIMIT = datetime.timedelta(seconds=1.5)
-# After a silent claim further ones are refused at once for this long, so
-# that their callers can try a router that reaches the table.
-_SILENCE_PAUSE = datetime.timedelta(seconds=4)
 
 
 class AnswerState(enum.Enum):
@@ -78,6 +75,10 @@
     def read(self, key: str) -> result.Result[Any, Any]:
         """Return a row or None."""
 
+    @property
+    def silent(self) -> bool:
+        """Tell whether the last call that ended got no answer in time."""
+
 
 class Owner(NamedTuple):
     """The router that claims keys."""
@@ -124,8 +125,6 @@
         # Keys whose request was refused, or whose claim stayed undecided;
         # a row of this incarnation does not stand for a run of theirs.
         self._abandoned: dict[str, datetime.timedelta] = {}
-        # Monotonic time until which no claim is sent to the table.
-        self._paused_until = datetime.timedelta.min
         # Versions of the claimed rows, by key.
         self._versions: dict[str, int] = {}
         self._answers: collections.OrderedDict[str, RecordedAnswer] = (
@@ -220,7 +219,9 @@
             (_Write(row_key, value),),
         )
         start = self._clock.monotonic()
-        if start < self._paused_until:
+        # The router polls the table, which finds out when it answers
+        # again; a request that tried would hold up its caller.
+        if self._table.silent:
             return _refuse(
                 _errors.ErrorKind.PLATFORM_UNAVAILABLE, 'the table is silent'
             )
@@ -235,9 +236,7 @@
                 _errors.ErrorKind.OUTCOME_UNKNOWN,
             ):
                 return result.Failure(committed.failure())
-            now = self._clock.monotonic()
-            if now - start >= _CLAIM_LIMIT:
-                self._paused_until = now + _SILENCE_PAUSE
+            if self._clock.monotonic() - start >= _CLAIM_LIMIT:
                 break
             row = self._table.read(row_key).value_or(None)
             if row is not None:
--- a/skylarktally/_platform.py
+++ b/skylarktally/_platform.py
@@ -19,6 +19,11 @@
     # Another request has just replaced the connections.
     urllib3.exceptions.ClosedPoolError,
 )
+# Errors after which the next request would wait in vain as well.
+_NO_ANSWER = (
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.ReadTimeoutError,
+)
 
 
 class Response(NamedTuple):
@@ -39,6 +44,8 @@
     def __init__(self, address: str, limits: _limits.Limits) -> None:
         self._url = f'http://{address}'
         self._limits = limits
+        # Whether the last call that ended got no answer in time.
+        self.silent = False
         # The timeout of a read starts anew with every byte that arrives.
         self._longest = (
             limits.connect_timeout + 2 * limits.response_timeout
@@ -83,18 +90,22 @@
                 method, self._url + path, body=body, headers=headers
             )
         except _NOT_SENT as error:
+            self.silent = isinstance(error, _NO_ANSWER)
             return _fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE, str(error))
         except urllib3.exceptions.HTTPError as error:
+            self.silent = isinstance(error, _NO_ANSWER)
             # The other idle connections may have gone silent as well.
             self._manager.clear()
             return _fail(_choose_kind(method), str(error))
         except _loop.Timeout as expired:
             if expired is not timeout:
                 raise
+            self.silent = True
             self._manager.clear()
             return _fail(_choose_kind(method), 'the answer took too long')
         finally:
             timeout.cancel()
+        self.silent = False
         if answer.status == 429:
             return _fail(_errors.ErrorKind.RATE_LIMITED, 'platform limit')
         if answer.status == 503:
--- a/skylarktally/_table.py
+++ b/skylarktally/_table.py
@@ -72,6 +72,11 @@
         self._clock = clock
         self._client = _platform.PlatformClient(address, limits)
 
+    @property
+    def silent(self) -> bool:
+        """Tell whether the last call that ended got no answer in time."""
+        return self._client.silent
+
     def commit(
         self, transaction: Transaction
     ) -> result.Result[int, _errors.Failure]:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -41,6 +41,8 @@
     While ``down`` every call is refused.
     """
 
+    silent = False
+
     def __init__(self, rows=None):
         self.rows = rows or standin_table.RowStore()
         self.faults = []
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -101,6 +101,8 @@
 class FakeTable:
     """Transactional table with scripted faults."""
 
+    silent = False
+
     def __init__(self):
         self.rows = {}
         self.version = 0
--- a/tests/test_claim_release.py
+++ b/tests/test_claim_release.py
@@ -87,6 +87,7 @@
     class SilentTable(fakes.FaultyTable):
         def commit(self, transaction):
             routers.clock.advance(2)
+            self.silent = True
             return fakes.fail(_errors.ErrorKind.OUTCOME_UNKNOWN)
 
         def read(self, key):
@@ -96,11 +97,12 @@
     routers.claims['a']._table = SilentTable()
     refused = _errors.ErrorKind.PLATFORM_UNAVAILABLE
     times = []
-    for _ in range(2):
+    for pause in (0, 4, 60):
         before = routers.clock.monotonic()
         assert routers.claim('a') is refused
         times.append((routers.clock.monotonic() - before).total_seconds())
-    assert times == [2, 0]
+        # No later request finds out again that the table is silent.
+        routers.clock.advance(pause)
+    assert times == [2, 0, 0]
     routers.claims['a']._table = routers.table
-    routers.clock.advance(4)
     assert routers.claim('a') is GRANTED
--- a/tests/test_slow_platform.py
+++ b/tests/test_slow_platform.py
@@ -82,6 +82,7 @@
 
 
 def test_silent_connections_are_replaced(serve):
+    """Guards against silence taken for good, or not noticed at all."""
     # The first two connections answer once and then go silent for good.
     both = threading.Barrier(2, timeout=5)
 
@@ -108,7 +109,10 @@
 
         expected = [result.Success(_table.Row('k', {}, 1))] * 2
         assert read_twice() == expected
+        assert not table.silent
         failure = table.read('k').failure()
         assert failure.kind is _errors.ErrorKind.PLATFORM_UNAVAILABLE
+        assert table.silent
         # One response timeout for both of them, not one for each.
         assert read_twice() == expected
+        assert not table.silent
