Send a request to another zone when the table cannot be reached

Cause: with a zone cut off from the platform, its routers refused every request with a caller's own key, although a router of another zone could have claimed it; a caller that met the two of them again and again had to wait between its attempts. Ruled out: handing over only the claim, which needs a new peer call for the claim and for its release. Change: a request whose claim fails for want of the table goes once to a router of another zone, as it does for want of capacity. A non-idempotent request goes only to a router that has just answered a peer call, for either reason: a paused router takes the bytes and then nobody may send them again.

--- a/skylarktally/_forwarding.py
+++ b/skylarktally/_forwarding.py
@@ -22,6 +22,7 @@
     zone: str
     incarnation: int
     serving_address: str
+    peer_address: str
 
 
 class Peers(Protocol):
@@ -63,6 +64,22 @@
         self._random.shuffle(routers)
         return routers
 
+    def find_answering(
+        self, exchange: _exchange.Exchange, routers: Iterable[Router]
+    ) -> list[Router]:
+        """Return the first router that answers a peer call, if any.
+
+        A paused router still accepts connections. A non-idempotent request
+        that was sent to it could not be sent to another one.
+        """
+        for router in routers:
+            asked = self._peers.find_answer(
+                router.peer_address, exchange.key or ''
+            )
+            if isinstance(asked, result.Success):
+                return [router]
+        return []
+
     def forward_to_issuer(
         self, exchange: _exchange.Exchange, issuer: _claims.ClaimState
     ) -> result.Result[_relay.Answer, _errors.Failure]:
--- a/skylarktally/_pipeline.py
+++ b/skylarktally/_pipeline.py
@@ -36,6 +36,8 @@
     _errors.ErrorKind.NO_CAPACITY,
     _errors.ErrorKind.QUEUE_FULL,
     _errors.ErrorKind.DEADLINE_EXCEEDED,
+    # Of the claim: another zone may reach the table.
+    _errors.ErrorKind.PLATFORM_UNAVAILABLE,
 )
 
 # Of the Authorization header and the pool, None for a request key.
@@ -226,11 +228,15 @@
             or self._clock.monotonic() >= exchange.deadline
         ):
             return result.Failure(failure)
-        routers = self._forwarder.list_other_zones()
+        routers = self._forwarder.list_other_zones()[:2]
+        if not exchange.idempotent:
+            routers = self._forwarder.find_answering(exchange, routers)
         if not routers:
             return result.Failure(failure)
-        self._metrics.forwarded.labels('capacity').inc()
-        sent = self._forwarder.forward(exchange, routers[:2])
+        unavailable = _errors.ErrorKind.PLATFORM_UNAVAILABLE
+        cause = 'claim' if failure.kind is unavailable else 'capacity'
+        self._metrics.forwarded.labels(cause).inc()
+        sent = self._forwarder.forward(exchange, routers)
         return sent.map(lambda x: _deliveries.pass_on(x, exchange))
 
     def _admit(
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -147,13 +147,15 @@
 
     def __init__(self):
         self.routers = []
+        # Peer addresses of routers that accept calls without an answer.
+        self.paused = set()
 
     def list_routers(self, zone=None):
         return [x for x in self.routers if zone in (None, x.zone)]
 
     def find_answer(self, address, key):
         for router in self.routers:
-            if router.settings.peer_address == address:
+            if router.peer_address == address and address not in self.paused:
                 return result.Success(router.claims.find(key))
         kind = _errors.ErrorKind.PEER_UNREACHABLE
         return result.Failure(_errors.Failure(kind, address))
@@ -204,12 +206,11 @@
         self.incarnation = len(peers.routers) + 1
         self.server = Server(self._call, limits)
         self.serving_address = self.server.address
+        self.peer_address = f'peer-{name}'
         self.settings = Settings(
-            name, zone, self.serving_address, f'peer-{name}', limits
-        )
-        owner = _claims.Owner(
-            name, self.incarnation, self.settings.peer_address
+            name, zone, self.serving_address, self.peer_address, limits
         )
+        owner = _claims.Owner(name, self.incarnation, self.peer_address)
         self.claims = _claims.Claims(table, clock, owner, limits)
         self.metrics = _metrics.ServingMetrics(_metrics.create_registry())
         self.pipeline = _pipeline.Pipeline(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -122,6 +122,37 @@
     assert post(product.routers[0], 'k1').outcome == 'complete'
 
 
+@pytest.mark.parametrize(
+    'table_down, paused, status, outcome, runs',
+    [
+        (False, 0, 200, 'complete', 1),
+        # Of two routers, the one that does not answer is passed over.
+        (False, 1, 200, 'complete', 1),
+        (False, 2, 503, 'not-run', 0),
+        (True, 0, 503, 'not-run', 0),
+    ],
+)
+def test_claim_of_a_zone_without_the_table(
+    table_down, paused, status, outcome, runs
+):
+    """Guards against refusals that another zone could have avoided."""
+    with serving.Cell() as cell:
+        cell.add_worker()
+        cell.add_worker(zone='b')
+        own = cell.add_router()
+        others = [cell.add_router(zone='b') for _ in range(2)]
+        own.claims._table = serving.FakeTable()
+        own.claims._table.down = True
+        cell.table.down = table_down
+        cell.peers.paused = {x.peer_address for x in others[:paused]}
+        for router in others[:paused]:
+            router.pipeline.application = lambda *_: _loop.sleep(60)
+        for _ in range(2):
+            reply = post(own, 'k1')
+            assert (reply.status, reply.outcome) == (status, outcome)
+            assert count_runs(cell) == runs
+
+
 @pytest.mark.parametrize('issued', [True, False])
 def test_owner_is_gone(product, issued):
     """Guards against a run whose first run cannot be ruled out."""
