Tell urgent from deferrable demand in the observations

Cause: the routers' observations had one figure for both urgencies. The controller counted all work of a pool as urgent as soon as one of its jobs was, so Demand.deferrable and Sample.deferrable stayed empty for such pools and moves for deferrable work never started. Ruled out: a struct in the IDL in place of the JSON object (it would change the call for routers of the former version). The deferrable part goes beside the totals instead, and the work of a router that does not send it counts as urgent.

Change: queues count running tasks and arrivals by urgency. A pass plans moves when the most urgent work of the last minute and the deferrable work together exceed a pool's slots; with the former condition any deferrable request would have led to a plan over the whole fleet.

Before: with 8 urgent and 20 deferrable slots for 75 s, none of 3 spare instances moves to a pool of two. After: one does, and none without the deferrable work. Conclusion: moves for deferrable work start.

--- a/skylarktally/_admission.py
+++ b/skylarktally/_admission.py
@@ -31,6 +31,24 @@
         return (self.rank, self.number) < (other.rank, other.number)
 
 
+class _RateMeter:
+    """Requests a second, averaged over some seconds."""
+
+    def __init__(self, now: datetime.timedelta) -> None:
+        self.arrivals = 0
+        self._rate = 0.0
+        self._rate_from = now
+
+    def read(self, now: datetime.timedelta) -> float:
+        passed = (now - self._rate_from).total_seconds()
+        if passed >= 1:
+            rate = self.arrivals / passed
+            self._rate += (rate - self._rate) * min(0.3 * passed, 1)
+            self.arrivals = 0
+            self._rate_from = now
+        return self._rate
+
+
 class PoolQueue:
     """Waiting requests of one pool, urgent before deferrable."""
 
@@ -42,18 +60,36 @@
         self._numbers = itertools.count()
         self._heap: list[Waiter] = []
         self._lengths = [0, 0]
-        self.running = 0
+        # Tasks that occupy a slot, by urgency.
+        self._running = [0, 0]
         self.refused = 0
-        self.arrivals = 0
-        self._rate = 0.0
-        self._rate_from = clock.monotonic()
+        now = clock.monotonic()
+        self._meters = (_RateMeter(now), _RateMeter(now))
         # Time that a task holds a slot, in seconds; None before the first.
         self._held: float | None = None
 
+    @property
+    def running(self) -> int:
+        """Return the tasks that occupy a slot, of both urgencies."""
+        return sum(self._running)
+
     def count_waiting(self) -> int:
         """Count the waiting requests of both urgencies."""
         return sum(self._lengths)
 
+    def observe(self, now: datetime.timedelta) -> dict[str, float]:
+        """Return the totals, and the part of them that is deferrable."""
+        urgent, deferrable = (meter.read(now) for meter in self._meters)
+        return {
+            'queue_length': self.count_waiting(),
+            'arrival_rate': urgent + deferrable,
+            'running': self.running,
+            'refused': self.refused,
+            'deferrable_queue_length': self._lengths[1],
+            'deferrable_arrival_rate': deferrable,
+            'deferrable_running': self._running[1],
+        }
+
     def estimate_wait(self, rank: int, slots: int) -> datetime.timedelta:
         """Estimate how long a new request of this rank would wait.
 
@@ -75,7 +111,8 @@
         rank = URGENCIES.index(urgency)
         now = self._clock.monotonic()
         wait = self.estimate_wait(rank, slots)
-        self.note_arrival(now)
+        self._meters[rank].arrivals += 1
+        self._meters[rank].read(now)
         kind = None
         if self._lengths[rank] >= self._limits.queue_limit:
             kind = _errors.ErrorKind.QUEUE_FULL
@@ -88,21 +125,6 @@
             return result.Failure(_errors.Failure(kind, message, advice))
         return result.Success(Waiter(rank, next(self._numbers), deadline))
 
-    def note_arrival(self, now: datetime.timedelta) -> None:
-        """Count a request towards the arrival rate."""
-        self.arrivals += 1
-        self.read_rate(now)
-
-    def read_rate(self, now: datetime.timedelta) -> float:
-        """Return requests a second, averaged over some seconds."""
-        passed = (now - self._rate_from).total_seconds()
-        if passed >= 1:
-            rate = self.arrivals / passed
-            self._rate += (rate - self._rate) * min(0.3 * passed, 1)
-            self.arrivals = 0
-            self._rate_from = now
-        return self._rate
-
     def may_go(self, waiter: Waiter) -> bool:
         """Tell whether no waiting request has precedence."""
         return not self._heap or waiter < self._heap[0]
@@ -143,13 +165,13 @@
             if event is not None:
                 event.send()
 
-    def note_start(self) -> None:
+    def note_start(self, rank: int) -> None:
         """Count a task that occupies a slot."""
-        self.running += 1
+        self._running[rank] += 1
 
-    def note_end(self, held: datetime.timedelta) -> None:
+    def note_end(self, rank: int, held: datetime.timedelta) -> None:
         """Count a slot that became free after that time."""
-        self.running -= 1
+        self._running[rank] -= 1
         seconds = held.total_seconds()
         if self._held is None:
             self._held = seconds
--- a/skylarktally/_dispatch.py
+++ b/skylarktally/_dispatch.py
@@ -27,15 +27,17 @@
         lease: _slots.Lease,
         slots: _slots.SlotLeases,
         clock: _clock.Clock,
+        rank: int,
     ) -> None:
         self.worker = worker
         self.lease = lease
+        self._rank = rank
         self._pool = pool
         self._slots = slots
         self._clock = clock
         self.start = clock.monotonic()
         self._returned = False
-        pool.queue.note_start()
+        pool.queue.note_start(rank)
 
     def give_back(self, reusable: bool = True) -> None:
         """Free the slot, once.
@@ -48,7 +50,8 @@
         self._returned = True
         self._slots.release(self.lease, reusable)
         self._pool.selection.note_end(self.worker)
-        self._pool.queue.note_end(self._clock.monotonic() - self.start)
+        held = self._clock.monotonic() - self.start
+        self._pool.queue.note_end(self._rank, held)
 
 
 class Delivery:
@@ -154,7 +157,7 @@
                 excluded = exchange.tried if untried else set()
                 worker = selection.choose(excluded)
             if worker is not None:
-                grant = self._reserve(pool, worker)
+                grant = self._reserve(pool, worker, waiter.rank)
                 if grant is not None:
                     pool.queue.wake()
                     if self._clock.monotonic() < waiter.deadline:
@@ -168,7 +171,7 @@
                 return result.Failure(_errors.Failure(kind, message))
 
     def _reserve(
-        self, pool: _pools.PoolState, worker: _selection.Worker
+        self, pool: _pools.PoolState, worker: _selection.Worker, rank: int
     ) -> Grant | None:
         """Take a free lease of the worker or ask it for another one."""
         selection = pool.selection
@@ -181,7 +184,7 @@
                 self._note_refusal(pool, worker, requested.failure())
                 return None
             lease = requested.unwrap()
-        return Grant(pool, worker, lease, self._slots, self._clock)
+        return Grant(pool, worker, lease, self._slots, self._clock, rank)
 
     def _note_refusal(
         self,
--- a/skylarktally/_gen/peer/Peer.py
+++ b/skylarktally/_gen/peer/Peer.py
@@ -50,7 +50,10 @@
 
     def get_observations(self):
         """
-        JSON object of observations by pool and by worker.
+        JSON object of observations by pool and by worker. Of a pool:
+        queue_length, arrival_rate, running and refused of both urgencies, and
+        deferrable_queue_length, deferrable_arrival_rate and deferrable_running,
+        the deferrable part of the first three.
 
         """
         pass
@@ -189,7 +192,10 @@
 
     def get_observations(self):
         """
-        JSON object of observations by pool and by worker.
+        JSON object of observations by pool and by worker. Of a pool:
+        queue_length, arrival_rate, running and refused of both urgencies, and
+        deferrable_queue_length, deferrable_arrival_rate and deferrable_running,
+        the deferrable part of the first three.
 
         """
         self.send_get_observations()
--- a/skylarktally/_observations.py
+++ b/skylarktally/_observations.py
@@ -234,15 +234,30 @@
 ) -> _sharing.Demand:
     """Build the demand of a pool from the sums over its routers.
 
-    Routers do not tell the urgencies of a pool apart, so that all of it
-    counts as urgent as soon as one of its jobs is.
+    Work counts as urgent where a router does not tell its urgency.
     """
-    urgent = [job for job in jobs if job.urgency == 'urgent']
-    seconds = max((job.expected_seconds for job in urgent or jobs), default=1)
-    queued = int(sums.get('queue_length', 0))
-    running = int(sums.get('running', 0))
-    rate = sums.get('arrival_rate', 0.0)
-    if urgent or not jobs:
-        return _sharing.measure_demand(pool, queued, running, rate, seconds)
-    waiting = max(float(queued + running), rate * seconds)
-    return _sharing.measure_demand(pool, 0, 0, 0.0, seconds, waiting)
+    later = {
+        key: sums.get(f'deferrable_{key}', 0.0)
+        for key in ('queue_length', 'arrival_rate', 'running')
+    }
+    now = {key: sums.get(key, 0.0) - part for key, part in later.items()}
+    waiting = max(
+        later['queue_length'] + later['running'],
+        later['arrival_rate'] * _find_seconds(jobs, 'deferrable'),
+    )
+    return _sharing.measure_demand(
+        pool,
+        int(now['queue_length']),
+        int(now['running']),
+        now['arrival_rate'],
+        _find_seconds(jobs, 'urgent'),
+        waiting,
+    )
+
+
+def _find_seconds(jobs: list[_resources.Job], urgency: str) -> float:
+    """Return the longest run time that jobs of an urgency declare."""
+    return max(
+        (job.expected_seconds for job in jobs if job.urgency == urgency),
+        default=1.0,
+    )
--- a/skylarktally/_planning.py
+++ b/skylarktally/_planning.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from skylarktally import _fleet
+from skylarktally import _forecasts
 from skylarktally import _measures
 from skylarktally import _moves
 from skylarktally import _observations
@@ -215,7 +216,8 @@
         own = fleet.find_instances(zone=tools.zone)
         # Planning over the whole fleet would take most of a controller's
         # time, and mostly there is nothing to move.
-        if not _has_gap(demands, own) and not _has_wave(fleet):
+        history = self._demand.read_history()
+        if not _has_gap(demands, history, own) and not _has_wave(fleet):
             return
         everywhere = fleet.find_instances()
         moves = _moves.plan_moves(
@@ -225,7 +227,7 @@
             narrow_budgets(
                 _transitions.list_budgets(fleet), everywhere, tools.zone
             ),
-            self._demand.read_history(),
+            history,
             tools.clock.now(),
         )
         for move in moves:
@@ -276,15 +278,30 @@
 
 
 def _has_gap(
-    demands: list[_sharing.Demand], own: list[_resources.Instance]
+    demands: list[_sharing.Demand],
+    history: _moves.History,
+    own: list[_resources.Instance],
 ) -> bool:
-    """Tell whether some pool has more work than what serves it can hold."""
+    """Tell whether some pool has more work than what serves it can hold.
+
+    Deferrable work counts on top of the most urgent work of the history,
+    because the pool needs slots for the next surge as well.
+    """
     supply: collections.Counter[str] = collections.Counter()
     for instance in own:
         if instance.phase is Phase.SERVING:
             supply[instance.pool] += instance.slots
+    highest: dict[str, float] = {}
+    if any(demand.deferrable for demand in demands):
+        highest = _forecasts.find_highest(
+            history, {d.pool: d for d in demands}, history.samples[0].at
+        )
     return any(
-        demand.deferrable or demand.slots > supply[demand.pool]
+        demand.slots > supply[demand.pool]
+        or (
+            demand.deferrable
+            and demand.deferrable + highest[demand.pool] > supply[demand.pool]
+        )
         for demand in demands
     )
 
--- a/skylarktally/_pools.py
+++ b/skylarktally/_pools.py
@@ -1,6 +1,5 @@
 """Queue, workers and counters of each pool, as this router sees them."""
 
-import datetime
 import random
 from typing import Any, Protocol
 
@@ -102,8 +101,7 @@
         now = self._clock.monotonic()
         return {
             'pools': {
-                x.name: _observe_queue(x.queue, now)
-                for x in self.list_states()
+                x.name: x.queue.observe(now) for x in self.list_states()
             },
             'workers': {
                 name: {
@@ -115,14 +113,3 @@
                 for name, record in x.selection.outliers.records.items()
             },
         }
-
-
-def _observe_queue(
-    queue: _admission.PoolQueue, now: datetime.timedelta
-) -> dict[str, Any]:
-    return {
-        'queue_length': queue.count_waiting(),
-        'arrival_rate': queue.read_rate(now),
-        'running': queue.running,
-        'refused': queue.refused,
-    }
--- a/skylarktally/skylarktally.thrift
+++ b/skylarktally/skylarktally.thrift
@@ -55,6 +55,11 @@
   i64 push_log(1: list<LogEntry> entries),
   Snapshot fetch_snapshot(),
   Answer find_answer(1: string request_key),
-  /** JSON object of observations by pool and by worker. */
+  /**
+   * JSON object of observations by pool and by worker. Of a pool:
+   * queue_length, arrival_rate, running and refused of both urgencies, and
+   * deferrable_queue_length, deferrable_arrival_rate and deferrable_running,
+   * the deferrable part of the first three.
+   */
   string get_observations(),
 }
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -23,8 +23,8 @@
     clock = serving.ManualClock()
     queue = _admission.PoolQueue(clock, _limits.ServingLimits(**limits))
     for _ in range(running + 1):
-        queue.note_start()
-    queue.note_end(seconds(held))
+        queue.note_start(0)
+    queue.note_end(0, seconds(held))
     return clock, queue
 
 
@@ -105,16 +105,25 @@
 
 
 def test_urgent_requests_overtake_on_the_wire(cell):
-    """Guards against urgent work stuck behind deferrable work."""
+    """Guards against urgent work stuck behind deferrable work.
+
+    Also against deferrable work that controllers take for urgent.
+    """
     cell.add_worker()
-    cell.add_router()
+    router = cell.add_router()
     later = [
         _loop.spawn(send_timed, cell, WORK.format(serving.POOL, 'later', 0.1))
         for _ in range(64)
     ]
     _loop.sleep(0.3)
+    seen = router.pipeline.observe()['pools'][serving.POOL]
+    for key, least in (('running', 8), ('queue_length', 8)):
+        assert seen[f'deferrable_{key}'] == seen[key] >= least
     path = WORK.format(serving.POOL, 'urgent', 0.1)
     reply, waited = send_timed(cell, path)
+    seen = router.pipeline.observe()['pools'][serving.POOL]
+    assert seen['arrival_rate'] >= seen['deferrable_arrival_rate']
+    assert seen['deferrable_running'] == seen['running']
     behind = [x.wait()[1] for x in later]
     assert reply.status == 200
     assert waited < max(behind) / 2
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -201,13 +201,16 @@
     assert world.read_instances()['w1'].phase is Phase.SERVING
 
 
-def observe(controller, **slots):
+def observe(controller, deferrable=0, **slots):
     pools = {
         pool: {
-            'queue_length': count,
-            'arrival_rate': count,
+            'queue_length': count + deferrable,
+            'arrival_rate': count + deferrable,
             'running': 0,
             'refused': 0,
+            'deferrable_queue_length': deferrable,
+            'deferrable_arrival_rate': deferrable,
+            'deferrable_running': 0,
         }
         for pool, count in slots.items()
     }
@@ -231,6 +234,21 @@
     invariants.check(world)
 
 
+@pytest.mark.parametrize(('deferrable', 'expected'), [(20, 3), (0, 2)])
+def test_a_spare_instance_moves_to_lasting_deferrable_work(
+    deferrable, expected
+):
+    world, controller = build(workers=2, spare=3, min_available=2)
+    # Eight urgent slots with a mean of one second; the rest can wait.
+    for _ in range(75):
+        observe(controller, deferrable=deferrable, desk=8)
+        world.boot_all()
+        controller.step()
+    pools = [i.pool for i in list_instances(world)]
+    assert pools.count('desk') == expected
+    invariants.check(world)
+
+
 @pytest.mark.parametrize(
     ('elsewhere', 'expected'),
     [
