Measure demand by the run times that routers see

Cause: a demand was the arrival rate times the declared run time. A job that declares a tenth of its real run time never wanted more slots than its pool has: its backlog and its share were a tenth of the truth. Ruled out: limits of 1/4 to 4 times, as for the sizes of batch jobs. They guard against single reports that are off; this is a mean over all tasks of a router.

Change: queues average the time that a task holds a slot by urgency and report the load, which sums over routers. The declared time counts until a task has ended.

Before: at 200 slots of demand in requests of 10 s that declare 1 s, a pool of 2 of 5 instances gets fewer than the 3 that the spare pool can lend (the new case fails with the declared time). After: it gets 3, as with requests of 1 s. Conclusion: moves follow the load, not the declaration.

--- a/skylarktally/_admission.py
+++ b/skylarktally/_admission.py
@@ -67,6 +67,7 @@
         self._meters = (_RateMeter(now), _RateMeter(now))
         # Time that a task holds a slot, in seconds; None before the first.
         self._held: float | None = None
+        self._held_by_rank: list[float | None] = [None, None]
 
     @property
     def running(self) -> int:
@@ -80,6 +81,8 @@
     def observe(self, now: datetime.timedelta) -> dict[str, float]:
         """Return the totals, and the part of them that is deferrable."""
         urgent, deferrable = (meter.read(now) for meter in self._meters)
+        urgent_held, deferrable_held = self._held_by_rank
+        deferrable_load = deferrable * (deferrable_held or 0.0)
         return {
             'queue_length': self.count_waiting(),
             'arrival_rate': urgent + deferrable,
@@ -88,6 +91,9 @@
             'deferrable_queue_length': self._lengths[1],
             'deferrable_arrival_rate': deferrable,
             'deferrable_running': self._running[1],
+            # Slots that the arriving work needs, by measured run times.
+            'load': urgent * (urgent_held or 0.0) + deferrable_load,
+            'deferrable_load': deferrable_load,
         }
 
     def estimate_wait(self, rank: int, slots: int) -> datetime.timedelta:
@@ -173,7 +179,11 @@
         """Count a slot that became free after that time."""
         self._running[rank] -= 1
         seconds = held.total_seconds()
-        if self._held is None:
-            self._held = seconds
-        self._held += (seconds - self._held) * _WEIGHT
+        self._held = _average(self._held, seconds)
+        self._held_by_rank[rank] = _average(self._held_by_rank[rank], seconds)
         self.wake()
+
+
+def _average(known: float | None, sample: float) -> float:
+    """Return the moving average after one more sample."""
+    return sample if known is None else known + (sample - known) * _WEIGHT
--- a/skylarktally/_gen/peer/Peer.py
+++ b/skylarktally/_gen/peer/Peer.py
@@ -51,9 +51,9 @@
     def get_observations(self):
         """
         JSON object of observations by pool and by worker. Of a pool:
-        queue_length, arrival_rate, running and refused of both urgencies, and
-        deferrable_queue_length, deferrable_arrival_rate and deferrable_running,
-        the deferrable part of the first three.
+        queue_length, arrival_rate, running, refused and load (slots that the
+        arriving work needs) of both urgencies, and, prefixed with deferrable_, the
+        deferrable part of each but refused.
 
         """
         pass
@@ -193,9 +193,9 @@
     def get_observations(self):
         """
         JSON object of observations by pool and by worker. Of a pool:
-        queue_length, arrival_rate, running and refused of both urgencies, and
-        deferrable_queue_length, deferrable_arrival_rate and deferrable_running,
-        the deferrable part of the first three.
+        queue_length, arrival_rate, running, refused and load (slots that the
+        arriving work needs) of both urgencies, and, prefixed with deferrable_, the
+        deferrable part of each but refused.
 
         """
         self.send_get_observations()
--- a/skylarktally/_observations.py
+++ b/skylarktally/_observations.py
@@ -238,25 +238,32 @@
     """
     later = {
         key: sums.get(f'deferrable_{key}', 0.0)
-        for key in ('queue_length', 'arrival_rate', 'running')
+        for key in ('queue_length', 'arrival_rate', 'running', 'load')
     }
     now = {key: sums.get(key, 0.0) - part for key, part in later.items()}
     waiting = max(
         later['queue_length'] + later['running'],
-        later['arrival_rate'] * _find_seconds(jobs, 'deferrable'),
+        later['arrival_rate'] * _find_seconds(jobs, 'deferrable', later),
     )
     return _sharing.measure_demand(
         pool,
         int(now['queue_length']),
         int(now['running']),
         now['arrival_rate'],
-        _find_seconds(jobs, 'urgent'),
+        _find_seconds(jobs, 'urgent', now),
         waiting,
     )
 
 
-def _find_seconds(jobs: list[_resources.Job], urgency: str) -> float:
-    """Return the longest run time that jobs of an urgency declare."""
+def _find_seconds(
+    jobs: list[_resources.Job], urgency: str, sums: dict[str, float]
+) -> float:
+    """Return the mean run time that routers measured for an urgency.
+
+    Before they have any, it is the longest one that its jobs declare.
+    """
+    if sums['load'] > 0 and sums['arrival_rate'] > 0:
+        return sums['load'] / sums['arrival_rate']
     return max(
         (job.expected_seconds for job in jobs if job.urgency == urgency),
         default=1.0,
--- a/skylarktally/skylarktally.thrift
+++ b/skylarktally/skylarktally.thrift
@@ -57,9 +57,9 @@
   Answer find_answer(1: string request_key),
   /**
    * JSON object of observations by pool and by worker. Of a pool:
-   * queue_length, arrival_rate, running and refused of both urgencies, and
-   * deferrable_queue_length, deferrable_arrival_rate and deferrable_running,
-   * the deferrable part of the first three.
+   * queue_length, arrival_rate, running, refused and load (slots that the
+   * arriving work needs) of both urgencies, and, prefixed with deferrable_, the
+   * deferrable part of each but refused.
    */
   string get_observations(),
 }
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -201,26 +201,33 @@
     assert world.read_instances()['w1'].phase is Phase.SERVING
 
 
-def observe(controller, deferrable=0, **slots):
+def observe(controller, deferrable=0, seconds=1.0, **slots):
+    """Report that many slots of work, in requests of so many seconds."""
     pools = {
         pool: {
-            'queue_length': count + deferrable,
-            'arrival_rate': count + deferrable,
+            'queue_length': (count + deferrable) / seconds,
+            'arrival_rate': (count + deferrable) / seconds,
             'running': 0,
             'refused': 0,
-            'deferrable_queue_length': deferrable,
-            'deferrable_arrival_rate': deferrable,
+            'load': count + deferrable,
+            'deferrable_queue_length': deferrable / seconds,
+            'deferrable_arrival_rate': deferrable / seconds,
             'deferrable_running': 0,
+            'deferrable_load': deferrable,
         }
         for pool, count in slots.items()
     }
     controller.demand.note_report('r1', {'pools': pools})
 
 
-def test_spare_instances_move_to_lasting_demand_and_stay_within_limits():
+@pytest.mark.parametrize('seconds', [1.0, 10.0])
+def test_spare_instances_move_to_lasting_demand_and_stay_within_limits(
+    seconds,
+):
+    # The job declares one second; the demand counts what routers measure.
     world, controller = build(workers=2, spare=3, min_available=2)
     for _ in range(60):
-        observe(controller, desk=200)
+        observe(controller, seconds=seconds, desk=200)
         world.boot_all()
         controller.step()
     pools = [i.pool for i in list_instances(world)]
