--- a/skylarktally/_gen/peer/Peer.py
+++ b/skylarktally/_gen/peer/Peer.py
@@ -50,7 +50,10 @@
 
     def get_observations(self):
         """
-        JSON object of observations by pool and by worker.
+        JSON object of observations by pool and by worker. Of a pool:
+        queue_length, arrival_rate, running, refused and load (slots that the
+        arriving work needs) of both urgencies, and, prefixed with deferrable_, the
+        deferrable part of each but refused.
 
         """
         pass
@@ -189,7 +192,10 @@
 
     def get_observations(self):
         """
-        JSON object of observations by pool and by worker.
+        JSON object of observations by pool and by worker. Of a pool:
+        queue_length, arrival_rate, running, refused and load (slots that the
+        arriving work needs) of both urgencies, and, prefixed with deferrable_, the
+        deferrable part of each but refused.
 
         """
         self.send_get_observations()
--- a/skylarktally/skylarktally.thrift
+++ b/skylarktally/skylarktally.thrift
@@ -55,6 +55,11 @@
   i64 push_log(1: list<LogEntry> entries),
   Snapshot fetch_snapshot(),
   Answer find_answer(1: string request_key),
-  /** JSON object of observations by pool and by worker. */
+  /**
+   * JSON object of observations by pool and by worker. Of a pool:
+   * queue_length, arrival_rate, running, refused and load (slots that the
+   * arriving work needs) of both urgencies, and, prefixed with deferrable_, the
+   * deferrable part of each but refused.
+   */
   string get_observations(),
 }
