Measure the controller's cost with workers to probe

The capacity page had no figure for a controller that probes the 400 workers of a zone. tools.measure_capacity now starts a zone of up to three routers and controllers, workers that answer for their fence alone, and a relay before the platform that counts bytes. Beat rows of the other 21 entries are written once, since only their size counts.

--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -115,6 +115,23 @@
         path.write_text(json.dumps(settings), encoding='utf-8')
         self._start(name, 'skylarktally.router', f'--settings={path}')
 
+    def start_controller(self, name: str, zone: str, **changes: Any) -> None:
+        """Start a controller and wait until its API can be used."""
+        settings = {
+            'name': name,
+            'zone': zone,
+            'api_address': self.choose_address(),
+            'admin_address': self.choose_address(),
+            'platform_address': self.platform_address,
+            'peer_secret': SECRET,
+            **changes,
+        }
+        self._added[name] = settings
+        path = self.directory / f'{name}.json'
+        path.write_text(json.dumps(settings), encoding='utf-8')
+        self._start(name, 'skylarktally.controller', f'--settings={path}')
+        self._wait_for(f'http://{settings["admin_address"]}/readyz')
+
     def start_routers(self) -> None:
         """Start all routers and wait until they are ready."""
         for name in self.routers:
@@ -128,8 +145,8 @@
         self._wait_for(f'http://{address}/readyz', seconds)
 
     def read_state(self, name: str) -> dict[str, Any]:
-        """Return the state dump of a router."""
-        address = self.routers[name]['admin_address']
+        """Return the state dump of a router or controller."""
+        address = self._added[name]['admin_address']
         url = f'http://{address}/debug/state'
         return dict(self.http.request('GET', url).json())
 
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -1,8 +1,9 @@
-"""Measures what a router costs against instances, pools and members.
+"""Measures what routers and controllers cost at rest, at several sizes.
 
-Starts real processes on loopback at several sizes and prints processor
-time, memory, and bytes and calls a second of one router that serves no
-requests. docs/CAPACITY.md is worked out from these slopes.
+Starts real processes on loopback and prints processor time, memory, and
+bytes and calls a second of one router that serves no requests, then of one
+controller of a zone with workers to probe. docs/CAPACITY.md is worked out
+from these figures.
 """
 
 import os
@@ -15,9 +16,13 @@
 from absl import flags
 from returns import result
 
+from skylarktally import _clock
 from skylarktally import _journal
+from skylarktally import _limits
 from skylarktally import _resources
+from skylarktally import _table
 from tools import cluster
+from tools import counting
 
 _SECONDS = flags.DEFINE_float(
     'seconds', 10.0, 'How long each size is observed.', 1.0, 600.0
@@ -34,8 +39,20 @@
 _MEMBERS = flags.DEFINE_multi_integer(
     'members', [3, 9, 24], 'Numbers of routers to measure.'
 )
+_WORKERS = flags.DEFINE_multi_integer(
+    'workers', [400], 'Numbers of workers of a zone, for its controllers.'
+)
+_CONTROLLERS = flags.DEFINE_integer(
+    'controllers', 3, 'Controllers, each with a router, in that zone.', 1, 3
+)
+_ROUTERS_MEASURED = flags.DEFINE_bool(
+    'routers', True, 'Whether routers are measured as well.'
+)
 _TICKS = os.sysconf('SC_CLK_TCK')
 _PER_POOL = 12
+# Entries of the whole system; those of other zones are only rows here.
+_ENTRIES = 24
+_ZONES = 8
 _PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 
 
@@ -52,14 +69,29 @@
     table_reads: float
 
 
-def build_instance(number: int) -> _resources.Change:
+class ControllerCost(NamedTuple):
+    """What one controller used, as the mean of those of a zone."""
+
+    core_percent: float
+    megabytes: float
+    # Sent and received, without TCP/IP headers.
+    platform_bytes: float
+    peer_bytes: float
+    worker_bytes: float
+    platform_requests: float
+    probes: float
+
+
+def build_instance(
+    number: int, zone: str = '', port: int = 8080
+) -> _resources.Change:
     """Return a change that declares one instance."""
     instance = _resources.Instance(
         name=f'worker-{number}',
         pool=f'pool-{number // _PER_POOL}',
-        zone=f'zone-{number % 8}',
+        zone=zone or f'zone-{number % _ZONES}',
         rack=f'rack-{number // 4}',
-        address=f'127.200.{number // 250}.{number % 250}:8080',
+        address=f'{_find_host(number)}:{port}',
         cores=64,
         memory_bytes=256 << 30,
         accelerators=2,
@@ -72,6 +104,10 @@
     return _resources.Change(kind='instance', name=instance.name, value=value)
 
 
+def _find_host(number: int) -> str:
+    return f'127.200.{number // 250}.{number % 250 + 1}'
+
+
 def build_pool(number: int) -> _resources.Change:
     """Return a change that declares one pool."""
     name = f'pool-{number}'
@@ -167,8 +203,111 @@
         return observe(deployment, 'router-0', seconds)
 
 
+def measure_controllers(
+    count: int, workers: int, seconds: float
+) -> ControllerCost:
+    """Measure the controllers of one zone, alone with its workers."""
+    with (
+        tempfile.TemporaryDirectory() as scratch,
+        cluster.Cluster(pathlib.Path(scratch)) as deployment,
+    ):
+        deployment.start_platform()
+        endpoints = counting.Endpoints()
+        relayed = deployment.choose_address()
+        endpoints.relay(relayed, deployment.platform_address)
+        port = int(relayed.rpartition(':')[2])
+        instances = [
+            build_instance(number, 'zone-0', port) for number in range(workers)
+        ]
+        endpoints.serve_workers(map(_find_host, range(workers)), port)
+        journal = deployment.create_journal()
+        pools = range(workers // _PER_POOL + 1)
+        commit(journal, [build_pool(number) for number in pools] + instances)
+        _write_other_beats(deployment, count)
+        names = [f'controller-{number}' for number in range(count)]
+        for number in range(count):
+            deployment.add_router(f'router-{number}', 'zone-0')
+        deployment.start_routers()
+        for number, name in enumerate(names):
+            router = deployment.routers[f'router-{number}']
+            deployment.start_controller(
+                name,
+                'zone-0',
+                platform_address=relayed,
+                peer_address=router['peer_address'],
+                seeds=[],
+            )
+        time.sleep(_WARM_UP.value)
+        return observe_controllers(deployment, endpoints, names, seconds)
+
+
+def _write_other_beats(deployment: cluster.Cluster, own: int) -> None:
+    """Write the beat rows that controllers of other zones would have."""
+    limits = _limits.Limits(_clock.SystemClock(), 200, 200)
+    table = _table.HttpTable(
+        deployment.platform_address, _clock.SystemClock(), limits
+    )
+    rows = tuple(
+        _table.Write(
+            f'beat/other-{number}',
+            {'incarnation': time.time_ns(), 'count': 1000},
+        )
+        for number in range(own, _ENTRIES)
+    )
+    table.commit(_table.Transaction('beats', (), rows)).unwrap()
+
+
+def observe_controllers(
+    deployment: cluster.Cluster,
+    endpoints: counting.Endpoints,
+    names: list[str],
+    seconds: float,
+) -> ControllerCost:
+    """Return the mean cost of controllers over some seconds."""
+
+    def read() -> list[float]:
+        pids = [deployment.find_pid(name) for name in names]
+        calls = [deployment.read_state(name)['peer_calls'] for name in names]
+        return [
+            sum(map(_read_processor, pids)) * 100,
+            endpoints.platform_bytes,
+            sum(c['sent_bytes'] + c['received_bytes'] for c in calls),
+            endpoints.worker_bytes,
+            endpoints.platform_requests,
+            endpoints.probes,
+        ]
+
+    before, started = read(), time.monotonic()
+    time.sleep(seconds)
+    after, took = read(), time.monotonic() - started
+    rates = [
+        (new - old) / took / len(names)
+        for old, new in zip(before, after, strict=True)
+    ]
+    resident = max(_read_resident(deployment.find_pid(n)) for n in names)
+    return ControllerCost(rates[0], resident / 1e6, *rates[1:])
+
+
 def main(_argv: list[str]) -> None:
     """Print one line for each size."""
+    if _ROUTERS_MEASURED.value:
+        print_routers()
+    print('controllers workers  core_%    MB  platform_B/s  peer_B/s', end='')
+    print('  worker_B/s  requests/s  probes/s')
+    for workers in _WORKERS.value:
+        count = _CONTROLLERS.value
+        cost = measure_controllers(count, workers, _SECONDS.value)
+        print(
+            f'{count:11} {workers:7} {cost.core_percent:7.2f}'
+            f' {cost.megabytes:5.0f} {cost.platform_bytes:13.0f}'
+            f' {cost.peer_bytes:9.0f} {cost.worker_bytes:11.0f}'
+            f' {cost.platform_requests:11.2f} {cost.probes:9.2f}',
+            flush=True,
+        )
+
+
+def print_routers() -> None:
+    """Print the cost of a router at each size."""
     print('routers instances  core_%    MB  peer_B/s  calls/s  reads/s')
     sizes = [(3, count) for count in _INSTANCES.value]
     sizes += [(count, 320) for count in _MEMBERS.value]
