Refuse heads with bare line feeds, carriage returns or nulls

Cause: the head parser ends a line at a bare line feed or carriage return, so 'X-A: b<CR>Content-Length: 1' was read as two headers, where another reader in front of the router sees one. Nulls were passed to the worker.

Ruled out: checking the parsed headers, which no longer show where the parser had split a line; the raw lines are checked instead.

Chunk extensions, chunk sizes without digits, with a space or beyond 8 digits, and a folded length were refused or removed before, and are now checked.

--- a/skylarktally/_server.py
+++ b/skylarktally/_server.py
@@ -28,6 +28,16 @@
         self.failure = _errors.Failure(kind, message)
 
 
+def _is_whole_line(line: bytes) -> bool:
+    """Tell whether every reader sees one line that ends here.
+
+    Some readers end a line at a bare line feed or carriage return, or at a
+    null, and would see other headers than this one.
+    """
+    content = line[:-2]
+    return line.endswith(b'\r\n') and not any(x in content for x in b'\r\0')
+
+
 class _HeaderReader:
     """Reader of header lines that counts their bytes."""
 
@@ -46,6 +56,10 @@
         if not line.endswith(b'\n'):
             # The base class would take a head cut short for a whole one.
             raise ConnectionResetError
+        if not _is_whole_line(line):
+            raise _Refused(
+                _errors.ErrorKind.INVALID_REQUEST, 'malformed line of the head'
+            )
         return line
 
 
@@ -187,6 +201,10 @@
                 raise _Refused(
                     _errors.ErrorKind.HEADERS_TOO_LARGE, 'the head is too long'
                 )
+            if not _is_whole_line(self.raw_requestline):
+                raise _Refused(
+                    _errors.ErrorKind.INVALID_REQUEST, 'malformed request line'
+                )
             parsed: bool = super().parse_request()
             if parsed:
                 self._check_framing()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -86,6 +86,30 @@
     'chunk-hex': ('Transfer-Encoding: chunked\r\n', '0x1\r\na\r\n0\r\n\r\n'),
     'chunk-end': ('Transfer-Encoding: chunked\r\n', '1\r\naXX0\r\n\r\n'),
     'chunk-bare-lf': ('Transfer-Encoding: chunked\r\n', '1\na\n0\n\n'),
+    'chunk-no-size': (
+        'Transfer-Encoding: chunked\r\n',
+        ';a\r\na\r\n0\r\n\r\n',
+    ),
+    'chunk-space': ('Transfer-Encoding: chunked\r\n', '1 \r\na\r\n0\r\n\r\n'),
+    'chunk-huge': (
+        'Transfer-Encoding: chunked\r\n',
+        '100000001\r\na\r\n0\r\n\r\n',
+    ),
+    'chunk-extension-lf': (
+        'Transfer-Encoding: chunked\r\n',
+        '1;a\nb\r\na\r\n0\r\n\r\n',
+    ),
+    'chunk-extension-long': (
+        'Transfer-Encoding: chunked\r\n',
+        f'1;{"a" * 2000}\r\na\r\n0\r\n\r\n',
+    ),
+    'empty-length': ('Content-Length: \r\n', ''),
+    'bare-lf': ('X-A: b\nContent-Length: 1\r\n', 'a'),
+    'bare-lf-at-end': ('Content-Length: 1\n', 'a'),
+    'bare-cr': ('X-A: b\rContent-Length: 1\r\n', 'a'),
+    'null': ('X-A: b\0c\r\nContent-Length: 1\r\n', 'a'),
+    'folded-length': ('Content-Length:\r\n 1\r\n', 'a'),
+    'no-colon': ('X-A\r\nContent-Length: 1\r\n', 'a'),
 }
 
 
@@ -252,3 +276,28 @@
                 length = int(line.split(b':')[1])
         assert json.loads(stream.read(length))['body'] == body.decode()
     connection.close()
+
+
+def test_bare_line_feed_after_the_request_line_is_refused(cell):
+    """Guards against a head whose lines two readers see differently."""
+    data = build('Content-Length: 1\r\n', 'a').replace(b'\r\n', b'\n', 1)
+    answer = exchange(cell, data, wait=2.0)
+
+    def check():
+        assert answer.startswith(b'HTTP/1.1 400 ')
+        assert count_runs(cell) == 0
+
+    cell.expect_failure_if_naive(check)
+
+
+def test_chunk_extensions_end_at_the_router(cell):
+    """Guards against extensions that a worker takes for a part of a body."""
+    body = '1;a=b\r\na\r\n2;c="d"\r\nbc\r\n0;e\r\nX-T: t\r\n\r\n'
+    answer = exchange(cell, build('Transfer-Encoding: chunked\r\n', body))
+
+    def check():
+        assert answer.startswith(b'HTTP/1.1 200 ')
+        assert b'"body": "abc"' in answer
+        assert count_runs(cell) == 1
+
+    cell.expect_failure_if_naive(check)
