Follow the platform's list of live and leaving instances

Cause: the product had a client for the platform's instance list and never read it. An instance that the platform took away went on getting work until its worker fell silent for 12 s, and a replaced one, with its new address, stayed failed until an operator declared it again. Ruled out: honouring the budget for such an instance (the platform does not wait, and a leaving instance must get no new work); trusting a list at any age (it shows the reboots of the system itself, late).

The checkers of budgets in the tests and the demo no longer count what the platform takes away as a planned stop: nobody decided it, and it still counts as a loss for every stop that follows.

--- a/demo/_checks.py
+++ b/demo/_checks.py
@@ -220,6 +220,8 @@
     return (
         before['status'].get('phase') == 'serving'
         and after['status'].get('phase') == 'draining'
+        # What the platform takes away is lost, whatever is decided here.
+        and not after['status'].get('departing')
     )
 
 
--- a/skylarktally/_instances.py
+++ b/skylarktally/_instances.py
@@ -47,8 +47,8 @@
 class Instances(Protocol):
     """The platform's instances, with the failures of the table."""
 
-    def list(self) -> result.Result[InstanceList, _errors.Failure]:
-        """Return the list, which lags behind the actual state."""
+    def list(self, zone: str) -> result.Result[InstanceList, _errors.Failure]:
+        """Return the list of a zone, which lags behind the actual state."""
 
     def drain(
         self, name: str, operation_id: str
@@ -69,10 +69,31 @@
     ) -> None:
         self._clock = clock
         self._client = _platform.PlatformClient(address, limits)
-
-    def list(self) -> result.Result[InstanceList, _errors.Failure]:
-        """Return the list, which lags behind the actual state."""
-        return self._client.send('GET', '/v1/instances').bind(_read_list)
+        # Entity tag and content of the last list, by zone.
+        self._listed: dict[str, tuple[str, tuple[ListedInstance, ...]]] = {}
+
+    def list(self, zone: str) -> result.Result[InstanceList, _errors.Failure]:
+        """Return the list of a zone, which lags behind the actual state.
+
+        An unchanged list costs no more than its entity tag.
+        """
+        etag, known = self._listed.get(zone, ('', ()))
+        sent = self._client.send(
+            'GET',
+            f'/v1/instances?zone={urllib.parse.quote(zone, safe="")}',
+            headers={'If-None-Match': etag} if etag else None,
+        )
+        if not isinstance(sent, result.Success):
+            return result.Failure(sent.failure())
+        response = sent.unwrap()
+        if response.status != 304:
+            read = _read_list(response)
+            if not isinstance(read, result.Success):
+                return result.Failure(read.failure())
+            etag, known = response.headers.get('ETag', ''), read.unwrap()
+            self._listed[zone] = etag, known
+        as_of = datetime.datetime.fromisoformat(response.headers['As-Of'])
+        return result.Success(InstanceList(known, as_of))
 
     def drain(
         self, name: str, operation_id: str
@@ -100,20 +121,21 @@
 
 def _read_list(
     response: _platform.Response,
-) -> result.Result[InstanceList, _errors.Failure]:
+) -> result.Result[tuple[ListedInstance, ...], _errors.Failure]:
     if response.status != 200:
         return _platform.explain_status(response)
-    body = response.read_json()
     fields = ListedInstance._fields
-    return result.Success(
-        InstanceList(
-            tuple(
-                ListedInstance(**{field: entry[field] for field in fields})
-                for entry in body['instances']
-            ),
-            datetime.datetime.fromisoformat(body['as_of']),
+    try:
+        listed = tuple(
+            ListedInstance(**{field: entry[field] for field in fields})
+            for entry in response.read_json()['instances']
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        message = f'malformed instance list: {error!r}'
+        return result.Failure(
+            _errors.Failure(_errors.ErrorKind.INTERNAL, message)
         )
-    )
+    return result.Success(listed)
 
 
 def _read_operation(
--- a/skylarktally/_measures.py
+++ b/skylarktally/_measures.py
@@ -48,6 +48,12 @@
             ['action'],
             registry=registry,
         )
+        self.departures = prometheus_client.Counter(
+            'skylarktally_departures',
+            'Instances that the platform took away or brought back.',
+            ['action'],
+            registry=registry,
+        )
         self.runs = prometheus_client.Counter(
             'skylarktally_batch_runs',
             'Batch runs by how they ended.',
--- a/skylarktally/_reconciler.py
+++ b/skylarktally/_reconciler.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from skylarktally import _batch
+from skylarktally import _departures
 from skylarktally import _fleet
 from skylarktally import _journal
 from skylarktally import _maintenance
@@ -52,6 +53,7 @@
         self._stepper = _steps.Stepper(tools, probes)
         self._parts: tuple[Callable[[], None], ...] = (
             self._plan_repairs,
+            _departures.Departures(tools, measures).step,
             _maintenance.Maintenance(tools, measures).step,
             self._plan_moves,
             batch.step,
--- a/skylarktally/_transitions.py
+++ b/skylarktally/_transitions.py
@@ -95,6 +95,7 @@
         target_pool=None,
         then=None,
         held=False,
+        departing=None,
     )
 
 
@@ -246,7 +247,9 @@
             resource,
             Phase.CORDONED,
             now,
-            'drained by an operator',
+            'drained for the platform'
+            if status.get('departing')
+            else 'drained by an operator',
             then=None,
             held=True,
         )
--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -37,6 +37,8 @@
         and change['value']['status']['phase'] in _PLANNED
         and change['name'] in before
         and before[change['name']].phase is Phase.SERVING
+        # What the platform takes away is lost, whatever is decided here.
+        and not change['value']['status'].get('departing')
     ]
     allowed = _budgets.check_budget(
         _transitions.list_budgets(fleet), fleet.find_instances(), stops
