Put a load balancer with health checks in front of the demo's entries

Cause: the slowest requests of a pause are non-idempotent ones that the demo sent once to the paused entry and then waited for until it woke, 8.36 to 8.93 s of a pause of 9 s. A caller that holds a key need not do that. Ruled out: a shorter timeout of the callers, which would also cut off requests that wait for a slot. Change: a balancer reads /readyz of each router every 0.5 s. Two checks without an answer take the entry out and close its connections; an entry that reports itself as not ready only gets no new ones. It replaces the fixed list that the faults kill and pause edited after 1 s. A caller whose connection broke sends the request again under the same key, and so does one that is told that the key is in use. A refusal after an attempt of unknown outcome counts as unknown. Conclusion: a request that has not been claimed no longer waits for a paused entry; one that has been claimed there still does, by design.

--- a/demo/_callers.py
+++ b/demo/_callers.py
@@ -6,6 +6,7 @@
 
 import urllib3
 
+from demo import _balancer
 from demo import _deployment
 from skylarktally import _loop
 
@@ -15,6 +16,9 @@
 _OWN_PREFIX = 'demo-'
 _MOST_ATTEMPTS = 8
 _PAUSE_SECONDS = 0.2
+_BROKEN = (urllib3.exceptions.HTTPError, _balancer.ConnectionClosed)
+# Errors after which the key tells what became of an earlier attempt.
+_ASK_AGAIN = ('connection', 'duplicate_request')
 
 
 class Attempt(NamedTuple):
@@ -50,20 +54,17 @@
 
 
 class Callers:
-    """Open-loop callers that choose an entry at random, as a balancer does.
+    """Open-loop callers behind a load balancer.
 
-    A request that was not run, and any idempotent request, is sent again
-    through another entry; a non-idempotent one only under the same key.
+    A request that was not run or whose connection broke, and any idempotent
+    request, is sent again; a non-idempotent one only under the same key.
     """
 
     def __init__(self, deployment: _deployment.Deployment, seed: int) -> None:
         self.calls: list[Call] = []
         self._deployment = deployment
-        self._entries = list(deployment.entries)
+        self._balancer = _balancer.Balancer(deployment.entries)
         self._random = random.Random(seed)
-        self._http = urllib3.PoolManager(
-            num_pools=len(self._entries), maxsize=512, retries=False
-        )
         self._jobs = [
             resource
             for resource in deployment.resources
@@ -72,6 +73,7 @@
 
     def run(self, duration_seconds: float, rate: float) -> None:
         """Send requests at a mean rate per second, and wait for the last."""
+        self._balancer.start()
         threads = []
         end = time.monotonic() + duration_seconds
         number = 0
@@ -98,7 +100,7 @@
         outcome, error = 'not-run', ''
         attempts: list[Attempt] = []
         while len(attempts) < _MOST_ATTEMPTS:
-            entry = self._random.choice(self._entries)
+            entry = self._balancer.choose(self._random)
             sent = time.monotonic()
             outcome, error = self._send(entry, job, key)
             attempts.append(
@@ -111,10 +113,14 @@
                 )
             )
             final = outcome in ('complete', 'wrong-answer')
-            if final or not self._may_resend(job, outcome):
+            if final or not self._may_resend(job, outcome, error):
                 break
             _loop.sleep(_PAUSE_SECONDS * len(attempts))
         spec = job['spec']
+        if not spec['idempotent'] and outcome in ('not-run', 'unreachable'):
+            # A refusal does not speak for an earlier attempt.
+            if any(x.outcome == 'unknown' for x in attempts):
+                outcome = 'unknown'
         self.calls.append(
             Call(
                 key=key,
@@ -134,12 +140,11 @@
         if job['spec']['idempotent'] or number % 2:
             return f'{_OWN_PREFIX}{number:06d}'
         while True:
-            entry = self._random.choice(self._entries)
-            url = f'http://{entry.serving_address}/v1/request-keys'
+            entry = self._balancer.choose(self._random)
             try:
-                response = self._http.request(
-                    'POST',
-                    url,
+                response = self._balancer.send(
+                    entry,
+                    '/v1/request-keys',
                     headers={
                         'Authorization': (
                             f'Bearer {self._deployment.caller_token}'
@@ -148,14 +153,17 @@
                     timeout=2.0,
                 )
                 return str(response.json()['key'])
-            except (urllib3.exceptions.HTTPError, KeyError):
+            except (*_BROKEN, KeyError):
                 _loop.sleep(_PAUSE_SECONDS)
 
-    def _may_resend(self, job: dict[str, Any], outcome: str) -> bool:
+    def _may_resend(
+        self, job: dict[str, Any], outcome: str, error: str
+    ) -> bool:
         # A resend under the same key never runs a request twice; it is
         # how a caller finds out what became of the first attempt.
         return outcome in ('not-run', 'unreachable') or (
-            job['spec']['idempotent'] and outcome == 'unknown'
+            outcome == 'unknown'
+            and (job['spec']['idempotent'] or error in _ASK_AGAIN)
         )
 
     def _send(
@@ -167,15 +175,15 @@
         if spec['idempotent'] and spec['urgency'] == 'urgent':
             timeout = _URGENT_TIMEOUT_SECONDS
         seconds = spec['expected_seconds']
-        url = (
-            f'http://{entry.serving_address}/v1/pools/{spec["pool"]}'
-            f'/jobs/{job["name"]}/desk?seconds={seconds}'
+        path = (
+            f'/v1/pools/{spec["pool"]}/jobs/{job["name"]}/desk'
+            f'?seconds={seconds}'
         )
         body = f'{key} {job["name"]}'.encode()
         try:
-            response = self._http.request(
-                'POST',
-                url,
+            response = self._balancer.send(
+                entry,
+                path,
                 body=body,
                 headers={
                     'Authorization': f'Bearer {self._deployment.caller_token}',
@@ -185,7 +193,7 @@
             )
         except urllib3.exceptions.NewConnectionError:
             return 'unreachable', 'connection'
-        except urllib3.exceptions.HTTPError:
+        except _BROKEN:
             return 'unknown', 'connection'
         return self._classify(response, key)
 
@@ -198,11 +206,3 @@
         if key.encode() in response.data:
             return 'complete', ''
         return 'wrong-answer', ''
-
-    def remember_entry(self, entry: _deployment.Entry) -> None:
-        """Put an entry back, as the balancer does after its health check."""
-        self._entries.append(entry)
-
-    def forget_entry(self, name: str) -> None:
-        """Take an entry out, as the balancer does after its health check."""
-        self._entries = [e for e in self._entries if e.name != name]
--- a/demo/_faults.py
+++ b/demo/_faults.py
@@ -15,8 +15,6 @@
 from skylarktally import _loop
 
 _PIECE = 65536
-# How soon the balancer's health check takes an entry out.
-_BALANCER_SECONDS = 1.0
 
 
 class Link:
@@ -107,8 +105,6 @@
     victim = scene.deployment.entries[0]
     scene.processes.kill(f'{victim.name}-router')
     scene.processes.kill(f'{victim.name}-controller')
-    _loop.sleep(_BALANCER_SECONDS)
-    scene.callers.forget_entry(victim.name)
 
 
 def pause_entry(scene: Scene, seconds: float) -> None:
@@ -117,13 +113,9 @@
     names = (f'{victim.name}-router', f'{victim.name}-controller')
     for name in names:
         scene.processes.send_signal(name, signal.SIGSTOP)
-    _loop.sleep(_BALANCER_SECONDS)
-    scene.callers.forget_entry(victim.name)
-    _loop.sleep(max(seconds - _BALANCER_SECONDS, 0))
+    _loop.sleep(seconds)
     for name in names:
         scene.processes.send_signal(name, signal.SIGCONT)
-    _loop.sleep(_BALANCER_SECONDS)
-    scene.callers.remember_entry(victim)
 
 
 def stop_platform(scene: Scene, seconds: float) -> None:
