Show moves by demand on real processes with a surge in the demo

Cause: no run of real processes had ever moved an instance by demand. The load of the demo fills a small part of the pools, and what the policy takes as lasting could not be shortened for a test. Ruled out: a tool on tools/cluster.py, which has no controllers; the demo has the deployment, the callers and the replay of budgets.

The checks count the moves, read the time to the first new capacity from the log and from the workers' records, and recount budgets and floors. Hysteresis and cost of moves are settings of the controllers.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -9,9 +9,11 @@
 import sys  # noqa: E402
 import tempfile  # noqa: E402
 import time  # noqa: E402
+from typing import Any  # noqa: E402
 
 from absl import app  # noqa: E402
 from absl import flags  # noqa: E402
+import json5  # noqa: E402
 
 from demo import _faults  # noqa: E402
 from demo import _scenario  # noqa: E402
@@ -35,11 +37,22 @@
     sorted(_faults.FAULTS),
     'Fault to bring about; repeat it for several at once.',
 )
+_SURGE = flags.DEFINE_string(
+    'surge', '', 'Pool that gets a surge in place of the usual load.'
+)
+_SETTING = flags.DEFINE_multi_string(
+    'setting', [], 'Setting of the controllers, as NAME=VALUE in JSON.'
+)
 _HOLD = flags.DEFINE_bool(
     'hold', False, 'Only start and declare; stop at the end of the input.'
 )
 
 
+def _read_setting(text: str) -> tuple[str, Any]:
+    name, _, value = text.partition('=')
+    return name, json5.loads(value)
+
+
 def main(arguments: list[str]) -> None:
     """Run the scenario; exit with status 1 if any check failed."""
     del arguments
@@ -54,6 +67,8 @@
             seed,
             tuple(_FAULT.value),
             _HOLD.value,
+            str(_SURGE.value),
+            dict(map(_read_setting, _SETTING.value)),
         )
         checks = _scenario.run(str(_DEPLOYMENT.value), directory, plan)
     width = max(len(check.name) for check in checks)
--- a/demo/_callers.py
+++ b/demo/_callers.py
@@ -1,5 +1,6 @@
 """Callers of the serving port, with a record of every answer."""
 
+from collections.abc import Callable
 import random
 import time
 from typing import Any, NamedTuple
@@ -45,8 +46,23 @@
     through another entry; a non-idempotent one only under the same key.
     """
 
-    def __init__(self, deployment: _deployment.Deployment, seed: int) -> None:
+    def __init__(
+        self,
+        deployment: _deployment.Deployment,
+        seed: int,
+        task_seconds: float | None = None,
+        timeout_seconds: float | None = None,
+    ) -> None:
+        """Create the callers.
+
+        :param task_seconds: run time of every task; None for the time that
+            its job declares
+        :param timeout_seconds: for every request, and told to the router;
+            None for a shorter time where a request may be sent again
+        """
         self.calls: list[Call] = []
+        self._task_seconds = task_seconds
+        self._timeout_seconds = timeout_seconds
         self._deployment = deployment
         self._entries = list(deployment.entries)
         self._random = random.Random(seed)
@@ -72,6 +88,31 @@
         for thread in threads:
             thread.wait()
 
+    def send_at(
+        self, job: dict[str, Any], find_rate: Callable[[], float], end: float
+    ) -> None:
+        """Send requests of one job at a changing rate until a Unix time."""
+        threads = []
+        number = 0
+        due = time.time()
+        while due < end:
+            # Arrivals keep their times when this process is late.
+            _loop.sleep(max(due - time.time(), 0))
+            number += 1
+            key = f'{_OWN_PREFIX}{number:06d}'
+            threads.append(_loop.spawn(self._call_under, key, job))
+            # A low rate must not hide a rise that comes before its due time.
+            due += min(self._random.expovariate(find_rate()), 1.0)
+        for thread in threads:
+            thread.wait()
+
+    def repeat(self, name: str, job: dict[str, Any], end: float) -> None:
+        """Send requests of one job one after another until a Unix time."""
+        number = 0
+        while time.time() < end:
+            number += 1
+            self._call_under(f'{_OWN_PREFIX}{name}-{number}', job)
+
     def _choose_job(self, left: float, duration: float) -> dict[str, Any]:
         """Give each pool in turn five times the weight of the others."""
         pools = sorted({job['spec']['pool'] for job in self._jobs})
@@ -82,7 +123,9 @@
         return dict(self._random.choices(self._jobs, weights)[0])
 
     def _call(self, number: int, job: dict[str, Any]) -> None:
-        key = self._choose_key(number, job)
+        self._call_under(self._choose_key(number, job), job)
+
+    def _call_under(self, key: str, job: dict[str, Any]) -> None:
         started = time.monotonic()
         outcome, error, attempts = 'not-run', '', 0
         while attempts < _MOST_ATTEMPTS:
@@ -145,7 +188,14 @@
         timeout = _TIMEOUT_SECONDS
         if spec['idempotent'] and spec['urgency'] == 'urgent':
             timeout = _URGENT_TIMEOUT_SECONDS
-        seconds = spec['expected_seconds']
+        headers = {
+            'Authorization': f'Bearer {self._deployment.caller_token}',
+            'Idempotency-Key': key,
+        }
+        if self._timeout_seconds is not None:
+            timeout = self._timeout_seconds
+            headers['Skylarktally-Timeout-Ms'] = str(int(timeout * 1000))
+        seconds = self._task_seconds or spec['expected_seconds']
         url = (
             f'http://{entry.serving_address}/v1/pools/{spec["pool"]}'
             f'/jobs/{job["name"]}/desk?seconds={seconds}'
@@ -156,10 +206,7 @@
                 'POST',
                 url,
                 body=body,
-                headers={
-                    'Authorization': f'Bearer {self._deployment.caller_token}',
-                    'Idempotency-Key': key,
-                },
+                headers=headers,
                 timeout=timeout,
             )
         except urllib3.exceptions.NewConnectionError:
--- a/demo/_checks.py
+++ b/demo/_checks.py
@@ -166,11 +166,16 @@
     return Check('requests cut off by a stop', str(len(cut)), not cut)
 
 
-def check_budgets(deployment: _deployment.Deployment) -> Check:
-    """Replay the log and check each planned stop against the budgets."""
+def read_log(deployment: _deployment.Deployment) -> list[dict[str, Any]]:
+    """Return the rows of the log, oldest first."""
     http = urllib3.PoolManager(retries=False, timeout=5.0)
     url = f'http://{deployment.platform_address}/v1/rows?prefix=log/'
-    rows = http.request('GET', url).json()['rows']
+    return list(http.request('GET', url).json()['rows'])
+
+
+def check_budgets(deployment: _deployment.Deployment) -> Check:
+    """Replay the log and check each planned stop against the budgets."""
+    rows = read_log(deployment)
     resources: dict[tuple[str, str], dict[str, Any]] = {}
     broken, stops = [], 0
     for row in rows:
--- a/demo/_deployment.py
+++ b/demo/_deployment.py
@@ -78,6 +78,8 @@
     operator_token: str
     caller_token: str
     peer_secret: str
+    # Settings of every controller besides the usual ones.
+    controller_settings: dict[str, Any]
 
     def find_link_address(self, zone: str) -> str:
         """Return where the entries of a zone reach the platform."""
@@ -130,6 +132,7 @@
         operator_token=secrets.token_hex(16),
         caller_token=secrets.token_hex(16),
         peer_secret=secrets.token_hex(16),
+        controller_settings={},
     )
 
 
--- a/demo/_processes.py
+++ b/demo/_processes.py
@@ -164,6 +164,7 @@
         'name': f'{entry.name}-controller',
         'api_address': entry.api_address,
         'admin_address': entry.controller_admin_address,
+        **deployment.controller_settings,
     }
     return _deployment.write_json(
         directory / f'{entry.name}-controller.json', settings
--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -13,6 +13,7 @@
 from demo import _faults
 from demo import _operator
 from demo import _processes
+from demo import _surge
 from skylarktally import _loop
 
 # Time for every router to apply what the operator declared.
@@ -31,12 +32,17 @@
     faults: tuple[str, ...]
     # Start and declare only, and stop at the end of the input.
     hold: bool
+    # The pool of the surge that is sent in place of the usual load.
+    surge: str = ''
+    controller_settings: dict[str, Any] = {}
 
 
 def run(path: str, directory: pathlib.Path, plan: Plan) -> list[_checks.Check]:
     """Run a deployment as planned and return the checks."""
     network = _deployment.Network()
-    deployment = _deployment.read_deployment(path, network.number)
+    deployment = _deployment.read_deployment(path, network.number)._replace(
+        controller_settings=plan.controller_settings
+    )
     processes = _processes.Processes(directory)
     links = _faults.start_links(deployment)
     try:
@@ -48,6 +54,8 @@
         if plan.hold:
             _hold(deployment, operator)
             return [declared]
+        if plan.surge:
+            return [declared, *_run_surge(deployment, plan)]
         scene = _faults.Scene(
             deployment,
             processes,
@@ -80,6 +88,22 @@
         _loop.sleep(_POLL_SECONDS)
 
 
+def _run_surge(
+    deployment: _deployment.Deployment, plan: Plan
+) -> list[_checks.Check]:
+    _print(f'surge of {plan.surge}, {plan.seconds:.0f} s in all')
+    callers = _callers.Callers(
+        deployment,
+        plan.seed,
+        _surge.TASK_SECONDS,
+        _surge.CALLER_TIMEOUT_SECONDS,
+    )
+    return [
+        *_surge.run(deployment, callers, plan.surge, plan.seconds, plan.rate),
+        _checks.check_urgent(callers.calls, _URGENT_LIMIT_SECONDS, False),
+    ]
+
+
 def _run_load(scene: _faults.Scene, plan: Plan) -> list[_checks.Check]:
     deployment, seconds = scene.deployment, plan.seconds
     _print(f'sending {plan.rate:.0f} requests a second for {seconds:.0f} s')
--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -141,6 +141,7 @@
             self._measures,
             self._batch,
             _loop.GreenPool(_PARALLEL_WORKERS).imap,
+            settings.build_move_policy(),
         )
         self._snapshots = _reconciler.SnapshotWriter(
             self.fleet, self._objects, settings.snapshot_versions
--- a/skylarktally/_planning.py
+++ b/skylarktally/_planning.py
@@ -89,11 +89,13 @@
         probes: _observations.Probes,
         demand: _observations.DemandTracker,
         measures: _measures.Measures,
+        policy: _moves.Policy = _moves.POLICY,
     ) -> None:
         self._tools = tools
         self._probes = probes
         self._demand = demand
         self._measures = measures
+        self._policy = policy
 
     def _list_own(self) -> list[_resources.Instance]:
         """Return the instances of the zone whose shards are held."""
@@ -229,6 +231,7 @@
             ),
             history,
             tools.clock.now(),
+            self._policy,
         )
         for move in moves:
             self._begin_move(move)
--- a/skylarktally/_reconciler.py
+++ b/skylarktally/_reconciler.py
@@ -14,6 +14,7 @@
 from skylarktally import _journal
 from skylarktally import _maintenance
 from skylarktally import _measures
+from skylarktally import _moves
 from skylarktally import _objects
 from skylarktally import _observations
 from skylarktally import _planning
@@ -42,6 +43,7 @@
         measures: _measures.Measures,
         batch: _batch.Batch,
         spread: Spread = map,
+        policy: _moves.Policy = _moves.POLICY,
     ) -> None:
         self._tools = tools
         self._journal = journal
@@ -56,7 +58,9 @@
             self._plan_moves,
             batch.step,
         )
-        self._planner = _planning.Planner(tools, probes, demand, measures)
+        self._planner = _planning.Planner(
+            tools, probes, demand, measures, policy
+        )
         # Whether the table has ever been read.
         self.has_read = False
 
--- a/skylarktally/_settings.py
+++ b/skylarktally/_settings.py
@@ -14,6 +14,7 @@
 
 from skylarktally import _fields
 from skylarktally import _limits
+from skylarktally import _moves
 
 Token = _fields.Token
 split_address = _fields.split_address
@@ -44,6 +45,8 @@
 _SHARE = _fields.Number(0, 1, 'of the whole', whole=False)
 _SHORT = _fields.Seconds(0.01, 60)
 _LONG = _fields.Seconds(0.1, 3600)
+# The history of demand and of moves goes back one minute.
+_IN_HISTORY = _fields.Seconds(0.1, 55)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -187,6 +190,27 @@
     # Decisions, section 10.
     reconcile_interval: Annotated[_Duration, _LONG] = _seconds(1)
     explanations: Annotated[int, _count(1, 1000000)] = 1000
+    # Hysteresis of moves: how long demand must last, how long a pool must
+    # not have needed what it lends, and how long an instance stays.
+    move_hold: Annotated[_Duration, _IN_HISTORY] = _moves.POLICY.hold
+    move_release: Annotated[_Duration, _IN_HISTORY] = _moves.POLICY.release
+    move_window: Annotated[_Duration, _IN_HISTORY] = _moves.POLICY.window
+    move_dwell: Annotated[_Duration, _IN_HISTORY] = _moves.POLICY.dwell
+    # Cost of a move: the part of the urgent deadline that work may wait
+    # before an instance moves to it.
+    move_deadline_share: Annotated[float, _SHARE] = (
+        _moves.POLICY.deadline_share
+    )
+
+    def build_move_policy(self) -> _moves.Policy:
+        """Return the limits that keep moves few."""
+        return _moves.POLICY._replace(
+            hold=self.move_hold,
+            release=self.move_release,
+            window=self.move_window,
+            dwell=self.move_dwell,
+            deadline_share=self.move_deadline_share,
+        )
 
 
 S = TypeVar('S', bound=Settings)
