Check queues, limits of a worker and shutdown against naive routers

Cause: order, early refusal and surges were checked on the product alone, and the limits of a worker with two routers in one process. No check showed that it could fail.

The naive router gets one unbounded queue in order of arrival, and can run as a process. Urgent order, early refusal, the bound of the queue on the wire, the surge of another pool, 64 connections with four router processes and the stop signal now fail on it and pass on the product. The worker stand-in records its peak of connections and the lease of each run.

The baseline raised KeyError for requests without Content-Length and so failed for a wrong reason; it now reads a missing length as 0. The backlog of 50 of test listeners delayed part of a burst by a second, which let a queue in order of arrival pass the urgency check; it is 1024 now, and tasks of that check last 0.2 s instead of 0.1 s. The queue of the event loop wakes its waiters in any order and was ruled out for the baseline.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -22,6 +22,8 @@
 
 _PIECE = 64 * 1024
 _USAGE_LAG_SECONDS = 2.0
+# More than any test opens, so that a router beyond its limit is seen.
+_CONNECTIONS = 1024
 
 
 class Reply(NamedTuple):
@@ -49,8 +51,11 @@
 class Task:
     """One run, kept for the record after its end."""
 
-    def __init__(self, key: str, job: str, fence: tuple[int, str]) -> None:
+    def __init__(
+        self, key: str, job: str, fence: tuple[int, str], lease_id: str = ''
+    ) -> None:
         self.key = key
+        self.lease_id = lease_id
         self.job = job
         self.epoch, self.pool = fence
         self.start = time.time()
@@ -80,6 +85,7 @@
         self.faults: dict[str, Any] = {}
         self.record: list[Task] = []
         self.peak_running = 0
+        self.peak_connections = 0
         self._random = random.Random(0)  # noqa: S311
         self._ids = itertools.count(1)
         self._boots = itertools.count(1)
@@ -236,9 +242,11 @@
     def read_record(self, _data: dict[str, Any]) -> Reply:
         """List all runs since the start of the process."""
         runs = [x.describe() for x in self.record]
-        return Reply(
-            '200 OK', {'runs': runs, 'peak_running': self.peak_running}
-        )
+        peaks = {
+            'peak_running': self.peak_running,
+            'peak_connections': self.peak_connections,
+        }
+        return Reply('200 OK', {'runs': runs, **peaks})
 
     def set_faults(self, data: dict[str, Any]) -> Reply:
         """Replace the injected faults."""
@@ -269,6 +277,7 @@
             environ.get('HTTP_REQUEST_KEY', ''),
             environ.get('HTTP_JOB', ''),
             self.fence,
+            environ['HTTP_LEASE_ID'],
         )
         lease.running += 1
         self.running.append(task)
@@ -384,12 +393,38 @@
 )
 
 
+class _Connections:
+    """Green threads of open connections, whose highest number is noted."""
+
+    def __init__(self, worker: Worker) -> None:
+        self._worker = worker
+        self._pool = _loop.GreenPool(_CONNECTIONS)
+
+    def spawn(self, process: Any, connection: Any) -> Any:
+        """Handle an accepted connection."""
+        thread = self._pool.spawn(process, connection)
+        worker = self._worker
+        worker.peak_connections = max(
+            worker.peak_connections, self._pool.running()
+        )
+        return thread
+
+    def waitall(self) -> None:
+        """Wait until every connection is closed."""
+        self._pool.waitall()
+
+
 def serve(worker: Worker, address: str) -> None:
     """Serve a worker on an IP address and port until killed."""
     host, port = address.rsplit(':', 1)
     listener = _loop.listen((host, int(port)))
     # Longer than the 5 s after which a router closes an idle connection.
-    _loop.serve(listener, worker.application, keepalive=30)
+    _loop.serve(
+        listener,
+        worker.application,
+        keepalive=30,
+        custom_pool=_Connections(worker),
+    )
 
 
 def main(_argv: list[str]) -> None:
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -1,11 +1,16 @@
-"""Baseline for the request path: plain forwarding, retry on any error."""
+"""Baseline for the request path: plain forwarding, retry on any error.
+
+Run as ``python -m tests.naive ADDRESS WORKER_ADDRESS...`` for a process.
+"""
 
 import datetime
 from http import client
 import itertools
 import json
+import sys
 
 from skylarktally import _connections
+from skylarktally import _loop
 
 _ATTEMPTS = 3
 _TIMEOUT = datetime.timedelta(seconds=1)
@@ -27,14 +32,17 @@
         self.idle = {}
 
     def application(self, environ, start_response):
-        body = environ['wsgi.input'].read(int(environ['CONTENT_LENGTH'] or 0))
+        body = environ['wsgi.input'].read(
+            int(environ.get('CONTENT_LENGTH') or 0)
+        )
         rest = environ['RAW_PATH_INFO'].split('/', 6)[-1]
         workers = list(self.fleet.instances.values())
         for _ in range(_ATTEMPTS):
             worker = workers[next(self.turns) % len(workers)]
             try:
+                lease = self._lease(worker)
                 return self._forward(
-                    worker, environ, rest, body, start_response
+                    worker, lease, environ, rest, body, start_response
                 )
             except Exception:  # noqa: S112
                 continue
@@ -63,8 +71,7 @@
         connection.close()
         return json.loads(text).get('lease_id', 'none')
 
-    def _forward(self, worker, environ, rest, body, start_response):
-        lease = self._lease(worker)
+    def _forward(self, worker, lease, environ, rest, body, start_response):
         connection = self._take(worker.address)
         headers = {
             'Lease-Id': lease,
@@ -95,3 +102,41 @@
                 break
             yield piece
         self.idle[connection.address].append(connection)
+
+
+class QueuedNaivePipeline(NaivePipeline):
+    """One unbounded queue in order of arrival for the slots of all pools."""
+
+    def __init__(self, fleet):
+        super().__init__(fleet)
+        self.slots = None
+        # Wakes in order of arrival, which the loop's queue does not.
+        self.free = _loop.Semaphore(0)
+
+    def application(self, environ, start_response):
+        if self.slots is None:
+            self.slots = []
+            for worker in self.fleet.instances.values():
+                for _ in range(8):
+                    self.slots.append((worker, self._lease(worker)))
+                    self.free.release()
+        rest = environ['RAW_PATH_INFO'].split('/', 6)[-1]
+        self.free.acquire()
+        slot = self.slots.pop()
+        try:
+            return list(
+                self._forward(*slot, environ, rest, b'', start_response)
+            )
+        finally:
+            self.slots.append(slot)
+            self.free.release()
+
+
+if __name__ == '__main__':
+    from tests import serving
+
+    fleet = serving.FakeFleet()
+    for address in sys.argv[2:]:
+        fleet.put_instance(address, address, pool='p')
+    listener, _ = serving.listen(sys.argv[1])
+    _loop.serve(listener, NaivePipeline(fleet).application)
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -168,7 +168,9 @@
 def listen(address='127.0.0.1:0'):
     """Return a listener, by default on a free port, and its address."""
     host, port = address.rsplit(':', 1)
-    listener = _loop.listen((host, int(port)))
+    # A connection request lost for want of backlog costs a second, which
+    # would hide the order in which requests are served.
+    listener = _loop.listen((host, int(port)), backlog=1024)
     return listener, f'127.0.0.1:{listener.getsockname()[1]}'
 
 
@@ -226,8 +228,9 @@
 class NaiveRouter:
     """The baseline on loopback."""
 
-    def __init__(self, fleet):
-        self.pipeline = naive.NaivePipeline(fleet)
+    def __init__(self, fleet, queued=False):
+        chosen = naive.QueuedNaivePipeline if queued else naive.NaivePipeline
+        self.pipeline = chosen(fleet)
         self.server = Server(self.pipeline.application)
         self.serving_address = self.server.address
 
@@ -331,10 +334,11 @@
         with pytest.raises(AssertionError):
             check()
 
-    def add_router(self, name=None, **options):
+    def add_router(self, name=None, queued=False, **options):
+        """Add a router; queued is for the baseline alone."""
         options.setdefault('limits', self.limits)
         if self.naive:
-            self.routers.append(NaiveRouter(self.fleet))
+            self.routers.append(NaiveRouter(self.fleet, queued))
             return self.routers[-1]
         name = name or f'r{len(self.routers) + 1}'
         router = Router(self.fleet, self.table, self.peers, name, **options)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -104,12 +104,14 @@
     return reply, time.monotonic() - start
 
 
-def test_urgent_requests_overtake_on_the_wire(cell):
+@pytest.mark.parametrize('naive', [False, True])
+def test_urgent_requests_overtake_on_the_wire(cell, naive):
     """Guards against urgent work stuck behind deferrable work."""
+    cell.naive = naive
     cell.add_worker()
-    cell.add_router()
+    cell.add_router(queued=True)
     later = [
-        _loop.spawn(send_timed, cell, WORK.format(serving.POOL, 'later', 0.1))
+        _loop.spawn(send_timed, cell, WORK.format(serving.POOL, 'later', 0.2))
         for _ in range(64)
     ]
     _loop.sleep(0.3)
@@ -117,30 +119,65 @@
     reply, waited = send_timed(cell, path)
     behind = [x.wait()[1] for x in later]
     assert reply.status == 200
-    assert waited < max(behind) / 2
 
+    def check():
+        assert waited < max(behind) / 2
 
-def test_refusal_comes_early_with_advice(cell):
+    cell.expect_failure_if_naive(check)
+
+
+@pytest.mark.parametrize('naive', [False, True])
+def test_queue_is_bounded_on_the_wire(naive):
+    """Guards against a queue that grows with what callers send."""
+    limits = _limits.ServingLimits(queue_limit=20)
+    with serving.Cell(limits=limits, naive=naive) as cell:
+        cell.add_worker()
+        cell.add_router(queued=True)
+        # No slot becomes free while the requests arrive.
+        path = WORK.format(serving.POOL, 'report', 0.7)
+        sent = serving.run_all([lambda: send_timed(cell, path)] * 100)
+        refused = [x for x in sent if x[0].status != 200]
+
+        def check():
+            assert len(refused) == 100 - 8 - 20
+            for reply, waited in refused:
+                assert (reply.status, reply.outcome) == (429, 'not-run')
+                assert int(reply.headers['Retry-After']) >= 1
+                assert waited < 0.7
+            assert len(cell.workers[0].worker.record) == 28
+
+        cell.expect_failure_if_naive(check)
+
+
+@pytest.mark.parametrize('naive', [False, True])
+def test_refusal_comes_early_with_advice(cell, naive):
     """Guards against a wait for the whole deadline before the refusal."""
+    cell.naive = naive
     cell.add_worker()
-    cell.add_router()
+    cell.add_router(queued=True)
     path = WORK.format(serving.POOL, 'report', 0.3)
     cell.burst(8, path)
     threads = [_loop.spawn(send_timed, cell, path, 20000) for _ in range(60)]
     _loop.sleep(0.5)
     reply, waited = send_timed(cell, path, 600)
-    assert (reply.status, reply.outcome) == (504, 'not-run')
-    assert int(reply.headers['Retry-After']) >= 1
-    assert waited < 0.3
+
+    def check():
+        assert (reply.status, reply.outcome) == (504, 'not-run')
+        assert int(reply.headers['Retry-After']) >= 1
+        assert waited < 0.3
+
+    cell.expect_failure_if_naive(check)
     for thread in threads:
         assert thread.wait()[0].status == 200
 
 
-def test_surge_of_one_pool_leaves_another_alone(cell):
+@pytest.mark.parametrize('naive', [False, True])
+def test_surge_of_one_pool_leaves_another_alone(cell, naive):
     """Guards against a pool that waits for another pool's surge."""
+    cell.naive = naive
     cell.add_worker()
     cell.add_worker(pool='calm')
-    cell.add_router()
+    cell.add_router(queued=True)
     calm = WORK.format('calm', 'calm', 0.02)
     surge = WORK.format(serving.POOL, 'report', 0.2)
 
@@ -160,8 +197,14 @@
         overtaken.append(after - before)
     for thread in threads:
         thread.wait()
-    # In one queue a calm request would wait for some 80 others.
-    assert max(overtaken) <= 16
+
+    def check():
+        # In one queue a calm request waits for some 80 others.
+        assert max(overtaken) <= 16
+
+    cell.expect_failure_if_naive(check)
+    if naive:
+        return
     refused = [x for x in ended if x.status != 200]
     assert refused
     # The worker itself stops a task at the caller's deadline.
--- a/tests/test_router_processes.py
+++ b/tests/test_router_processes.py
@@ -216,6 +216,75 @@
     assert [member['leaving'] for member in others] == [True]
 
 
+def start_entries(started, naive, count):
+    """Start routers of one zone, or naive ones, and return their names."""
+    declare_worker(started)
+    names = [f'r{number}' for number in range(count)]
+    for name in names:
+        started.add_router(name, 'z', tokens=TOKENS)
+    if not naive:
+        started.start_routers()
+        return names
+    worker = started.find_address('w')
+    for name in names:
+        address = started.routers[name]['serving_address']
+        started.start(name, 'tests.naive', address, worker)
+        started.wait_for(f'http://{address}/v1/pools/p/jobs/j/x')
+    return names
+
+
+def read_record(started, address):
+    url = f'http://{address}/v1/record'
+    return started.http.request('GET', url).json()
+
+
+@pytest.mark.parametrize('naive', [False, True])
+def test_four_routers_keep_the_limits_of_a_worker(started, naive):
+    """Guards against more tasks or connections than a worker allows."""
+    names = start_entries(started, naive, 4)
+    worker = started.find_address('w')
+    # Connections of this test do not count.
+    started.http.clear()
+    with futures.ThreadPoolExecutor(160) as pool:
+        sent = [pool.submit(send, started, n, 0.02) for n in names * 120]
+        statuses = {x.result().status for x in sent}
+    started.kill(*names)
+    record = read_record(started, worker)
+
+    def check():
+        assert record['peak_connections'] <= 64
+
+    if naive:
+        with pytest.raises(AssertionError):
+            check()
+        return
+    check()
+    assert statuses == {200}
+    assert record['peak_running'] == 8
+    assert len(record['runs']) == 480
+
+
+@pytest.mark.parametrize('naive', [False, True])
+def test_stop_signal_cuts_off_no_request(started, naive):
+    """Guards against a planned stop that ends a request in progress."""
+    start_entries(started, naive, 1)
+    pool = futures.ThreadPoolExecutor(1)
+    running = pool.submit(send, started, 'r0', 1.0)
+    time.sleep(0.5)
+    started.send_signal('r0', signal.SIGTERM)
+
+    def check():
+        assert isinstance(running.exception(), type(None))
+        assert running.result().status == 200
+
+    if naive:
+        with pytest.raises(AssertionError):
+            check()
+        return
+    check()
+    assert started.wait_exit('r0', 5) == 0
+
+
 def test_errors_in_settings_end_the_process(tmp_path):
     path = tmp_path / 'router.json'
     path.write_text('{"name": "r", "zon": "z", "queue_limit": 0}')
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -41,6 +41,7 @@
         self.http = urllib3.PoolManager(retries=False, timeout=3.0)
         self.routers: dict[str, dict[str, Any]] = {}
         self._added: dict[str, dict[str, Any]] = {}
+        self._workers: dict[str, str] = {}
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
     def __enter__(self) -> 'Cluster':
@@ -59,23 +60,27 @@
 
     def start_platform(self, *flags: str) -> None:
         """Start the platform stand-in and wait until it answers."""
-        self._start(
+        self.start(
             'platform',
             'standins.platform',
             f'--address={self.platform_address}',
             *flags,
         )
-        self._wait_for(f'http://{self.platform_address}/v1/rows?prefix=x')
+        self.wait_for(f'http://{self.platform_address}/v1/rows?prefix=x')
 
     def start_worker(self, name: str) -> str:
         """Start a worker stand-in and return its address."""
-        address = self.choose_address()
-        self._start(
+        address = self._workers[name] = self.choose_address()
+        self.start(
             name, 'standins.worker', f'--name={name}', f'--address={address}'
         )
-        self._wait_for(f'http://{address}/v1/fence')
+        self.wait_for(f'http://{address}/v1/fence')
         return address
 
+    def find_address(self, name: str) -> str:
+        """Return the address of a worker stand-in."""
+        return self._workers[name]
+
     def set_faults(self, **faults: Any) -> None:
         """Inject faults into the platform."""
         self.http.request(
@@ -113,7 +118,7 @@
         settings = {'seeds': seeds, **self.routers[name], **changes}
         path = self.directory / f'{name}.json'
         path.write_text(json.dumps(settings), encoding='utf-8')
-        self._start(name, 'skylarktally.router', f'--settings={path}')
+        self.start(name, 'skylarktally.router', f'--settings={path}')
 
     def start_routers(self) -> None:
         """Start all routers and wait until they are ready."""
@@ -125,7 +130,7 @@
     def wait_ready(self, name: str, seconds: float = _START_SECONDS) -> None:
         """Wait until a router is ready."""
         address = self.routers[name]['admin_address']
-        self._wait_for(f'http://{address}/readyz', seconds)
+        self.wait_for(f'http://{address}/readyz', seconds)
 
     def read_state(self, name: str) -> dict[str, Any]:
         """Return the state dump of a router."""
@@ -181,7 +186,8 @@
             table, fleet or _fleet.Fleet(), clock, 'cluster'
         )
 
-    def _start(self, name: str, module: str, *flags: str) -> None:
+    def start(self, name: str, module: str, *flags: str) -> None:
+        """Start a module of this repository as a process."""
         with open(self.directory / f'{name}.log', 'ab') as output:
             self._processes[name] = subprocess.Popen(
                 [sys.executable, '-W', 'ignore', '-m', module, *flags],
@@ -190,7 +196,8 @@
                 stderr=subprocess.STDOUT,
             )
 
-    def _wait_for(self, url: str, seconds: float = _START_SECONDS) -> None:
+    def wait_for(self, url: str, seconds: float = _START_SECONDS) -> None:
+        """Wait until a URL is answered with 200."""
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
             with contextlib.suppress(urllib3.exceptions.HTTPError):
