Keep a place in the queue while its request tries for a slot

Cause: a woken request gave up its place before it tried, so a new request was admitted in its stead; when the try found no slot, the queue was longer than its limit by one for each request that tried.

Ruled out: refusing at one below the limit, which wastes a place and does not bound several requests that try at the same time.

Before: test_place_is_kept_while_its_request_tries failed (a third request was admitted to a queue of 2). After: tests/test_admission.py, 26 passed, two runs.

--- a/skylarktally/_admission.py
+++ b/skylarktally/_admission.py
@@ -26,6 +26,8 @@
         self.number = number
         self.deadline = deadline
         self.event: _loop.Event | None = None
+        # Whether the place counts towards the length of the queue.
+        self.counted = False
 
     def __lt__(self, other: 'Waiter') -> bool:
         return (self.rank, self.number) < (other.rank, other.number)
@@ -110,16 +112,24 @@
     def wait(self, waiter: Waiter) -> bool:
         """Suspend until it is this request's turn to try again.
 
+        The place counts until it is left: a request that tries and waits
+        again would otherwise find that a new one has taken its place.
+
         :returns: False when the deadline has passed
         """
         waiter.event = event = _loop.Event()
         heapq.heappush(self._heap, waiter)
-        self._lengths[waiter.rank] += 1
+        if not waiter.counted:
+            waiter.counted = True
+            self._lengths[waiter.rank] += 1
         left = waiter.deadline - self._clock.monotonic()
         if self._heap[0] is waiter:
             left = min(left, self._limits.poll_interval)
         try:
             event.wait(max(left.total_seconds(), 0))
+        except BaseException:
+            self.leave(waiter)
+            raise
         finally:
             if waiter.event is not None:
                 self._remove(waiter)
@@ -127,13 +137,18 @@
 
     def _remove(self, waiter: Waiter) -> None:
         waiter.event = None
-        self._lengths[waiter.rank] -= 1
         if self._heap[0] is waiter:
             heapq.heappop(self._heap)
         else:
             self._heap.remove(waiter)
             heapq.heapify(self._heap)
 
+    def leave(self, waiter: Waiter) -> None:
+        """Give up the place, after a wait or without one."""
+        if waiter.counted:
+            waiter.counted = False
+            self._lengths[waiter.rank] -= 1
+
     def wake(self) -> None:
         """Let the first waiting request try again."""
         if self._heap:
--- a/skylarktally/_dispatch.py
+++ b/skylarktally/_dispatch.py
@@ -141,6 +141,17 @@
         pools: _pools.Pools,
     ) -> result.Result[Grant, _errors.Failure]:
         """Wait for a worker with a slot; no byte has been sent yet."""
+        try:
+            return self._find_grant(exchange, waiter, pools)
+        finally:
+            pools.find(exchange.pool).queue.leave(waiter)
+
+    def _find_grant(
+        self,
+        exchange: _exchange.Exchange,
+        waiter: _admission.Waiter,
+        pools: _pools.Pools,
+    ) -> result.Result[Grant, _errors.Failure]:
         while True:
             pool = pools.find(exchange.pool)
             selection = pool.selection
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -66,6 +66,30 @@
     assert queue.count_waiting() == 0
 
 
+def test_place_is_kept_while_its_request_tries():
+    """Guards against a queue that grows by each try that finds no slot."""
+    clock, queue = create_queue(queue_limit=2)
+    deadline = clock.monotonic() + seconds(1000)
+
+    def wait(waiter):
+        while queue.wait(waiter):
+            _loop.sleep(0.01)
+
+    threads = []
+    for _ in range(2):
+        waiter = queue.admit('urgent', deadline, 8).unwrap()
+        threads.append(_loop.spawn(wait, waiter))
+        _loop.sleep(0)
+    queue.wake()
+    _loop.sleep(0)
+    admitted = queue.admit('urgent', deadline, 8)
+    assert admitted.failure().kind.value == 'queue_full'
+    queue.leave(waiter)
+    assert queue.admit('urgent', deadline, 8).unwrap()
+    for thread in threads:
+        thread.kill()
+
+
 def test_urgent_goes_first_then_order_of_arrival():
     """Guards against deferrable work that is served before urgent work."""
     clock, queue = create_queue()
