Time the drain of an instance end to end against its bound

Cause: nothing timed the 3 s from the mark of a leaving instance until it gets no new work; only the push of versions to routers was timed.

tools/measure_drain.py drains one of four workers through a controller while 16 callers send to four routers, and takes the latest of three times: the worker's fence, the mark in force at the slowest router, and the last start in the worker's record under the old epoch. The platform stays up, is killed, or is stopped by a signal, once the mark is accepted. The clock starts when the drain is sent, which is earlier than its acceptance.

Ruled out: importing the tool in the tests, since it patches the standard library; they run it as a process and rely on its exit status.

--- a/tests/test_router_processes.py
+++ b/tests/test_router_processes.py
@@ -285,6 +285,24 @@
     assert started.wait_exit('r0', 5) == 0
 
 
+@pytest.mark.parametrize('platform', ['up', 'stopped'])
+def test_leaving_instance_gets_no_new_work_within_the_bound(platform):
+    """Guards against work for a leaving instance after 3 s.
+
+    The tool fails beyond the bound. It runs as a process, since it patches
+    the standard library.
+    """
+    command = [sys.executable, '-m', 'tools.measure_drain', '--repeats=1']
+    ended = subprocess.run(
+        [*command, f'--platforms={platform}'],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    assert 'slowest' in ended.stdout
+
+
 def test_errors_in_settings_end_the_process(tmp_path):
     path = tmp_path / 'router.json'
     path.write_text('{"name": "r", "zon": "z", "queue_limit": 0}')
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -127,6 +127,28 @@
         for name in self.routers:
             self.wait_ready(name)
 
+    def start_controller(
+        self, name: str, router: str, **changes: Any
+    ) -> dict[str, Any]:
+        """Start the controller beside a router and return its settings."""
+        beside = self.routers[router]
+        settings: dict[str, Any] = {
+            'name': name,
+            'zone': beside['zone'],
+            'peer_address': beside['peer_address'],
+            'seeds': [x['peer_address'] for x in self.routers.values()],
+            'api_address': self.choose_address(),
+            'admin_address': self.choose_address(),
+            'platform_address': self.platform_address,
+            'peer_secret': SECRET,
+            **changes,
+        }
+        path = self.directory / f'{name}.json'
+        path.write_text(json.dumps(settings), encoding='utf-8')
+        self.start(name, 'skylarktally.controller', f'--settings={path}')
+        self.wait_for(f'http://{settings["admin_address"]}/readyz')
+        return settings
+
     def wait_ready(self, name: str, seconds: float = _START_SECONDS) -> None:
         """Wait until a router is ready."""
         address = self.routers[name]['admin_address']
--- a/tools/measure_rollout.py
+++ b/tools/measure_rollout.py
@@ -19,13 +19,12 @@
 
 from absl import app  # noqa: E402
 from absl import flags  # noqa: E402
-from returns import result  # noqa: E402
 
 from skylarktally import _fleet  # noqa: E402
-from skylarktally._gen.peer import ttypes  # noqa: E402
 from skylarktally import _messages  # noqa: E402
 from skylarktally import _peers  # noqa: E402
 from tools import cluster  # noqa: E402
+from tools import watches  # noqa: E402
 
 _CHANGES = flags.DEFINE_integer('changes', 30, 'Isolated changes.', 1, 10000)
 _BURST = flags.DEFINE_integer('burst', 300, 'Changes of the burst.', 1, 10000)
@@ -34,11 +33,8 @@
 # Isolated changes are this far apart, so that each one has rolled out before
 # the next; 1,600 a day are 54 s apart on average.
 _PAUSE_SECONDS = (2.5, 4.5)
-_WATCH_SECONDS = 0.01
 _TIMEOUT = datetime.timedelta(seconds=2)
 _SETTLE_SECONDS = 6
-# Higher than any version, so that a router sends no log entries back.
-_NO_ENTRIES = 1 << 60
 
 
 class Times(NamedTuple):
@@ -50,43 +46,7 @@
     missing: int
 
 
-class Watch:
-    """Notes when each router has which version in force."""
-
-    def __init__(self, addresses: list[str]) -> None:
-        self.reached: dict[str, dict[int, float]] = {a: {} for a in addresses}
-        self._calls = _peers.PeerCalls(
-            _peers.Secrets(cluster.SECRET, ()),
-            _TIMEOUT,
-            _TIMEOUT,
-            64,
-            1 << 24,
-        )
-        self._threads = [_loop.spawn(self._watch, a) for a in addresses]
-
-    def stop(self) -> None:
-        """Stop watching."""
-        for thread in self._threads:
-            thread.kill()
-        self._calls.close()
-
-    def _watch(self, address: str) -> None:
-        reached = self.reached[address]
-        seen = 0
-        while True:
-            answer = self._calls.sync(
-                address, ttypes.SyncRequest(log_version=_NO_ENTRIES)
-            )
-            now = time.monotonic()
-            if isinstance(answer, result.Success):
-                version = answer.unwrap().log_version
-                for passed in range(seen + 1, version + 1):
-                    reached[passed] = now
-                seen = max(seen, version)
-            _loop.sleep(_WATCH_SECONDS)
-
-
-def summarize(commits: dict[int, float], watch: Watch) -> Times:
+def summarize(commits: dict[int, float], watch: watches.Watch) -> Times:
     """Return the distribution over all changes and routers."""
     times = []
     missing = 0
@@ -154,7 +114,7 @@
         started.start_routers()
         _loop.sleep(_SETTLE_SECONDS)
         addresses = [r['peer_address'] for r in started.routers.values()]
-        watch = Watch(addresses)
+        watch = watches.Watch(addresses)
         author = Author(started, addresses[0] if pushed else None)
         for _ in range(changes):
             author.commit()
