--- a/skylarktally/_channels.py
+++ b/skylarktally/_channels.py
@@ -3,7 +3,7 @@
 Both sides prove that they know the secret by an HMAC over fresh nonces of
 both, and every record after that carries an HMAC over its direction, its
 number and its content. Records can thus be neither forged, replayed nor
-reflected. They are not encrypted.
+reflected. They are encrypted only when the connection below is.
 """
 
 import collections
--- a/skylarktally/_client.py
+++ b/skylarktally/_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 import json
+import ssl
 from typing import Any
 
 from returns import result
@@ -20,12 +21,21 @@
     """Calls the resource API at the first address that answers."""
 
     def __init__(
-        self, addresses: Iterable[str], token: str, timeout: float = 15.0
+        self,
+        addresses: Iterable[str],
+        token: str,
+        timeout: float = 15.0,
+        context: ssl.SSLContext | None = None,
     ) -> None:
+        """Create the client.
+
+        :param context: with it, no address is called without TLS
+        """
         self._addresses = list(addresses)
+        self._scheme = 'http' if context is None else 'https'
         self._token = token
         self._timeout = timeout
-        self._http = urllib3.PoolManager(retries=False)
+        self._http = urllib3.PoolManager(retries=False, ssl_context=context)
 
     def call(
         self,
@@ -63,7 +73,7 @@
         try:
             response = self._http.request(
                 method,
-                f'http://{address}{path}',
+                self._build_url(address) + path,
                 body=None if body is None else json.dumps(body),
                 headers={**self._list_headers(), **(headers or {})},
                 timeout=self._timeout,
@@ -75,6 +85,9 @@
             return result.Success(answer)
         return result.Failure(_read_error(answer))
 
+    def _build_url(self, address: str) -> str:
+        return f'{self._scheme}://{address.removeprefix("https://")}'
+
     def _list_headers(self) -> dict[str, str]:
         if not self._token:
             return {}
@@ -90,7 +103,7 @@
             try:
                 response = self._http.request(
                     'GET',
-                    f'http://{address}/v1/watch{query}',
+                    f'{self._build_url(address)}/v1/watch{query}',
                     headers=self._list_headers(),
                     preload_content=False,
                     timeout=_WATCH_SILENCE,
--- a/skylarktally/_connections.py
+++ b/skylarktally/_connections.py
@@ -8,8 +8,10 @@
 
 from returns import result
 
+from skylarktally import _certificates
 from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _fields
 from skylarktally import _limits
 from skylarktally import _loop
 
@@ -91,8 +93,15 @@
 
     response_class = WholeResponse
 
-    def __init__(self, address: str, connect_timeout: float) -> None:
-        host, port = address.rsplit(':', 1)
+    def __init__(
+        self,
+        address: str,
+        connect_timeout: float,
+        certificates: _certificates.Certificates | None = None,
+    ) -> None:
+        self._is_secure, bare = _fields.strip_https(address)
+        self._certificates = certificates
+        host, port = bare.rsplit(':', 1)
         super().__init__(host, int(port), timeout=connect_timeout)
         self.address = address
         self.idle_since = datetime.timedelta()
@@ -102,10 +111,17 @@
         self._response: WholeResponse | None = None
 
     def connect(self) -> None:
-        """Open the cooperative socket."""
-        self.sock = self._socket = _loop.connect(
+        """Open the cooperative socket, below TLS for an https address."""
+        if self._is_secure and self._certificates is None:
+            raise ConnectionError('no CA file for https addresses')
+        opened = _loop.connect(
             str(self.host), int(self.port or 0), self.timeout or 1
         )
+        if self._is_secure and self._certificates is not None:
+            host = self.host.strip('[]')
+            with _loop.Timeout(self.timeout or 1, TimeoutError('handshake')):
+                opened = self._certificates.connect(opened, host)
+        self.sock = self._socket = opened
 
     def close(self) -> None:
         """Close the connection and the answer that reads from it."""
@@ -130,8 +146,12 @@
     """Open connections by address, at most so many to each."""
 
     def __init__(
-        self, clock: _clock.Clock, limits: _limits.ServingLimits
+        self,
+        clock: _clock.Clock,
+        limits: _limits.ServingLimits,
+        certificates: _certificates.Certificates | None = None,
     ) -> None:
+        self._certificates = certificates
         self._clock = clock
         self._limits = limits
         self._idle: dict[str, collections.deque[Connection]] = (
@@ -156,7 +176,7 @@
                     _errors.ErrorKind.NO_CAPACITY, 'no free connection'
                 )
         timeout = self._limits.connect_timeout.total_seconds()
-        connection = Connection(address, timeout)
+        connection = Connection(address, timeout, self._certificates)
         self.open_counts[address] += 1
         try:
             connection.connect()
--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -12,6 +12,7 @@
 from skylarktally import _admin
 from skylarktally import _api
 from skylarktally import _batch
+from skylarktally import _certificates
 from skylarktally import _clock
 from skylarktally import _dumps
 from skylarktally import _explanations
@@ -63,6 +64,7 @@
         registry: prometheus_client.CollectorRegistry,
     ) -> None:
         self._settings = settings
+        self._certificates = _certificates.Store(settings.tls)
         self._settings_path = settings_path
         self._clock = clock
         self._registry = registry
@@ -88,10 +90,13 @@
             response_timeout=settings.platform_timeout,
         )
         address = settings.platform_address
-        self._table = _table.HttpTable(address, self._clock, limits)
-        self._objects = _objects.HttpObjects(address, self._clock, limits)
+        platform = self._certificates.find_client('platform')
+        self._table = _table.HttpTable(address, self._clock, limits, platform)
+        self._objects = _objects.HttpObjects(
+            address, self._clock, limits, platform
+        )
         self._instances = _instances.HttpInstances(
-            address, self._clock, limits
+            address, self._clock, limits, platform
         )
         self.journal = _journal.Journal(
             self._table, self.fleet, self._clock, settings.name
@@ -113,7 +118,9 @@
         settings = self._settings
         self._explanations = _explanations.Explanations(settings.explanations)
         self._measures = _measures.Measures(self._registry)
-        self._workers = _workers.HttpWorkers(settings.peer_timeout)
+        self._workers = _workers.HttpWorkers(
+            settings.peer_timeout, self._certificates.find_client('upstream')
+        )
         tools = _steps.Tools(
             self.journal,
             self.fleet,
@@ -151,6 +158,7 @@
             settings.snapshot_timeout,
             settings.peer_clients,
             settings.peer_frame_bytes,
+            self._certificates.find_client('peer'),
         )
         self._routers = _routers.Routers(
             self._calls,
@@ -201,16 +209,26 @@
         self._dump.install_signal()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._handle_stop)
-        for address, application, limit in (
+        for role, address, application, limit in (
             (
+                'admin',
                 settings.admin_address,
                 self._admin.application,
                 _ADMIN_CONNECTIONS,
             ),
-            (settings.api_address, self._api.application, _API_CONNECTIONS),
+            (
+                'api',
+                settings.api_address,
+                self._api.application,
+                _API_CONNECTIONS,
+            ),
         ):
-            listener = _listeners.open_listener(address)
-            _loop.spawn(_loop.serve, listener, application, max_size=limit)
+            certificates = self._certificates.find_server(role)
+            _listeners.serve_wsgi(
+                address, application, certificates, max_size=limit
+            )
+        self._certificates.install_signal()
+        _loop.spawn(self._certificates.follow, self._clock)
         for act, interval in (
             (self.leases.renew, _RENEW_INTERVAL),
             (self._learn_routers, _LEARN_INTERVAL),
--- a/skylarktally/_fields.py
+++ b/skylarktally/_fields.py
@@ -7,6 +7,8 @@
 import re
 from typing import Any, NamedTuple, Protocol
 
+_HTTPS = 'https://'
+
 # Takes the path below the field and the message of an error.
 Report = Callable[[str, str], None]
 
@@ -88,14 +90,18 @@
 
 
 class Address(NamedTuple):
-    """An IP address and port, as in 127.0.0.1:8080 or [::1]:8080."""
+    """An IP address and port, as in 127.0.0.1:8080 or [::1]:8080.
+
+    With https, an address may also have the form https://127.0.0.1:8080.
+    """
 
     suffix: str = ''
+    https: bool = False
 
     def parse(self, value: Any, report: Report) -> Any:
         """Return the address as it stands."""
         try:
-            split_address(value)
+            split_address(strip_https(value)[1] if self.https else value)
         except (ValueError, AttributeError):
             report('', f'must be an IP address and port, is {value!r}')
         return value
@@ -188,6 +194,17 @@
     return f'is unknown; the nearest known name is {nearest}'
 
 
+def strip_https(address: str) -> tuple[bool, str]:
+    """Tell whether the address is reached over TLS, and return its rest."""
+    rest = address.removeprefix(_HTTPS)
+    return rest != address, rest
+
+
+def build_url(address: str) -> str:
+    """Return the address as a URL without a path."""
+    return address if strip_https(address)[0] else f'http://{address}'
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port; raise ValueError unless host is an IP number."""
     host, separator, port = address.rpartition(':')
--- a/skylarktally/_instances.py
+++ b/skylarktally/_instances.py
@@ -7,6 +7,7 @@
 
 from returns import result
 
+from skylarktally import _certificates
 from skylarktally import _clock
 from skylarktally import _errors
 from skylarktally import _limits
@@ -65,10 +66,14 @@
     """Instance list of section 11 of the design, over HTTP."""
 
     def __init__(
-        self, address: str, clock: _clock.Clock, limits: _limits.Limits
+        self,
+        address: str,
+        clock: _clock.Clock,
+        limits: _limits.Limits,
+        certificates: _certificates.Certificates | None = None,
     ) -> None:
         self._clock = clock
-        self._client = _platform.PlatformClient(address, limits)
+        self._client = _platform.PlatformClient(address, limits, certificates)
 
     def list(self) -> result.Result[InstanceList, _errors.Failure]:
         """Return the list, which lags behind the actual state."""
--- a/skylarktally/_listeners.py
+++ b/skylarktally/_listeners.py
@@ -1,12 +1,18 @@
 """Listening sockets of the binaries."""
 
+from collections.abc import Callable
+import datetime
 import socket
+from typing import Any
 
+from skylarktally import _certificates
 from skylarktally import _loop
 from skylarktally import _settings
 
 # Connections that may wait to be accepted after a burst.
 _BACKLOG = 512
+# As the serving port gives a caller for the head of a request.
+_HANDSHAKE_LIMIT = datetime.timedelta(seconds=10)
 
 
 def open_listener(address: str) -> socket.socket:
@@ -19,3 +25,19 @@
     return _loop.listen(
         (host, port), family=family, backlog=_BACKLOG, reuse_port=False
     )
+
+
+def serve_wsgi(
+    address: str,
+    application: Callable[..., Any],
+    certificates: _certificates.Certificates | None,
+    **options: Any,
+) -> None:
+    """Serve an application, below TLS if there are certificates, for good."""
+    protocol = _certificates.secure(
+        _loop.HttpProtocol, certificates, _HANDSHAKE_LIMIT
+    )
+    listener = open_listener(address)
+    _loop.spawn(
+        _loop.serve, listener, application, protocol=protocol, **options
+    )
--- a/skylarktally/_membership.py
+++ b/skylarktally/_membership.py
@@ -271,7 +271,9 @@
     """Tell whether a member can be admitted and called."""
     try:
         _settings.split_address(member.peer_address)
-        _settings.split_address(member.serving_address)
+        _settings.split_address(
+            _settings.strip_https(member.serving_address)[1]
+        )
     except ValueError:
         return False
     return bool(0 < len(member.name) <= 63 and 0 < len(member.zone) <= 63)
--- a/skylarktally/_peers.py
+++ b/skylarktally/_peers.py
@@ -11,6 +11,7 @@
 from thrift import Thrift
 from thrift.transport import TTransport
 
+from skylarktally import _certificates
 from skylarktally import _channels
 from skylarktally import _errors
 from skylarktally._gen.peer import Peer
@@ -71,7 +72,9 @@
         snapshot_timeout: datetime.timedelta,
         limit: int,
         frame_bytes: int,
+        certificates: _certificates.Certificates | None = None,
     ) -> None:
+        self._certificates = certificates
         self._secrets = secrets
         self._timeout = timeout
         self._snapshot_timeout = snapshot_timeout
@@ -192,6 +195,8 @@
             opened = _loop.connect(
                 host, port, self._snapshot_timeout.total_seconds()
             )
+            if self._certificates is not None:
+                opened = self._certificates.connect(opened, host)
             channel = _channels.open_channel(
                 opened, self._secrets.own, self._frame_bytes + 4
             )
@@ -258,8 +263,14 @@
     """Serves the peer protocol on a bounded number of connections."""
 
     def __init__(
-        self, handler: Handler, secrets: Secrets, limit: int, frame_bytes: int
+        self,
+        handler: Handler,
+        secrets: Secrets,
+        limit: int,
+        frame_bytes: int,
+        certificates: _certificates.Certificates | None = None,
     ) -> None:
+        self._certificates = certificates
         self._processor = Peer.Processor(handler)
         self._secrets = secrets
         self._limit = limit
@@ -287,8 +298,9 @@
             _loop.spawn(self._serve_connection, connection)
 
     def _serve_connection(self, connection: socket.socket) -> None:
+        held = [connection]
         try:
-            channel = self._authenticate(connection)
+            channel = self._authenticate(held)
             if channel is not None:
                 self._process(channel)
         except _FAILURES:
@@ -297,13 +309,19 @@
             pass
         finally:
             self._open -= 1
-            connection.close()
+            held[-1].close()
 
     def _authenticate(
-        self, connection: socket.socket
+        self, held: list[socket.socket]
     ) -> _channels.Channel | None:
+        """Authenticate the last of the held sockets, and add its TLS."""
+        connection = held[-1]
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with _loop.Timeout(_HANDSHAKE_LIMIT.total_seconds(), False):
+            if self._certificates is not None:
+                if self._certificates.accept(connection, held.append) is None:
+                    return None
+                connection = held[-1]
             try:
                 channel = _channels.accept_channel(
                     connection, self._secrets.accepted, self._frame_bytes + 4
--- a/skylarktally/_pipeline.py
+++ b/skylarktally/_pipeline.py
@@ -9,6 +9,7 @@
 
 from returns import result
 
+from skylarktally import _certificates
 from skylarktally import _claims
 from skylarktally import _clock
 from skylarktally import _connections
@@ -65,11 +66,13 @@
         peers: _forwarding.Peers,
         metrics: _metrics.ServingMetrics,
         authenticate: Authenticate | None = None,
+        certificates: _certificates.Certificates | None = None,
     ) -> None:
         """Create the pipeline.
 
         :param authenticate: judges the Authorization header; None when
             the platform's load balancer authenticates the callers
+        :param certificates: for workers and routers at https addresses
         """
         limits = settings.limits
         source = random.Random()  # noqa: S311
@@ -79,7 +82,9 @@
         self._metrics = metrics
         self._authenticate = authenticate
         self._parser = _parsing.Parser(fleet, clock, limits)
-        self._connections = _connections.Connections(clock, limits)
+        self._connections = _connections.Connections(
+            clock, limits, certificates
+        )
         calls = _worker_calls.WorkerCalls(self._connections)
         holder = f'{settings.name}-{uuid.uuid4().hex}'
         self._slots = _slots.SlotLeases(clock, limits, holder, calls)
--- a/skylarktally/_platform.py
+++ b/skylarktally/_platform.py
@@ -7,7 +7,9 @@
 from returns import result
 import urllib3
 
+from skylarktally import _certificates
 from skylarktally import _errors
+from skylarktally import _fields
 from skylarktally import _limits
 from skylarktally import _loop
 
@@ -36,14 +38,20 @@
 class PlatformClient:
     """Sends requests within the process's limits, each at most once."""
 
-    def __init__(self, address: str, limits: _limits.Limits) -> None:
-        self._url = f'http://{address}'
+    def __init__(
+        self,
+        address: str,
+        limits: _limits.Limits,
+        certificates: _certificates.Certificates | None = None,
+    ) -> None:
+        self._url = _fields.build_url(address)
         self._limits = limits
         # The timeout of a read starts anew with every byte that arrives.
         self._longest = (
             limits.connect_timeout + 2 * limits.response_timeout
         ).total_seconds()
-        self._manager = urllib3.PoolManager(
+        self._http = _certificates.HttpClient(
+            certificates,
             maxsize=_CONNECTIONS_LIMIT,
             retries=False,
             timeout=urllib3.Timeout(
@@ -79,19 +87,19 @@
     ) -> result.Result[Response, _errors.Failure]:
         timeout = _loop.Timeout(self._longest)
         try:
-            answer = self._manager.request(
+            answer = self._http.manager.request(
                 method, self._url + path, body=body, headers=headers
             )
         except _NOT_SENT as error:
             return _fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE, str(error))
         except urllib3.exceptions.HTTPError as error:
             # The other idle connections may have gone silent as well.
-            self._manager.clear()
+            self._http.manager.clear()
             return _fail(_choose_kind(method), str(error))
         except _loop.Timeout as expired:
             if expired is not timeout:
                 raise
-            self._manager.clear()
+            self._http.manager.clear()
             return _fail(_choose_kind(method), 'the answer took too long')
         finally:
             timeout.cancel()
--- a/skylarktally/_reference.py
+++ b/skylarktally/_reference.py
@@ -8,6 +8,7 @@
 from skylarktally import _fields
 from skylarktally import _schemas
 from skylarktally import _settings
+from skylarktally import _tls
 
 _HEAD = """# Resource reference
 
@@ -33,7 +34,8 @@
         case _schemas.Names():
             return 'list of names', f'1 to {kind.limit} names'
         case _fields.Address():
-            return 'address', 'IP address and port'
+            form = 'IP address and port'
+            return 'address', form + (', https:// or not' * kind.https)
         case _schemas.Flag():
             return 'boolean', ''
         case _schemas.Mapping():
@@ -83,7 +85,11 @@
         case _fields.Seconds():
             return 'number (seconds)', f'{field.low:g} to {field.high:g}'
         case _fields.Address():
-            return 'address', 'IP address and port'
+            return _describe_type(field)
+        case _tls.Tls():
+            roles = ', '.join(f'`{role}`' for role in field.roles)
+            names = ', '.join(f'`{name}`' for name in _tls.TlsFiles._fields)
+            return 'object', f'any of {roles} to {names}'
         case _fields.Many():
             kind, _bounds = _describe_setting_type(field.each)
             return f'list of {kind}', f'{field.low} to {field.high} entries'
--- a/skylarktally/_router.py
+++ b/skylarktally/_router.py
@@ -16,6 +16,7 @@
 
 from skylarktally import _admin
 from skylarktally import _bootstrap
+from skylarktally import _certificates
 from skylarktally import _claims
 from skylarktally import _clock
 from skylarktally import _collectors
@@ -77,6 +78,7 @@
             it changes
         """
         self._settings = settings
+        self._certificates = _certificates.Store(settings.tls)
         token_file = _tokens.TokenFile(_settings.RouterSettings, path)
         self._tokens = _tokens.TokenStore(token_file.read, clock)
         self._clock = clock
@@ -99,7 +101,7 @@
             settings.zone,
             incarnation,
             settings.peer_address,
-            settings.serving_address,
+            settings.serving_url,
         )
         self.membership = _membership.Membership(
             self._clock,
@@ -114,6 +116,7 @@
             settings.snapshot_timeout,
             settings.peer_clients,
             settings.peer_frame_bytes,
+            self._certificates.find_client('peer'),
         )
         self._snapshots = _snapshots.Snapshots(self.fleet)
         self._gossip = _gossip.Gossip(
@@ -138,8 +141,11 @@
             response_timeout=settings.platform_timeout,
         )
         address = settings.platform_address
-        self._table = _table.HttpTable(address, self._clock, limits)
-        self._objects = _objects.HttpObjects(address, self._clock, limits)
+        platform = self._certificates.find_client('platform')
+        self._table = _table.HttpTable(address, self._clock, limits, platform)
+        self._objects = _objects.HttpObjects(
+            address, self._clock, limits, platform
+        )
         self._journal = _journal.Journal(
             self._table, self.fleet, self._clock, settings.name
         )
@@ -157,7 +163,7 @@
             _ServingSettings(
                 settings.name,
                 settings.zone,
-                settings.serving_address,
+                settings.serving_url,
                 settings.limits,
             ),
             self.fleet,
@@ -166,6 +172,7 @@
             _handlers.Routers(self.membership, self._calls),
             _metrics.ServingMetrics(self._registry),
             self._authenticate,
+            self._certificates.find_client('upstream'),
         )
         handler = _handlers.PeerHandler(
             self._gossip, self._snapshots, self._claims, self._pipeline.observe
@@ -175,6 +182,7 @@
             _peers.collect_secrets(settings),
             settings.peer_server_connections,
             settings.peer_frame_bytes,
+            self._certificates.find_server('peer'),
         )
 
     def _build_diagnosis(self) -> None:
@@ -193,6 +201,8 @@
         prefix = 'skylarktally_router'
         prometheus_client.ProcessCollector(registry=self._registry)
         self._registry.register(_tokens.REFUSALS)
+        self._registry.register(_certificates.RELOADS)
+        self._registry.register(_certificates.HANDSHAKE_FAILURES)
         self._registry.register(
             _collectors.StateCollector(
                 (
@@ -264,10 +274,10 @@
             signal.signal(number, self._handle_stop)
         peer_listener = _listeners.open_listener(settings.peer_address)
         _loop.spawn(self._server.serve, peer_listener)
-        _loop.spawn(
-            _loop.serve,
-            _listeners.open_listener(settings.admin_address),
+        _listeners.serve_wsgi(
+            settings.admin_address,
             self._admin.application,
+            self._certificates.find_server('admin'),
             max_size=_ADMIN_CONNECTIONS,
             socket_timeout=settings.progress_timeout.total_seconds(),
         )
@@ -276,7 +286,10 @@
             _listeners.open_listener(settings.serving_address),
             self.application,
             settings.limits,
+            self._certificates.find_server('serving'),
         )
+        self._certificates.install_signal()
+        _loop.spawn(self._certificates.follow, self._clock)
         _loop.spawn(self._follow_table)
         _loop.spawn(self._repeat, self._start_gossip, settings.gossip_interval)
         log.info('router started', extra={'zone': settings.zone})
--- a/skylarktally/_schemas.py
+++ b/skylarktally/_schemas.py
@@ -239,7 +239,7 @@
         Field('rack', NAME, 'Failure domain in the zone.', fixed=True),
         Field(
             'address',
-            _fields.Address(),
+            _fields.Address(https=True),
             'IP address and port of the worker.',
             fixed=True,
         ),
--- a/skylarktally/_server.py
+++ b/skylarktally/_server.py
@@ -6,6 +6,7 @@
 import socket
 from typing import Any
 
+from skylarktally import _certificates
 from skylarktally import _errors
 from skylarktally import _limits
 from skylarktally import _loop
@@ -337,8 +338,12 @@
     listener: socket.socket,
     application: Callable[..., Any],
     limits: _limits.ServingLimits,
+    certificates: _certificates.Certificates | None = None,
 ) -> None:
-    """Serve callers until the calling green thread is killed."""
+    """Serve callers until the calling green thread is killed.
+
+    :param certificates: None serves plain text
+    """
 
     def answer(environ: dict[str, Any], start_response: Any) -> Any:
         def start(
@@ -353,7 +358,11 @@
     _loop.serve(
         listener,
         answer,
-        protocol=functools.partial(Protocol, limits),
+        protocol=_certificates.secure(
+            functools.partial(Protocol, limits),
+            certificates,
+            limits.header_timeout,
+        ),
         custom_pool=ConnectionPool(limits.client_connections),
         keepalive=limits.progress_timeout.total_seconds(),
         socket_timeout=limits.progress_timeout.total_seconds(),
--- a/skylarktally/_settings.py
+++ b/skylarktally/_settings.py
@@ -14,9 +14,11 @@
 
 from skylarktally import _fields
 from skylarktally import _limits
+from skylarktally import _tls
 
 Token = _fields.Token
 split_address = _fields.split_address
+strip_https = _fields.strip_https
 
 _Duration = datetime.timedelta
 _Name = _fields.Text(
@@ -27,6 +29,7 @@
     r'[\x21-\x7e]{32,256}', '32 to 256 printable characters', secret=True
 )
 _Address = _fields.Address()
+_Files = dict[str, _tls.TlsFiles]
 
 
 def _seconds(seconds: float) -> _Duration:
@@ -53,7 +56,7 @@
     name: Annotated[str, _Name]
     zone: Annotated[str, _Name]
     admin_address: Annotated[str, _Address]
-    platform_address: Annotated[str, _Address]
+    platform_address: Annotated[str, _fields.Address(https=True)]
     # Peer addresses of routers that may be asked first.
     seeds: Annotated[tuple[str, ...], _fields.Many(_Address, 0, 64)] = ()
     tokens: Annotated[dict[str, Token], _fields.Tokens()] = dataclasses.field(
@@ -68,6 +71,9 @@
     other_peer_secrets: Annotated[
         tuple[str, ...], _fields.Many(_Secret, 0, 4)
     ] = ()
+    tls: Annotated[_Files, _tls.Tls(('admin', 'peer', 'platform'))] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     log_level: Annotated[
         str,
@@ -93,6 +99,10 @@
     """What a router is told."""
 
     serving_address: Annotated[str, _Address]
+    # Certificates of the listeners and of own calls, by role.
+    tls: Annotated[
+        _Files, _tls.Tls(('serving', 'admin', 'peer', 'platform', 'upstream'))
+    ] = dataclasses.field(default_factory=dict)
 
     # Membership and roll-out, section 8.
     gossip_interval: Annotated[_Duration, _SHORT] = _seconds(0.5)
@@ -141,6 +151,12 @@
     header_timeout: Annotated[_Duration, _LONG] = _seconds(10)
     progress_timeout: Annotated[_Duration, _LONG] = _seconds(30)
 
+    @property
+    def serving_url(self) -> str:
+        """Return the serving address as other routers call it."""
+        scheme = 'https://' if 'serving' in self.tls else ''
+        return scheme + self.serving_address
+
     @property
     def limits(self) -> _limits.ServingLimits:
         """Return the settings that the request path reads."""
@@ -176,6 +192,10 @@
     """What a controller is told."""
 
     api_address: Annotated[str, _Address]
+    # The role peer is for calls to routers only.
+    tls: Annotated[
+        _Files, _tls.Tls(('api', 'admin', 'peer', 'platform', 'upstream'))
+    ] = dataclasses.field(default_factory=dict)
     platform_writes_per_second: Annotated[int, _count(1, 300)] = 5
 
     # Shard leases, section 3.
@@ -293,6 +313,15 @@
     if isinstance(settings, ControllerSettings):
         yield from _check_controller(settings)
         yield from _check_addresses(settings, ('admin_address', 'api_address'))
+    if strip_https(settings.platform_address)[0]:
+        if 'platform' not in settings.tls:
+            yield 'error', 'tls.platform', 'is required for an https address'
+    if 'serving' in settings.tls and 'upstream' not in settings.tls:
+        yield (
+            'warning',
+            'tls.upstream',
+            'without it no request can be forwarded to another router',
+        )
     if not settings.seeds:
         yield (
             'warning',
--- a/skylarktally/_table.py
+++ b/skylarktally/_table.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from skylarktally import _certificates
 from skylarktally import _clock
 from skylarktally import _errors
 from skylarktally import _limits
@@ -67,10 +68,14 @@
     """Table of section 11 of the design, over HTTP."""
 
     def __init__(
-        self, address: str, clock: _clock.Clock, limits: _limits.Limits
+        self,
+        address: str,
+        clock: _clock.Clock,
+        limits: _limits.Limits,
+        certificates: _certificates.Certificates | None = None,
     ) -> None:
         self._clock = clock
-        self._client = _platform.PlatformClient(address, limits)
+        self._client = _platform.PlatformClient(address, limits, certificates)
 
     def commit(
         self, transaction: Transaction
--- a/skylarktally/_workers.py
+++ b/skylarktally/_workers.py
@@ -8,7 +8,9 @@
 from returns import result
 import urllib3
 
+from skylarktally import _certificates
 from skylarktally import _errors
+from skylarktally import _fields
 
 ErrorKind = _errors.ErrorKind
 
@@ -109,9 +111,11 @@
     def __init__(
         self,
         timeout: datetime.timedelta = datetime.timedelta(seconds=2),
+        certificates: _certificates.Certificates | None = None,
     ) -> None:
         self._timeout = timeout.total_seconds()
-        self._http = urllib3.PoolManager(
+        self._http = _certificates.HttpClient(
+            certificates,
             num_pools=_ADDRESSES_LIMIT,
             maxsize=_CONNECTIONS_LIMIT,
             retries=False,
@@ -185,9 +189,9 @@
             'Job': task.job,
         }
         try:
-            response = self._http.request(
+            response = self._http.manager.request(
                 'POST',
-                f'http://{address}/v1/tasks{task.path}',
+                f'{_fields.build_url(address)}/v1/tasks{task.path}',
                 headers=headers,
                 timeout=urllib3.Timeout(
                     connect=self._timeout, read=task.timeout.total_seconds()
@@ -227,9 +231,9 @@
         headers: dict[str, str] | None = None,
     ) -> result.Result[tuple[int, dict[str, Any]], _errors.Failure]:
         try:
-            response = self._http.request(
+            response = self._http.manager.request(
                 method,
-                f'http://{address}{path}',
+                _fields.build_url(address) + path,
                 body=None if body is None else json.dumps(body),
                 headers=headers,
                 timeout=self._timeout,
--- a/skylarktally/ctl.py
+++ b/skylarktally/ctl.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 import datetime
+import ssl
 import sys
 from typing import Any
 
@@ -23,12 +24,20 @@
 from skylarktally import _errors
 from skylarktally import _reference
 from skylarktally import _settings
+from skylarktally import _tls
 
 FLAGS = flags.FLAGS
 flags.DEFINE_multi_string(
     'api', [], 'Address of a controller; repeat it to name alternatives.'
 )
 flags.DEFINE_string('token-file', '', 'File that holds the bearer token.')
+flags.DEFINE_string(
+    'ca_file', None, 'CA certificates; with it, every call uses TLS.'
+)
+flags.DEFINE_string(
+    'certificate_file', None, 'Certificate shown to the server, in PEM.'
+)
+flags.DEFINE_string('key_file', None, 'Key of the certificate, in PEM.')
 flags.DEFINE_enum('output', 'table', ['table', 'json'], 'Form of results.')
 flags.DEFINE_bool('dry-run', False, 'apply: show the difference only.')
 flags.DEFINE_integer('after', None, 'watch: version to continue after.')
@@ -76,8 +85,11 @@
     return _commands.DONE
 
 
-def _dump_state(screen: _commands.Screen, address: str) -> int:
-    outcome = _client.Client([address], '').call('GET', '/debug/state')
+def _dump_state(
+    screen: _commands.Screen, context: ssl.SSLContext | None, address: str
+) -> int:
+    client = _client.Client([address], '', context=context)
+    outcome = client.call('GET', '/debug/state')
     if not isinstance(outcome, result.Success):
         return _commands.explain_failure(screen, outcome.failure())
     screen._replace(as_json=True).show(outcome.unwrap(), list)
@@ -101,10 +113,33 @@
         return result.Failure(_errors.Failure(kind, str(error)))
 
 
+def _read_certificates() -> result.Result[
+    ssl.SSLContext | None, _errors.Failure
+]:
+    issues: list[str] = []
+    names = ('ca_file', 'certificate_file', 'key_file')
+    given = {name: FLAGS[name].value for name in names if FLAGS[name].value}
+    if not given:
+        return result.Success(None)
+    files = _tls.parse_client(
+        given, lambda path, message: issues.append(f'--{path[1:]} {message}')
+    )
+    if issues:
+        kind = _errors.ErrorKind.INVALID_REQUEST
+        return result.Failure(_errors.Failure(kind, '; '.join(issues)))
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    _tls.configure(context, files)
+    return result.Success(context)
+
+
 def _call_api(
-    screen: _commands.Screen, token: str, name: str, arguments: list[str]
+    screen: _commands.Screen,
+    token: str,
+    context: ssl.SSLContext | None,
+    name: str,
+    arguments: list[str],
 ) -> int:
-    client = _client.Client(FLAGS.api, token)
+    client = _client.Client(FLAGS.api, token, context=context)
     clock = _clock.SystemClock()
     limit = datetime.timedelta(seconds=FLAGS.timeout)
     wait = _commands.Wait(clock, limit if FLAGS.wait else None)
@@ -132,16 +167,19 @@
     match name:
         case 'check-settings':
             return _check_settings(screen, *arguments)
-        case 'dump':
-            return _dump_state(screen, *arguments)
         case 'reference':
             return _show_reference(_reference.describe_kinds())
         case 'reference-settings':
             return _show_reference(_reference.describe_settings())
+    context = _read_certificates()
+    if not isinstance(context, result.Success):
+        return _commands.explain_failure(screen, context.failure())
+    if name == 'dump':
+        return _dump_state(screen, context.unwrap(), *arguments)
     token = _read_token()
     if not isinstance(token, result.Success):
         return _commands.explain_failure(screen, token.failure())
-    return _call_api(screen, token.unwrap(), name, arguments)
+    return _call_api(screen, token.unwrap(), context.unwrap(), name, arguments)
 
 
 def main() -> None:
--- /dev/null
+++ b/tests/certificates.py
@@ -0,0 +1,92 @@
+"""Certificates for the tests, made by the openssl command."""
+
+import functools
+import pathlib
+import subprocess
+import tempfile
+from typing import NamedTuple
+
+from skylarktally import _certificates
+from skylarktally import _tls
+
+_KEY = ('-newkey', 'ec', '-pkeyopt', 'ec_paramgen_curve:prime256v1', '-nodes')
+
+
+def _run(*arguments):
+    subprocess.run(
+        ['openssl', *map(str, arguments)],
+        check=True,
+        capture_output=True,
+        timeout=30,
+    )
+
+
+class Authority:
+    """A CA that signs certificates for one address."""
+
+    def __init__(self, directory, host='127.0.0.1'):
+        self.host = host
+        self.directory = pathlib.Path(directory)
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self.ca_file = self.directory / 'ca.pem'
+        self.count = 0
+        _run(
+            'req', '-x509', *_KEY, '-days', 30, '-subj', '/CN=test CA',
+            '-keyout', self.directory / 'ca.key', '-out', self.ca_file,
+        )  # fmt: skip
+
+    def issue(self, name):
+        """Write a new certificate and key; return their paths."""
+        self.count += 1
+        certificate = self.directory / f'{name}.pem'
+        key = self.directory / f'{name}.key'
+        request = self.directory / f'{name}.csr'
+        names = self.directory / 'names.cnf'
+        names.write_text(f'subjectAltName = IP:{self.host}\n')
+        _run(
+            'req', *_KEY, '-subj', f'/CN={name}-{self.count}',
+            '-keyout', key, '-out', request,
+        )  # fmt: skip
+        _run(
+            'x509', '-req', '-in', request, '-days', 30,
+            '-CA', self.ca_file, '-CAkey', self.directory / 'ca.key',
+            '-set_serial', self.count, '-extfile', names, '-out', certificate,
+        )  # fmt: skip
+        return str(certificate), str(key)
+
+    def build_files(self, name='server', **fields):
+        certificate, key = self.issue(name)
+        return _tls.TlsFiles(certificate, key, str(self.ca_file), **fields)
+
+    def open_server(self, name='server', role='serving', **fields):
+        files = self.build_files(name, **fields)
+        return _certificates.Certificates(role, files, client=False)
+
+    def open_client(self, role='upstream', name=None, trusted=None):
+        """Return what a client uses that may trust another CA."""
+        files = _tls.TlsFiles()
+        if name is not None:
+            files = self.build_files(name)
+        ca_file = str((trusted or self).ca_file)
+        files = files._replace(ca_file=ca_file)
+        return _certificates.Certificates(role, files, client=True)
+
+
+class Shared(NamedTuple):
+    """What tests that change no file may share."""
+
+    authority: Authority
+    server: _certificates.Certificates
+    client: _certificates.Certificates
+
+
+@functools.cache
+def share():
+    directory = tempfile.mkdtemp(prefix='skylarktally-tls-')
+    authority = Authority(directory)
+    return Shared(authority, authority.open_server(), authority.open_client())
+
+
+def encrypt_key(source, target):
+    """Write the key once more, under a password."""
+    _run('ec', '-in', source, '-aes256', '-passout', 'pass:x', '-out', target)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -78,8 +78,11 @@
     the connection closed.
     """
 
-    def __init__(self, fleet, name='w1', script=None, size=1000, **fields):
+    def __init__(
+        self, fleet, name='w1', script=None, size=1000, tls=None, **fields
+    ):
         self.name = name
+        self.tls = tls
         self.script = script
         # Time before the body of a task is read, in seconds.
         self.stall = 0.0
@@ -98,6 +101,8 @@
         # Answer of the task probe: running, ended or absent.
         self.probe_state = 'ended'
         self.listener, self.address = serving.listen()
+        if tls is not None:
+            self.address = f'https://{self.address}'
         self.thread = _loop.spawn(self._accept)
         self.threads = []
         fleet.put_instance(name, self.address, **fields)
@@ -115,6 +120,10 @@
             self.threads.append(_loop.spawn(self._serve, connection))
 
     def _serve(self, connection):
+        if self.tls is not None:
+            connection = self.tls.accept(connection, lambda _: None)
+            if connection is None:
+                return
         self.open += 1
         self.peak_open = max(self.peak_open, self.open)
         stream = connection.makefile('rb')
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -7,6 +7,7 @@
 import pytest
 from returns import result
 
+from skylarktally import _certificates
 from skylarktally import _claims
 from skylarktally import _clock
 from skylarktally import _connections
@@ -18,6 +19,7 @@
 from skylarktally import _resources
 from skylarktally import _server
 from standins import worker as worker_standin
+from tests import certificates
 from tests import naive
 
 POOL = 'desk'
@@ -176,11 +178,23 @@
     """A WSGI application served on loopback until stopped."""
 
     def __init__(
-        self, application, limits=None, address='127.0.0.1:0', **options
+        self,
+        application,
+        limits=None,
+        address='127.0.0.1:0',
+        tls=None,
+        **options,
     ):
         self.listener, self.address = listen(address)
+        if tls is not None:
+            self.address = f'https://{self.address}'
         if limits is not None:
             options['limits'] = limits
+            options['certificates'] = tls
+        elif tls is not None:
+            options['protocol'] = _certificates.secure(
+                _loop.HttpProtocol, tls, _limits.ServingLimits().header_timeout
+            )
         function = _loop.serve if limits is None else _server.serve
         self.thread = _loop.spawn(
             function, self.listener, application, **options
@@ -194,13 +208,23 @@
 class Router:
     """A pipeline on loopback with its own claims."""
 
-    def __init__(self, fleet, table, peers, name='r1', zone='a', limits=None):
+    def __init__(
+        self,
+        fleet,
+        table,
+        peers,
+        name='r1',
+        zone='a',
+        limits=None,
+        tls=None,
+        upstream=None,
+    ):
         limits = limits or _limits.ServingLimits()
         clock = _clock.SystemClock()
         self.name = name
         self.zone = zone
         self.incarnation = len(peers.routers) + 1
-        self.server = Server(self._call, limits)
+        self.server = Server(self._call, limits, tls=tls)
         self.serving_address = self.server.address
         self.settings = Settings(
             name, zone, self.serving_address, f'peer-{name}', limits
@@ -211,7 +235,13 @@
         self.claims = _claims.Claims(table, clock, owner, limits)
         self.metrics = _metrics.ServingMetrics(_metrics.create_registry())
         self.pipeline = _pipeline.Pipeline(
-            self.settings, fleet, clock, self.claims, peers, self.metrics
+            self.settings,
+            fleet,
+            clock,
+            self.claims,
+            peers,
+            self.metrics,
+            certificates=upstream,
         )
         peers.routers.append(self)
 
@@ -245,9 +275,13 @@
         return self.headers['Skylarktally-Outcome']
 
 
-def call(address, method, path, body=None, headers=None, timeout=20):
+def call(
+    address, method, path, body=None, headers=None, timeout=20, client=None
+):
     """Send one request and read its whole answer."""
-    connection = _connections.Connection(address, timeout)
+    if client is None and address.startswith('https:'):
+        client = certificates.share().client
+    connection = _connections.Connection(address, timeout, client)
     try:
         connection.request(method, path, body, headers or {})
         response = connection.getresponse()
@@ -265,10 +299,10 @@
 class WorkerServer:
     """A stand-in worker on loopback, fenced for the pool."""
 
-    def __init__(self, fleet, name='w1', pool=POOL, **fields):
+    def __init__(self, fleet, name='w1', pool=POOL, tls=None, **fields):
         self.worker = worker_standin.Worker(name)
         self.worker.fence = (fields.get('epoch', 1), pool)
-        self.server = Server(self.worker.application, keepalive=30)
+        self.server = Server(self.worker.application, keepalive=30, tls=tls)
         fleet.put_instance(name, self.server.address, pool=pool, **fields)
 
     def stop(self):
@@ -276,9 +310,12 @@
 
 
 def connect(address):
-    """Open a raw connection."""
-    host, port = address.rsplit(':', 1)
-    return _loop.connect(host, int(port), 5)
+    """Open a raw connection, below TLS for an https address."""
+    host, port = address.removeprefix('https://').rsplit(':', 1)
+    connection = _loop.connect(host, int(port), 5)
+    if address.startswith('https:'):
+        return certificates.share().client.connect(connection, host)
+    return connection
 
 
 def read_all(connection: socket.socket) -> bytes:
@@ -292,8 +329,14 @@
 class Cell:
     """Workers and routers of one test, stopped at its end."""
 
-    def __init__(self, limits=None, naive=False):
+    def __init__(self, limits=None, naive=False, tls=False):
         self.limits = limits
+        # Options of servers and routers of a cell below TLS.
+        self.tls = {}
+        self.upstream = {}
+        if tls:
+            self.tls = {'tls': certificates.share().server}
+            self.upstream = {'upstream': certificates.share().client}
         self.naive = naive
         self.fleet = FakeFleet()
         self.table = FakeTable()
@@ -312,6 +355,7 @@
 
     def add_worker(self, name=None, **fields):
         name = name or f'w{len(self.workers) + 1}'
+        fields = self.tls | fields
         self.workers.append(WorkerServer(self.fleet, name, **fields))
         return self.workers[-1].worker
 
@@ -319,6 +363,7 @@
         from tests import scripted
 
         name = f'w{len(self.workers) + 1}'
+        options = self.tls | options
         worker = scripted.ScriptedWorker(self.fleet, name, **options)
         self.workers.append(worker)
         return worker
@@ -332,7 +377,12 @@
             check()
 
     def add_router(self, name=None, **options):
-        options.setdefault('limits', self.limits)
+        options = {
+            'limits': self.limits,
+            **self.tls,
+            **self.upstream,
+            **options,
+        }
         if self.naive:
             self.routers.append(NaiveRouter(self.fleet))
             return self.routers[-1]
--- a/tests/test_controller_process.py
+++ b/tests/test_controller_process.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 import time
@@ -11,6 +12,7 @@
 import urllib3
 
 from tests import apis
+from tests import certificates
 
 pytestmark = pytest.mark.processes
 
@@ -23,6 +25,8 @@
     def __init__(self, directory):
         self.directory = directory
         self.running = []
+        # Flags of every command.
+        self.flags = ()
         self.http = urllib3.PoolManager(retries=False, timeout=2.0)
 
     def start(self, module, *arguments):
@@ -42,9 +46,9 @@
                 process.kill()
             process.wait()
 
-    def get(self, address, path):
+    def get(self, address, path, scheme='http'):
         try:
-            answer = self.http.request('GET', f'http://{address}{path}')
+            answer = self.http.request('GET', f'{scheme}://{address}{path}')
         except urllib3.exceptions.HTTPError:
             return 0, b''
         return answer.status, answer.data
@@ -58,6 +62,7 @@
                 '-m',
                 'skylarktally.ctl',
                 f'--token-file={self.directory / "token"}',
+                *self.flags,
                 *arguments,
             ],
             capture_output=True,
@@ -97,7 +102,7 @@
     return document
 
 
-def write_settings(path, name, platform):
+def write_settings(path, name, platform, **extra):
     settings = {
         'name': name,
         'zone': 'z1',
@@ -107,6 +112,7 @@
             digest: token._asdict()
             for digest, token in apis.hash_tokens().items()
         },
+        **extra,
     }
     for kind in ('admin', 'api', 'peer'):
         settings[f'{kind}_address'] = find_address()
@@ -162,3 +168,63 @@
     # The leases are given back, so that another controller need not wait.
     _, data = processes.get(platform, '/v1/rows?prefix=lease/')
     assert json.loads(data)['rows'] == []
+
+
+def read_serial(address, context):
+    """Return the serial number of the certificate that a port shows."""
+    host, port = address.split(':')
+    with socket.create_connection((host, int(port)), 5) as plain:
+        with context.wrap_socket(plain, server_hostname=host) as secure:
+            return secure.getpeercert()['serialNumber']
+
+
+def test_api_and_admin_port_under_tls(processes, tmp_path):
+    """Guards against a command line or a signal that does not know TLS."""
+    authority = certificates.Authority(tmp_path / 'ca')
+    platform = find_address()
+    processes.start('standins.platform', f'--address={platform}')
+    path = tmp_path / 'c1.json'
+    required = {'require_client_certificate': True}
+    tls = {
+        'api': authority.build_files('api')._asdict() | required,
+        'admin': authority.build_files('admin')._asdict(),
+    }
+    settings = write_settings(path, 'c1', platform, tls=tls)
+    controller = processes.start(
+        'skylarktally.controller', f'--settings={path}'
+    )
+    api, admin = settings['api_address'], settings['admin_address']
+    context = ssl.create_default_context(cafile=str(authority.ca_file))
+    certificate, key = authority.issue('operator')
+    context.load_cert_chain(certificate, key)
+    processes.http = urllib3.PoolManager(
+        retries=False, timeout=2.0, ssl_context=context
+    )
+    wait_until(lambda: processes.get(admin, '/readyz', 'https')[0] == 200)
+    assert processes.get(admin, '/readyz')[0] == 0
+
+    def run(*arguments):
+        return processes.run_ctl(f'--api={api}', *arguments).returncode
+
+    ca, pair = (
+        (f'--ca_file={authority.ca_file}',),
+        (f'--certificate_file={certificate}', f'--key_file={key}'),
+    )
+    other = certificates.Authority(tmp_path / 'other')
+    for flags, code in (
+        ((), 4),
+        (ca, 4),
+        ((f'--ca_file={other.ca_file}', *pair), 4),
+        (pair, 2),
+        ((*ca, *pair[:1]), 2),
+        ((*ca, *pair), 0),
+    ):
+        processes.flags = flags
+        assert run('get', 'pool') == code, flags
+    processes.flags = ca
+    assert run('dump', f'https://{admin}') == 0
+    before = read_serial(api, context)
+    authority.issue('api')
+    controller.send_signal(signal.SIGHUP)
+    wait_until(lambda: read_serial(api, context) != before)
+    assert controller.poll() is None
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
 from skylarktally._gen.peer import ttypes
 from skylarktally import _loop
 from skylarktally import _peers
+from tests import certificates
 
 SECRET = 'x' * 32
 OTHER = 'y' * 32
@@ -50,10 +51,14 @@
 class Fixture:
     """A server on loopback and a client of it."""
 
-    def __init__(self, limit=8):
+    def __init__(self, limit=8, tls=None):
         self.handler = Handler()
         self.server = _peers.PeerServer(
-            self.handler, _peers.Secrets(SECRET, (SECRET, OTHER)), limit, FRAME
+            self.handler,
+            _peers.Secrets(SECRET, (SECRET, OTHER)),
+            limit,
+            FRAME,
+            tls,
         )
         self.listener = _loop.listen(('127.0.0.1', 0))
         self.port = self.listener.getsockname()[1]
@@ -61,9 +66,14 @@
         self.thread = _loop.spawn(self.server.serve, self.listener)
         self.calls = self.create_calls(SECRET)
 
-    def create_calls(self, secret, limit=4):
+    def create_calls(self, secret, limit=4, tls=None):
         return _peers.PeerCalls(
-            _peers.Secrets(secret, (secret,)), _LIMIT, _LIMIT, limit, FRAME
+            _peers.Secrets(secret, (secret,)),
+            _LIMIT,
+            _LIMIT,
+            limit,
+            FRAME,
+            tls,
         )
 
     def connect(self):
@@ -298,3 +308,61 @@
     connection.sendall(garbage)
     assert not is_refused(sync(peer.calls, peer.address))
     connection.close()
+
+
+@pytest.fixture
+def secure_peer(tmp_path):
+    authority = certificates.Authority(tmp_path / 'ca')
+    tls = authority.open_server(role='peer', require_client_certificate=True)
+    fixture = Fixture(limit=2, tls=tls)
+    fixture.authority = authority
+    yield fixture
+    fixture.stop()
+
+
+@pytest.mark.parametrize(
+    ('signer', 'name', 'accepted'),
+    [
+        ('own', 'p', True),
+        ('own', None, False),
+        ('other', 'p', False),
+        (None, None, False),
+    ],
+)
+def test_only_peers_of_the_own_ca_are_served(
+    secure_peer, tmp_path, signer, name, accepted
+):
+    """Guards against a peer that knows the secret but has no certificate."""
+    signers = {
+        'own': secure_peer.authority,
+        'other': certificates.Authority(tmp_path / 'other'),
+    }
+    tls = None
+    if signer is not None:
+        tls = signers[signer].open_client(
+            'peer', name, trusted=secure_peer.authority
+        )
+    calls = secure_peer.create_calls(SECRET, tls=tls)
+    for _ in range(4):
+        # Refused connections must not use up the server's limit of 2.
+        outcome = sync(calls, secure_peer.address)
+        assert is_refused(outcome) is not accepted
+        if not accepted:
+            _loop.sleep(0.1)
+    assert secure_peer.server.counts['connections'] == accepted
+    calls.close()
+
+
+def test_large_snapshot_and_restarted_server_under_tls(secure_peer):
+    """Guards against a closed TLS connection that is not opened again."""
+    tls = secure_peer.authority.open_client('peer', 'p')
+    calls = secure_peer.create_calls(SECRET, tls=tls)
+    secure_peer.handler.size = FRAME // 2
+    for _ in range(2):
+        snapshot = calls.fetch_snapshot(secure_peer.address).unwrap()
+        assert len(snapshot.body) == FRAME // 2
+        for held in calls._idle[secure_peer.address]:
+            # The other side ends TCP without the closing record.
+            raw = held.channel._connection
+            socket.socket.shutdown(raw, socket.SHUT_RDWR)
+    calls.close()
--- a/tests/test_router_processes.py
+++ b/tests/test_router_processes.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import signal
+import ssl
 import subprocess
 import sys
 import time
@@ -12,6 +13,7 @@
 import pytest
 import urllib3
 
+from tests import certificates
 from tools import cluster
 
 pytestmark = pytest.mark.processes
@@ -78,11 +80,11 @@
     return sum(member['state'] == state for member in members)
 
 
-def send(started, name, seconds=0.0, token=TOKEN):
+def send(started, name, seconds=0.0, token=TOKEN, http=None, scheme='http'):
     address = started.routers[name]['serving_address']
-    return started.http.request(
+    return (http or started.http).request(
         'POST',
-        f'http://{address}/v1/pools/p/jobs/j/x?seconds={seconds}',
+        f'{scheme}://{address}/v1/pools/p/jobs/j/x?seconds={seconds}',
         headers={'Authorization': f'Bearer {token}'},
         timeout=10,
     )
@@ -216,6 +218,44 @@
     assert [member['leaving'] for member in others] == [True]
 
 
+def test_routers_under_tls(started, tmp_path):
+    """Guards against a listener or a call that is left in plain text.
+
+    The request crosses a zone, so that a router calls another one, and the
+    member with a certificate of another CA is not heard.
+    """
+    host = started.platform_address.split(':')[0]
+    own = certificates.Authority(tmp_path / 'own', host)
+    other = certificates.Authority(tmp_path / 'other', host)
+    declare_worker(started)
+    for name, zone, signer in (
+        ('r0', 'z', own),
+        ('r1', 'y', own),
+        ('r2', 'x', other),
+    ):
+        files = signer.build_files(name)._asdict()
+        serving = {**files, 'require_client_certificate': True}
+        upstream = {**files, 'require_client_certificate': False}
+        tls = {'serving': serving, 'peer': files, 'upstream': upstream}
+        started.add_router(name, zone, tokens=TOKENS, tls=tls, **FAST)
+    started.start_routers()
+    names = ('r0', 'r1')
+    wait_until(lambda: all(count_members(started, n) == 1 for n in names))
+    context = ssl.create_default_context(cafile=str(own.ca_file))
+    context.load_cert_chain(*own.issue('caller'))
+    http = urllib3.PoolManager(retries=False, ssl_context=context)
+    for name in names:
+        answer = send(started, name, http=http, scheme='https')
+        assert answer.status == 200, answer.data
+        assert answer.headers['Skylarktally-Instance'] == 'w'
+    with pytest.raises(urllib3.exceptions.SSLError):
+        send(started, 'r2', http=http, scheme='https')
+    assert count_members(started, 'r2') == 0
+    failures = 'skylarktally_tls_handshake_failures_total/'
+    found = [x for x in started.read_counters('r0') if x.startswith(failures)]
+    assert any(name.endswith('/peer') for name in found), found
+
+
 def test_errors_in_settings_end_the_process(tmp_path):
     path = tmp_path / 'router.json'
     path.write_text('{"name": "r", "zon": "z", "queue_limit": 0}')
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,7 @@
 import pytest
 
 from skylarktally import _settings
+from tests import certificates
 
 KEY = '0123456789abcdef0123456789abcdef'
 DIGEST = 'ab' * 32
@@ -77,6 +78,19 @@
             'required',
         ),
         ({'dead_after_seconds': 4}, 'dead_after_seconds', 'above suspect'),
+        ({'tls': []}, 'tls', 'mapping from role'),
+        ({'tls': {'api': {}}}, 'tls.api', 'unknown; the nearest'),
+        ({'tls': {'admin': 1}}, 'tls.admin', 'mapping of files'),
+        ({'tls': {'admin': {'key': 'k'}}}, 'tls.admin.key', 'key_file'),
+        ({'tls': {'admin': {}}}, 'tls.admin.certificate_file', 'required'),
+        ({'tls': {'platform': {}}}, 'tls.platform.ca_file', 'required'),
+        (
+            {'platform_address': 'https://127.0.0.1:1'},
+            'tls.platform',
+            'required for an https address',
+        ),
+        ({'platform_address': 'http://127.0.0.1:1'}, None, 'IP address'),
+        ({'seeds': ['https://127.0.0.1:1']}, 'seeds[0]', 'IP address'),
     ],
 )
 def test_errors_are_placed(changes, path, message):
@@ -89,6 +103,71 @@
     assert KEY not in str(issues) and 'short' not in str(issues)
 
 
+def write_tls(directory, other=None, encrypted=False, **fields):
+    """Return the settings of a listener, with one part replaced."""
+    authority = certificates.share().authority
+    body = authority.build_files('settings')._asdict()
+    if encrypted:
+        path = str(directory / 'encrypted.key')
+        certificates.encrypt_key(body['key_file'], path)
+        body['key_file'] = path
+    if other is not None:
+        body[other] = authority.issue('other')[other == 'key_file']
+    return body | fields
+
+
+@pytest.mark.parametrize(
+    ('role', 'fields', 'path', 'message'),
+    [
+        ('admin', {'certificate_file': '/absent'}, None, 'No such file'),
+        ('admin', {'key_file': '/'}, None, 'cannot be read'),
+        ('admin', {'ca_file': '/dev/null'}, None, 'no usable certificate'),
+        ('admin', {'certificate_file': '/dev/null'}, None, 'unusable'),
+        ('admin', {'key_file': 7}, None, 'must be a path'),
+        ('admin', {'other': 'key_file'}, 'key_file', 'does not match'),
+        ('admin', {'encrypted': True}, 'key_file', 'not be encrypted'),
+        ('admin', {'minimum_version': '1.1'}, None, '1.2, 1.3'),
+        (
+            'serving',
+            {'ca_file': None, 'require_client_certificate': True},
+            'ca_file',
+            'required',
+        ),
+        ('peer', {'ca_file': None}, None, 'required'),
+        ('upstream', {'key_file': None}, None, 'required'),
+        (
+            'upstream',
+            {'require_client_certificate': True},
+            None,
+            'listeners only',
+        ),
+    ],
+)
+def test_tls_errors_are_placed(tmp_path, role, fields, path, message):
+    """Guards against a certificate found unusable only when it is needed."""
+    body = write_tls(tmp_path, **fields)
+    settings, issues = check(tls={role: body})
+    assert settings is None
+    place = f'tls.{role}.{path or next(iter(fields))}'
+    assert [issue.path for issue in issues] == [place]
+    assert message in str(issues[0])
+
+
+def test_tls_of_every_role_is_read(tmp_path):
+    """Guards against a peer port that asks for no certificate."""
+    body = write_tls(tmp_path)
+    roles = ('serving', 'admin', 'peer', 'platform', 'upstream')
+    settings, issues = check(
+        tls=dict.fromkeys(roles, body), platform_address='https://[::1]:8003'
+    )
+    assert issues == []
+    required = {
+        r: t.require_client_certificate for r, t in settings.tls.items()
+    }
+    assert required == dict.fromkeys(roles, False) | {'peer': True}
+    assert settings.serving_url == 'https://127.0.0.1:8000'
+
+
 def test_all_errors_are_collected():
     settings, issues = check(zone=1, queue_limit=0, nme='x')
     assert settings is None
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -12,10 +12,11 @@
 PATH = '/v1/pools/desk/jobs/report/t'
 
 
+@pytest.mark.parametrize('tls', [False, True])
 @pytest.mark.parametrize('chunked', [False, True])
-def test_large_body_arrives_whole(chunked):
+def test_large_body_arrives_whole(chunked, tls):
     """Guards against bytes lost or repeated between the pieces."""
-    with serving.Cell() as cell:
+    with serving.Cell(tls=tls) as cell:
         cell.add_worker()
         pieces = [bytes([65 + i % 26]) * 10007 for i in range(200)]
         body = b''.join(pieces)
@@ -25,10 +26,12 @@
         assert json.loads(reply.body)['body'].encode() == body
 
 
-@pytest.mark.parametrize('naive', [False, True])
-def test_upload_waits_for_the_worker(naive):
+@pytest.mark.parametrize(
+    'naive, tls', [(False, False), (True, False), (False, True)]
+)
+def test_upload_waits_for_the_worker(naive, tls):
     """Guards against a router that holds whole bodies in memory."""
-    with serving.Cell(naive=naive) as cell:
+    with serving.Cell(naive=naive, tls=tls) as cell:
         worker = cell.add_scripted()
         worker.stall = 3.0
         router = cell.add_router()
@@ -53,7 +56,8 @@
         cell.expect_failure_if_naive(check)
 
 
-def test_download_waits_for_the_caller():
+@pytest.mark.parametrize('tls', [False, True])
+def test_download_waits_for_the_caller(tls):
     """Guards against a router that holds whole answers in memory."""
     sent = []
 
@@ -69,12 +73,20 @@
             pass
         return False
 
-    with serving.Cell() as cell:
+    with serving.Cell(tls=tls) as cell:
         cell.add_scripted(script=send)
         connection = serving.connect(cell.add_router().serving_address)
         connection.sendall(f'GET {PATH} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
         _loop.sleep(2.0)
         assert 0 < sum(sent) < 30 * MEGABYTE
         # The answer is cut short, so it must not end with a last chunk.
-        assert not serving.read_all(connection).endswith(b'0\r\n\r\n')
+        received = bytearray()
+        if tls:
+            # The closing record is missing as well.
+            with pytest.raises(ConnectionResetError):
+                while True:
+                    received += connection.recv(65536)
+        else:
+            received += serving.read_all(connection)
+        assert not received.endswith(b'0\r\n\r\n')
         connection.close()
