Drain through the controller that does not look after the worker

Cause: the first drain of the tool went through the controller that holds the shards. Its reconciler raises the fence anyway, so a controller that does not raise the fences of its own marks went unnoticed.

After: the tool starts with the second controller.

--- a/tools/measure_drain.py
+++ b/tools/measure_drain.py
@@ -226,7 +226,9 @@
     for platform in _PLATFORMS.value:
         slowest = 0.0
         for number in range(_REPEATS.value):
-            through = number % 2
+            # The first controller holds the shards. The other one has to
+            # raise the fence of a worker that it does not look after.
+            through = (number + 1) % 2
             drain = run(platform, through, _SEED.value + number)
             slowest = max(slowest, drain.seconds)
             last = '-' if drain.last_start is None else drain.last_start
