Check that a woken router sends nothing under lapsed leases

Cause: the pause beyond the expiry of slot leases was checked with a manual clock only. A router process is now stopped by a signal with free leases and 16 requests in its buffers, another router takes the slots, and the worker's record is compared by lease after the first one is woken.

Ruled out: the default idle time, after which a woken router gives back its leases before it reads a request, so that nothing could go wrong.

--- a/tests/test_router_processes.py
+++ b/tests/test_router_processes.py
@@ -303,6 +303,36 @@
     assert 'slowest' in ended.stdout
 
 
+def test_woken_router_sends_nothing_under_its_old_leases(started):
+    """Guards against a task under a lease that ended during a pause."""
+    declare_worker(started)
+    lease = {'slot_lease_ttl_seconds': 2, 'slot_lease_margin_seconds': 0.5}
+    # Otherwise idle leases are given back on waking, before a request.
+    for name, idle in (('r0', 30), ('r1', 0.5)):
+        lease['slot_lease_idle_seconds'] = idle
+        started.add_router(name, 'z', tokens=TOKENS, **lease)
+    started.start_routers()
+    worker = started.find_address('w')
+    pool = futures.ThreadPoolExecutor(32)
+    list(pool.map(lambda _: send(started, 'r0', 0.2), range(16)))
+    before = read_record(started, worker)['runs']
+    started.send_signal('r0', signal.SIGSTOP)
+    # They wait in the buffers of the router, which has free leases.
+    waiting = [pool.submit(send, started, 'r0', 0.2) for _ in range(16)]
+    time.sleep(3)
+    # The slots of the lapsed leases are free for the other router.
+    others = [pool.submit(send, started, 'r1', 1.0) for _ in range(8)]
+    assert {x.result().status for x in others} == {200}
+    started.send_signal('r0', signal.SIGCONT)
+    assert {x.result().status for x in waiting} == {200}
+    record = read_record(started, worker)
+    runs = record['runs'][len(before) :]
+    assert len(runs) == 24
+    old = {run['lease_id'] for run in before}
+    assert not old & {run['lease_id'] for run in runs}
+    assert record['peak_running'] == 8
+
+
 def test_errors_in_settings_end_the_process(tmp_path):
     path = tmp_path / 'router.json'
     path.write_text('{"name": "r", "zon": "z", "queue_limit": 0}')
