Retry a small chunked answer that is cut before the caller got a byte

Cause: of an answer without a length only the first piece was read before the head went to the caller, so an answer cut in its second chunk reached the caller broken although the request was idempotent.

An answer without a length is now held back for at most 50 ms or 64 KiB; an error in that time is a failed attempt, which the usual rules retry. A green thread reads ahead, since a timeout in the middle of a buffered read would lose bytes.

Ruled out: waiting until the socket is readable, since the next bytes may be half of a chunk's size line; reading up to 64 KiB without a time limit, which would hold back slow streams.

For a request that must not run twice the caller now gets 'unknown' instead of a broken answer.

--- a/skylarktally/_deliveries.py
+++ b/skylarktally/_deliveries.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from skylarktally import _answers
 from skylarktally import _claims
 from skylarktally import _dispatch
 from skylarktally import _exchange
 from skylarktally import _forwarding
-from skylarktally import _relay
 from skylarktally import _replies
 
 
@@ -21,7 +21,7 @@
 
 
 def _build_reply(
-    answer: _relay.Answer,
+    answer: _answers.Answer,
     headers: list[tuple[str, str]],
     body: Any,
     close: Callable[[], None],
@@ -47,7 +47,7 @@
 
 
 def pass_on(
-    answer: _relay.Answer, exchange: _exchange.Exchange
+    answer: _answers.Answer, exchange: _exchange.Exchange
 ) -> _replies.Reply:
     """Return another router's answer, with its outcome."""
     headers = [
--- a/skylarktally/_dispatch.py
+++ b/skylarktally/_dispatch.py
@@ -4,6 +4,7 @@
 from returns import result
 
 from skylarktally import _admission
+from skylarktally import _answers
 from skylarktally import _clock
 from skylarktally import _errors
 from skylarktally import _exchange
@@ -55,7 +56,7 @@
     """A worker's answer on its way to the caller."""
 
     def __init__(
-        self, answer: _relay.Answer, grant: Grant, pool: _pools.PoolState
+        self, answer: _answers.Answer, grant: Grant, pool: _pools.PoolState
     ) -> None:
         self.answer = answer
         self.instance = grant.worker.instance.name
@@ -66,7 +67,7 @@
         """Yield the body and free the slot at its end."""
         try:
             yield from self.answer.iterate()
-        except _relay.TruncatedAnswer:
+        except _answers.TruncatedAnswer:
             self._pool.selection.outliers.note_failure(self.instance)
             raise
         finally:
@@ -239,7 +240,7 @@
 
     def _send(
         self, exchange: _exchange.Exchange, grant: Grant
-    ) -> result.Result[_relay.Answer, _relay.AttemptFailure]:
+    ) -> result.Result[_answers.Answer, _relay.AttemptFailure]:
         instance = grant.worker.instance
         left = exchange.deadline - self._clock.monotonic()
         key = exchange.key or f'{exchange.request_id}-{exchange.attempts}'
@@ -265,7 +266,7 @@
         exchange: _exchange.Exchange,
         pool: _pools.PoolState,
         grant: Grant,
-        answer: _relay.Answer,
+        answer: _answers.Answer,
     ) -> Delivery | None:
         """Return the delivery, or None after the wait before a retry."""
         failure_class = _retries.classify_status(answer.status)
--- a/skylarktally/_forwarding.py
+++ b/skylarktally/_forwarding.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from skylarktally import _answers
 from skylarktally import _claims
 from skylarktally import _clock
 from skylarktally import _errors
@@ -65,7 +66,7 @@
 
     def forward_to_issuer(
         self, exchange: _exchange.Exchange, issuer: _claims.ClaimState
-    ) -> result.Result[_relay.Answer, _errors.Failure]:
+    ) -> result.Result[_answers.Answer, _errors.Failure]:
         """Send a request to the only router that may run its key."""
         for router in self._peers.list_routers():
             if (router.name, router.incarnation) == (
@@ -80,7 +81,7 @@
 
     def forward(
         self, exchange: _exchange.Exchange, routers: Iterable[Router]
-    ) -> result.Result[_relay.Answer, _errors.Failure]:
+    ) -> result.Result[_answers.Answer, _errors.Failure]:
         """Send a request to the first router that takes it.
 
         :raises RequestError: when the caller's body cannot be read
--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -34,6 +34,7 @@
 HttpProtocol = wsgi.HttpProtocol
 STATE_IDLE = wsgi.STATE_IDLE
 Event = eventlet.Event
+GreenThread = eventlet.greenthread.GreenThread
 Queue = eventlet.queue.LightQueue
 Semaphore = eventlet.semaphore.Semaphore
 Timeout = eventlet.Timeout
--- a/skylarktally/_relay.py
+++ b/skylarktally/_relay.py
@@ -1,6 +1,5 @@
 """One attempt: a request to a worker and its answer back."""
 
-from collections.abc import Iterator
 import datetime
 from http import client
 from typing import NamedTuple
@@ -8,6 +7,7 @@
 
 from returns import result
 
+from skylarktally import _answers
 from skylarktally import _clock
 from skylarktally import _connections
 from skylarktally import _errors
@@ -17,26 +17,6 @@
 from skylarktally import _retries
 from skylarktally import _worker_calls
 
-_NO_BODY_STATUSES = (204, 304)
-_HOP_HEADERS = {
-    'connection',
-    'content-length',
-    'date',
-    'keep-alive',
-    'proxy-authenticate',
-    'proxy-connection',
-    'request-key',
-    'task-started',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
-}
-
-
-class TruncatedAnswer(Exception):
-    """The answer ended before its end; the caller must not see an end."""
-
 
 class AttemptFailure(NamedTuple):
     """Why an attempt got no answer that can be relayed."""
@@ -66,97 +46,6 @@
     task_key: str = ''
 
 
-class Answer:
-    """An answer whose head and first piece have arrived."""
-
-    def __init__(
-        self,
-        response: _connections.WholeResponse,
-        connection: _connections.Connection,
-        connections: _connections.Connections,
-        method: str,
-        limits: _limits.ServingLimits,
-    ) -> None:
-        self.status = response.status
-        self.reason = response.reason
-        self.headers = [
-            (name, value)
-            for name, value in response.getheaders()
-            if name.lower() not in _HOP_HEADERS
-        ]
-        self._response = response
-        self._connection = connection
-        self._connections = connections
-        self._limits = limits
-        self.bodyless = (
-            method == 'HEAD' or response.status in _NO_BODY_STATUSES
-        )
-        self.length = None if self.bodyless else response.length
-        self._read_bytes = 0
-        self.complete = False
-        self._closed = False
-        self.first = b''
-
-    def load_first(self) -> None:
-        """Read a small answer whole, or the first piece of another."""
-        piece = self._limits.piece_bytes
-        if self.length is None or self.length > piece:
-            self.first = self._read()
-            return
-        parts = []
-        while not self.complete:
-            parts.append(self._read())
-        self.first = b''.join(parts)
-
-    def _read(self) -> bytes:
-        """Return the next bytes; empty only at the true end."""
-        if self.bodyless or self._read_bytes == self.length:
-            self._finish()
-            return b''
-        data = self._response.read1(self._limits.piece_bytes)
-        self._read_bytes += len(data)
-        if not data and self.length is not None:
-            raise TruncatedAnswer('the body is shorter than its length')
-        if not data or self._read_bytes == self.length:
-            self._finish()
-        return data
-
-    def _finish(self) -> None:
-        self.complete = True
-        self.close()
-
-    def iterate(self) -> Iterator[bytes]:
-        """Yield the body.
-
-        :raises TruncatedAnswer: when the end is missing
-        """
-        if self.first:
-            yield self.first
-        self._connection.limit(self._limits.progress_timeout)
-        while not self.complete:
-            try:
-                data = self._read()
-            except (OSError, client.HTTPException) as error:
-                raise TruncatedAnswer(repr(error)) from error
-            if data:
-                yield data
-
-    def close(self) -> None:
-        """Keep the connection if the answer is whole, else close it."""
-        if self._closed:
-            return
-        self._closed = True
-        self._response.close()
-        if (
-            self.complete
-            and not self._response.will_close
-            and not self._response.leftover
-        ):
-            self._connections.give_back(self._connection)
-        else:
-            self._connections.close(self._connection)
-
-
 class Relay:
     """Sends requests to workers and other routers."""
 
@@ -174,7 +63,7 @@
 
     def send(
         self, exchange: _exchange.Exchange, target: Target
-    ) -> result.Result[Answer, AttemptFailure]:
+    ) -> result.Result[_answers.Answer, AttemptFailure]:
         """Make one attempt.
 
         :raises RequestError: when the request cannot be read or sent on
@@ -197,7 +86,11 @@
         connection = opened.unwrap()
         try:
             attempt = self._attempt(exchange, target, connection)
-        except (OSError, client.HTTPException, TruncatedAnswer) as error:
+        except (
+            OSError,
+            client.HTTPException,
+            _answers.TruncatedAnswer,
+        ) as error:
             attempt = _fail(repr(error))
         except BaseException:
             self._connections.close(connection)
@@ -211,7 +104,7 @@
         exchange: _exchange.Exchange,
         target: Target,
         connection: _connections.Connection,
-    ) -> result.Result[Answer, AttemptFailure]:
+    ) -> result.Result[_answers.Answer, AttemptFailure]:
         try:
             self._put_head(exchange, target, connection)
         except (ValueError, client.HTTPException) as error:
@@ -234,7 +127,7 @@
             and response.getheader('Task-Started') == 'false'
         ):
             return _refuse(response)
-        answer = Answer(
+        answer = _answers.Answer(
             response,
             connection,
             self._connections,
@@ -349,7 +242,7 @@
     lengths = response.headers.get_all('Content-Length') or []
     if len(lengths) + (response.chunked is True) > 1:
         return 'the answer has more than one length'
-    bodyless = method == 'HEAD' or response.status in _NO_BODY_STATUSES
+    bodyless = method == 'HEAD' or response.status in _answers.NO_BODY_STATUSES
     if not bodyless and response.length is None and not response.chunked:
         return 'the answer has no length, so its end is unknown'
     return None
@@ -365,7 +258,7 @@
 
 def _refuse(
     response: client.HTTPResponse,
-) -> result.Result[Answer, AttemptFailure]:
+) -> result.Result[_answers.Answer, AttemptFailure]:
     return result.Failure(
         AttemptFailure(
             _retries.FailureClass.NOT_STARTED,
@@ -393,5 +286,5 @@
     )
 
 
-def _fail(message: str) -> result.Result[Answer, AttemptFailure]:
+def _fail(message: str) -> result.Result[_answers.Answer, AttemptFailure]:
     return result.Failure(_describe(message))
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -153,6 +153,28 @@
     cell.expect_failure_if_naive(check)
 
 
+def test_cut_chunked_answer_is_sent_again(cell):
+    """Guards against a broken answer for a request that can be repeated."""
+
+    def cut(worker, connection, request):
+        body = scripted.build_body(request.token, worker.size)
+        connection.sendall(scripted.CHUNKED_HEAD)
+        connection.sendall(scripted.build_chunks(half(body), 100))
+        return False
+
+    script = first_only(cut)
+    workers = [cell.add_scripted(script=script) for _ in range(2)]
+
+    def check():
+        reply = send(cell, 'report', 't1')
+        assert reply is not None
+        assert (reply.status, reply.outcome) == (200, 'complete')
+        scripted.check_body(reply.body, 't1', 1000)
+        assert sum(len(x.tasks) for x in workers) == 2
+
+    cell.expect_failure_if_naive(check)
+
+
 def close_at_once(worker, connection, request):
     return False
 
@@ -188,6 +210,7 @@
         (send_late, {'unknown'}),
         (answer_unavailable, {'complete'}),
         (WIRE_FAULTS['short-length'], {'unknown'}),
+        (WIRE_FAULTS['short-chunks'], {'unknown'}),
     ],
 )
 def test_single_run(cell, script, outcomes):
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -1,6 +1,7 @@
 """Large bodies in both directions."""
 
 import json
+import time
 
 import pytest
 
@@ -78,3 +79,35 @@
         # The answer is cut short, so it must not end with a last chunk.
         assert not serving.read_all(connection).endswith(b'0\r\n\r\n')
         connection.close()
+
+
+def test_pieces_are_passed_on_as_they_arrive():
+    """Guards against a stream that is held back until it is large.
+
+    Each piece ends within the next one's size line, which must not be
+    taken for the end of what can be read.
+    """
+
+    def send(worker, connection, request):
+        connection.sendall(scripted.CHUNKED_HEAD)
+        for number in range(4):
+            connection.sendall(b'1\r\n%d\r' % number)
+            _loop.sleep(0.3)
+            connection.sendall(b'\n')
+        connection.sendall(b'0\r\n\r\n')
+        _loop.sleep(0.3)
+        return False
+
+    with serving.Cell() as cell:
+        cell.add_scripted(script=send)
+        connection = serving.connect(cell.add_router().serving_address)
+        connection.sendall(f'GET {PATH} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
+        start = time.monotonic()
+        received = b''
+        while b'\r\n\r\n1\r\n0\r\n' not in received:
+            received += connection.recv(65536)
+        assert time.monotonic() - start < 0.3
+        while not received.endswith(b'0\r\n\r\n'):
+            received += connection.recv(65536)
+        assert b'1\r\n1\r\n1\r\n2\r\n1\r\n3\r\n' in received
+        connection.close()
