Carry the headers of a recorded answer as a list of pairs

Cause: the IDL had a map, so an answer with a repeated header, such as Set-Cookie, lost all but one of them when another router asked for it.

The list has a new field number, so that neither version reads the field of the other as something else; a router of the older version then sees an answer without headers and refuses the repeated key.

Before: test_recorded_answer_keeps_repeated_headers failed. After: test_peers.py, test_claims.py, test_claim_release.py and test_fanout.py, 84 passed. The fake peers of the tests now convert answers as routers do.

--- a/skylarktally/_forwarding.py
+++ b/skylarktally/_forwarding.py
@@ -151,12 +151,10 @@
 def read_answer(answer: Any) -> _claims.RecordedAnswer:
     """Convert an answer of the peer protocol."""
     state = getattr(answer.state, 'value', answer.state)
-    headers = answer.headers or {}
-    pairs = headers.items() if isinstance(headers, dict) else headers
     return _claims.RecordedAnswer(
         _claims.AnswerState(state),
         answer.status or 0,
-        tuple(pairs),
+        tuple((x.name, x.value) for x in answer.headers or ()),
         answer.body or b'',
     )
 
--- a/skylarktally/_gen/peer/Peer.py
+++ b/skylarktally/_gen/peer/Peer.py
@@ -515,11 +515,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = LogEntry()
-                        _elem35.read(iprot)
-                        self.entries.append(_elem35)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = LogEntry()
+                        _elem33.read(iprot)
+                        self.entries.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -536,8 +536,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter36 in self.entries:
-                iter36.write(oprot)
+            for iter34 in self.entries:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/skylarktally/_gen/peer/ttypes.py
+++ b/skylarktally/_gen/peer/ttypes.py
@@ -477,22 +477,90 @@
         return not (self == other)
 
 
+class Header(object):
+    """
+    Attributes:
+     - name
+     - value
+
+    """
+
+
+    def __init__(self, name=None, value=None,):
+        self.name = name
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.value = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Header')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeString(self.value.encode('utf-8') if sys.version_info[0] == 2 else self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Answer(object):
     """
     Attributes:
      - state: One of: absent, running, recorded.
      - status
-     - headers
      - body
+     - headers: In the order of the answer; a name may be repeated.
 
     """
 
 
-    def __init__(self, state=None, status=None, headers=None, body=None,):
+    def __init__(self, state=None, status=None, body=None, headers=None,):
         self.state = state
         self.status = status
-        self.headers = headers
         self.body = body
+        self.headers = headers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -513,22 +581,22 @@
                     self.status = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.MAP:
-                    self.headers = {}
-                    (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
-                    for _i25 in range(_size21):
-                        _key26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val27 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers[_key26] = _val27
-                    iprot.readMapEnd()
-                else:
-                    iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.headers = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Header()
+                        _elem26.read(iprot)
+                        self.headers.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -547,18 +615,17 @@
             oprot.writeFieldBegin('status', TType.I32, 2)
             oprot.writeI32(self.status)
             oprot.writeFieldEnd()
-        if self.headers is not None:
-            oprot.writeFieldBegin('headers', TType.MAP, 3)
-            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
-            for kiter28, viter29 in self.headers.items():
-                oprot.writeString(kiter28.encode('utf-8') if sys.version_info[0] == 2 else kiter28)
-                oprot.writeString(viter29.encode('utf-8') if sys.version_info[0] == 2 else viter29)
-            oprot.writeMapEnd()
-            oprot.writeFieldEnd()
         if self.body is not None:
             oprot.writeFieldBegin('body', TType.STRING, 4)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.headers))
+            for iter27 in self.headers:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -613,13 +680,20 @@
     (1, TType.I64, 'log_version', None, None, ),  # 1
     (2, TType.STRING, 'body', 'UTF8', None, ),  # 2
 )
+all_structs.append(Header)
+Header.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'value', 'UTF8', None, ),  # 2
+)
 all_structs.append(Answer)
 Answer.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'state', 'UTF8', None, ),  # 1
     (2, TType.I32, 'status', None, None, ),  # 2
-    (3, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 3
+    None,  # 3
     (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
+    (5, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/skylarktally/_handlers.py
+++ b/skylarktally/_handlers.py
@@ -52,7 +52,7 @@
         return ttypes.Answer(
             state=answer.state.value,
             status=answer.status,
-            headers=dict(answer.headers),
+            headers=[ttypes.Header(*pair) for pair in answer.headers],
             body=answer.body,
         )
 
--- a/skylarktally/skylarktally.thrift
+++ b/skylarktally/skylarktally.thrift
@@ -41,12 +41,18 @@
   2: string body,
 }
 
+struct Header {
+  1: string name,
+  2: string value,
+}
+
 struct Answer {
   /** One of: absent, running, recorded. */
   1: string state,
   2: i32 status,
-  3: map<string, string> headers,
   4: binary body,
+  /** In the order of the answer; a name may be repeated. */
+  5: list<Header> headers,
 }
 
 service Peer {
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -11,6 +11,7 @@
 from skylarktally import _clock
 from skylarktally import _connections
 from skylarktally import _errors
+from skylarktally import _handlers
 from skylarktally import _limits
 from skylarktally import _loop
 from skylarktally import _metrics
@@ -152,7 +153,10 @@
     def find_answer(self, address, key):
         for router in self.routers:
             if router.settings.peer_address == address:
-                return result.Success(router.claims.find(key))
+                handler = _handlers.PeerHandler(
+                    None, None, router.claims, None
+                )
+                return result.Success(handler.find_answer(key))
         kind = _errors.ErrorKind.PEER_UNREACHABLE
         return result.Failure(_errors.Failure(kind, address))
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,12 +4,16 @@
 import socket
 import struct
 import time
+from unittest import mock
 
 import pytest
 from returns import result
 
 from skylarktally import _channels
+from skylarktally import _claims
+from skylarktally import _forwarding
 from skylarktally._gen.peer import ttypes
+from skylarktally import _handlers
 from skylarktally import _loop
 from skylarktally import _peers
 
@@ -243,6 +247,21 @@
     assert not is_refused(sync(peer.calls, peer.address))
 
 
+def test_recorded_answer_keeps_repeated_headers(peer):
+    """Guards against headers lost between two routers."""
+    recorded = _claims.RecordedAnswer(
+        _claims.AnswerState.RECORDED,
+        200,
+        (('Set-Cookie', 'a=1'), ('X-B', 'c'), ('Set-Cookie', 'b=2')),
+        b'body',
+    )
+    claims = mock.Mock(find=lambda key: recorded)
+    handler = _handlers.PeerHandler(None, None, claims, None)
+    peer.handler.find_answer = handler.find_answer
+    found = peer.calls.find_answer(peer.address, 'key').unwrap()
+    assert _forwarding.read_answer(found) == recorded
+
+
 def test_silent_server_costs_one_time_limit():
     # The connection is accepted by the kernel and never answered.
     silent = socket.socket()
