Run a task of several slots under one lease on that many

Cause: the request path asked for one slot whatever the job declared, so a worker of 8 slots ran 8 tasks of 3 slots each.

A lease carries its number of slots, one task runs under it, and the choice counts slots instead of tasks. A refused request gives back free leases of other sizes on that worker and asks once more. A job wider than every worker of the pool is refused at once, not run.

Ruled out: several leases of one slot for one task, since two routers can then each hold half of what they need; returning leases of other sizes before each request, which costs a round trip when there is room.

Open: under load from other routers a wide request has no reservation and may wait until its deadline.

Before: test_task_uses_the_slots_of_its_job saw 8 tasks of 3 slots at once on 8 slots. The check fails on the naive router.

--- a/skylarktally/_dispatch.py
+++ b/skylarktally/_dispatch.py
@@ -48,7 +48,7 @@
             return
         self._returned = True
         self._slots.release(self.lease, reusable)
-        self._pool.selection.note_end(self.worker)
+        self._pool.selection.note_end(self.worker, self.lease.slots)
         self._pool.queue.note_end(self._clock.monotonic() - self.start)
 
 
@@ -164,9 +164,9 @@
             if pool.queue.may_go(waiter):
                 untried = len(exchange.tried) < len(selection.workers)
                 excluded = exchange.tried if untried else set()
-                worker = selection.choose(excluded)
+                worker = selection.choose(excluded, exchange.job.slots)
             if worker is not None:
-                grant = self._reserve(pool, worker)
+                grant = self._reserve(pool, worker, exchange.job.slots)
                 if grant is not None:
                     pool.queue.wake()
                     if self._clock.monotonic() < waiter.deadline:
@@ -180,16 +180,16 @@
                 return result.Failure(_errors.Failure(kind, message))
 
     def _reserve(
-        self, pool: _pools.PoolState, worker: _selection.Worker
+        self, pool: _pools.PoolState, worker: _selection.Worker, slots: int
     ) -> Grant | None:
         """Take a free lease of the worker or ask it for another one."""
         selection = pool.selection
-        lease = self._slots.take(worker.instance)
-        selection.note_start(worker)
+        lease = self._slots.take(worker.instance, slots)
+        selection.note_start(worker, slots)
         if lease is None:
-            requested = self._slots.request(worker.instance)
+            requested = self._slots.request(worker.instance, slots)
             if not isinstance(requested, result.Success):
-                selection.note_end(worker)
+                selection.note_end(worker, slots)
                 self._note_refusal(pool, worker, requested.failure())
                 return None
             lease = requested.unwrap()
--- a/skylarktally/_pipeline.py
+++ b/skylarktally/_pipeline.py
@@ -238,12 +238,16 @@
     ) -> result.Result[_replies.Reply, _errors.Failure]:
         pool = self._pools.find(exchange.pool)
         self._retries.note_request(exchange.pool)
-        if not (pool.selection.slots and self._has_place):
+        slots = exchange.job.slots
+        fits = pool.selection.slots and pool.selection.can_ever_run(slots)
+        if not (fits and self._has_place):
             kind = _errors.ErrorKind.NO_CAPACITY
             message = 'no worker of the pool can be used from here'
             return result.Failure(_errors.Failure(kind, message))
         admitted = pool.queue.admit(
-            exchange.job.urgency, exchange.deadline, pool.selection.slots
+            exchange.job.urgency,
+            exchange.deadline,
+            pool.selection.slots // slots,
         )
         if not isinstance(admitted, result.Success):
             return result.Failure(admitted.failure())
--- a/skylarktally/_selection.py
+++ b/skylarktally/_selection.py
@@ -12,11 +12,16 @@
 from skylarktally import _resources
 
 
+# Few workers may have room for a task of several slots; the number looked
+# at is bounded, so that the cost does not grow with the pool.
+_WIDE_SAMPLE = 16
+
+
 class Leases(Protocol):
     """What the choice needs to know of the slot leases."""
 
     def count_free(self, instance: _resources.Instance) -> int:
-        """Count the leases on a worker that carry no task."""
+        """Count the slots of leases on a worker that carry no task."""
 
 
 class NameSet:
@@ -56,6 +61,7 @@
 
     def __init__(self, instance: _resources.Instance) -> None:
         self.instance = instance
+        # Slots of the tasks that this router has sent.
         self.running = 0
         # Slots that count towards the capacity of the pool.
         self.counted_slots = 0
@@ -116,17 +122,33 @@
         room = worker.running + free < worker.instance.slots
         self._usable.put(name, usable and (free > 0 or room and not full))
 
-    def choose(self, excluded: Collection[str] = ()) -> Worker | None:
+    def can_ever_run(self, slots: int) -> bool:
+        """Tell whether a worker has that many slots in all."""
+        return slots == 1 or any(
+            x.instance.slots >= slots for x in self.workers.values()
+        )
+
+    def choose(
+        self, excluded: Collection[str] = (), slots: int = 1
+    ) -> Worker | None:
         """Return the better of two random workers, or None."""
         now = self._clock.monotonic()
         while self._full and self._full[0][0] <= now:
             self.update(heapq.heappop(self._full)[1])
-        picks = self._usable.sample(2 + len(excluded), self._random)
-        picks = [x for x in picks if x not in excluded][:2]
+        count = 2 if slots == 1 else _WIDE_SAMPLE
+        picks = self._usable.sample(count + len(excluded), self._random)
+        picks = [
+            x for x in picks if x not in excluded and self._has_room(x, slots)
+        ][:2]
         if not picks:
             return None
         return self.workers[min(picks, key=self._rank)]
 
+    def _has_room(self, name: str, slots: int) -> bool:
+        # Usable workers have room for one more slot.
+        worker = self.workers[name]
+        return slots == 1 or worker.running + slots <= worker.instance.slots
+
     def _rank(self, name: str) -> tuple[int, float, bool]:
         worker = self.workers[name]
         load = worker.running / max(worker.instance.slots, 1)
@@ -134,14 +156,14 @@
         unleased = self._leases.count_free(worker.instance) == 0
         return self.outliers.rank(name), load, unleased
 
-    def note_start(self, worker: Worker) -> None:
-        """Count a task that is about to be sent."""
-        worker.running += 1
+    def note_start(self, worker: Worker, slots: int = 1) -> None:
+        """Count the slots of a task that is about to be sent."""
+        worker.running += slots
         self.update(worker.instance.name)
 
-    def note_end(self, worker: Worker) -> None:
-        """Count the end of a task."""
-        worker.running -= 1
+    def note_end(self, worker: Worker, slots: int = 1) -> None:
+        """Count the slots of a task that has ended."""
+        worker.running -= slots
         self.update(worker.instance.name)
 
     def note_full(self, worker: Worker, delay: datetime.timedelta) -> None:
--- a/skylarktally/_slots.py
+++ b/skylarktally/_slots.py
@@ -15,6 +15,10 @@
 from skylarktally import _worker_calls
 
 
+# Reason of a worker that has too few slots left.
+_NO_FREE_SLOT = 'no_free_slot'
+
+
 class Calls(Protocol):
     """What a slot lease needs of the worker client."""
 
@@ -47,8 +51,11 @@
         instance: _resources.Instance,
         granted: datetime.timedelta,
         expiry: datetime.timedelta,
+        slots: int = 1,
     ) -> None:
         self.lease_id = lease_id
+        # All of them belong to the one task that runs under the lease.
+        self.slots = slots
         self.instance = instance
         self.fence = Fence(instance.name, instance.pool, instance.epoch)
         self.granted = granted
@@ -82,21 +89,23 @@
         return len(self._held)
 
     def count_free(self, instance: _resources.Instance) -> int:
-        """Count the leases on a worker that carry no task."""
+        """Count the slots of leases on a worker that carry no task."""
         fence = Fence(instance.name, instance.pool, instance.epoch)
-        return len(self._free.get(fence, ()))
+        return sum(x.slots for x in self._free.get(fence, ()))
 
     def is_usable(self, lease: Lease) -> bool:
         """Tell whether a task may still start under the lease."""
         left = lease.expiry - self._clock.monotonic()
         return left > self._limits.lease_margin
 
-    def take(self, instance: _resources.Instance) -> Lease | None:
+    def take(
+        self, instance: _resources.Instance, slots: int = 1
+    ) -> Lease | None:
         """Return a free lease of this epoch, marked busy, without I/O."""
         fence = Fence(instance.name, instance.pool, instance.epoch)
-        free = self._free.get(fence)
-        while free:
-            lease = free.pop()
+        free = self._free.get(fence, ())
+        for lease in [x for x in reversed(free) if x.slots == slots]:
+            self._remove_free(lease)
             if self.is_usable(lease):
                 lease.busy = True
                 return lease
@@ -104,13 +113,38 @@
         return None
 
     def request(
-        self, instance: _resources.Instance
+        self, instance: _resources.Instance, slots: int = 1
     ) -> result.Result[Lease, _errors.Failure]:
-        """Ask the worker for one more slot.
+        """Ask the worker for a lease on more slots.
+
+        Free leases of another size are given back if they are in the way.
 
-        :returns: WORKER_REFUSED when the worker grants none, or
+        :returns: WORKER_REFUSED when the worker grants fewer, or
             WORKER_UNREACHABLE; a task has reached the worker in neither
         """
+        asked = self._ask(instance, slots)
+        if isinstance(asked, result.Success):
+            return asked
+        refused = asked.failure().message == _NO_FREE_SLOT
+        if not (refused and self._return_other_sizes(instance, slots)):
+            return asked
+        return self._ask(instance, slots)
+
+    def _return_other_sizes(
+        self, instance: _resources.Instance, slots: int
+    ) -> bool:
+        fence = Fence(instance.name, instance.pool, instance.epoch)
+        others = [x for x in self._free.get(fence, ()) if x.slots != slots]
+        for lease in others:
+            self._remove_free(lease)
+            self._held.pop(lease.lease_id, None)
+        for lease in others:
+            self._return(lease)
+        return bool(others)
+
+    def _ask(
+        self, instance: _resources.Instance, slots: int
+    ) -> result.Result[Lease, _errors.Failure]:
         # The ttl counts from before the request, so that this router
         # never believes in a lease longer than the worker does.
         asked = self._clock.monotonic()
@@ -118,7 +152,7 @@
             'holder': self._holder,
             'epoch': instance.epoch,
             'pool': instance.pool,
-            'slots': 1,
+            'slots': slots,
             'ttl_seconds': self._limits.lease_ttl.total_seconds(),
         }
         called = self._calls.call(
@@ -136,7 +170,14 @@
             reason = str(reply.data.get('reason', reply.status))
             return result.Failure(_errors.Failure(kind, reason))
         ttl = datetime.timedelta(seconds=reply.data['ttl_seconds'])
-        lease = Lease(reply.data['lease_id'], instance, asked, asked + ttl)
+        granted = int(reply.data.get('slots', slots))
+        lease = Lease(
+            reply.data['lease_id'], instance, asked, asked + ttl, granted
+        )
+        if granted < slots:
+            self._give_back(lease)
+            kind = _errors.ErrorKind.WORKER_REFUSED
+            return result.Failure(_errors.Failure(kind, _NO_FREE_SLOT))
         lease.busy = True
         self._held[lease.lease_id] = lease
         return result.Success(lease)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -85,6 +85,8 @@
         self.faults: dict[str, Any] = {}
         self.record: list[Task] = []
         self.peak_running = 0
+        # Slots of the leases under which tasks run.
+        self.peak_slots = 0
         self.peak_connections = 0
         self._random = random.Random(0)  # noqa: S311
         self._ids = itertools.count(1)
@@ -280,6 +282,8 @@
             environ['HTTP_LEASE_ID'],
         )
         lease.running += 1
+        busy = sum(x.slots for x in self.leases.values() if x.running)
+        self.peak_slots = max(self.peak_slots, busy)
         self.running.append(task)
         self.record.append(task)
         self._note_usage()
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -59,6 +59,35 @@
         assert len(worker.record) == 200
 
 
+@pytest.mark.parametrize('naive', [False, True])
+def test_task_uses_the_slots_of_its_job(naive):
+    """Guards against a worker that runs more than it has slots for."""
+    with serving.Cell(naive=naive) as cell:
+        for name, slots in (('wide', 3), ('vast', 9), ('narrow', 1)):
+            cell.fleet.put_job(name, idempotent=True, slots=slots)
+        worker = cell.add_worker()
+        cell.add_router(queued=True)
+        path = '/v1/pools/desk/jobs/{}/work?seconds=0.1&bytes=1'
+
+        def check():
+            wide = cell.burst(10, path.format('wide'))
+            assert {x.status for x in wide} == {200}
+            assert worker.peak_running == 2
+            assert len(worker.record) == 10
+            # Free leases of one size do not keep the other one waiting.
+            mixed = [path.format(x) for x in ('wide', 'narrow') * 10]
+            replies = serving.run_all(
+                [lambda x=x: cell.call('GET', x) for x in mixed]
+            )
+            assert {x.status for x in replies} == {200}
+            assert worker.peak_slots <= 8
+            refused = cell.call('GET', path.format('vast'))
+            assert (refused.status, refused.outcome) == (503, 'not-run')
+            assert len(worker.record) == 30
+
+        cell.expect_failure_if_naive(check)
+
+
 def test_lease_is_not_reused_while_its_task_runs():
     """Guards against a second task in a slot after a missed deadline."""
     with serving.Cell() as cell:
