--- a/standins/worker.py
+++ b/standins/worker.py
@@ -12,6 +12,7 @@
 from absl import flags
 
 from skylarktally import _loop
+from standins import tasks
 
 _NAME = flags.DEFINE_string('name', 'worker', 'Name of the instance.')
 _ADDRESS = flags.DEFINE_string('address', '127.0.0.1:0', 'IP and port.')
@@ -34,45 +35,6 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-class Stopped(Exception):
-    """Ends a task before its time."""
-
-
-class Lease:
-    """The right of one holder to a number of slots for a time."""
-
-    def __init__(self, holder: str, slots: int, expiry: float) -> None:
-        self.holder = holder
-        self.slots = slots
-        self.expiry = expiry
-        self.running = 0
-
-
-class Task:
-    """One run, kept for the record after its end."""
-
-    def __init__(
-        self, key: str, job: str, fence: tuple[int, str], lease_id: str = ''
-    ) -> None:
-        self.key = key
-        self.lease_id = lease_id
-        self.job = job
-        self.epoch, self.pool = fence
-        self.start = time.time()
-        self.end: float | None = None
-        self.stopped = False
-        # Cut off by a reboot of the worker.
-        self.interrupted = False
-        self.throttled = False
-        self.checkpoints = 0
-
-    def describe(self) -> dict[str, Any]:
-        """Return the JSON form of the run; times are in Unix seconds."""
-        run = {k: v for k, v in vars(self).items() if k != 'stopped'}
-        run['request_key'] = run.pop('key')
-        return run
-
-
 class Worker:
     """State of one worker and its HTTP interface."""
 
@@ -83,7 +45,7 @@
         self.slots = slots
         self.reboot_seconds = reboot_seconds
         self.faults: dict[str, Any] = {}
-        self.record: list[Task] = []
+        self.record: list[tasks.Task] = []
         self.peak_running = 0
         # Slots of the leases under which tasks run.
         self.peak_slots = 0
@@ -98,8 +60,8 @@
         self.up = True
         self.boot_id = f'{self.name}-{next(self._boots)}'
         self.fence: tuple[int, str] | None = None
-        self.leases: dict[str, Lease] = {}
-        self.running: list[Task] = []
+        self.leases: dict[str, tasks.Lease] = {}
+        self.running: list[tasks.Task] = []
 
     def _reboot(self) -> None:
         """Comes back unfenced, with no lease and no task."""
@@ -117,7 +79,7 @@
         leased = sum(x.running for x in live)
         return self.slots - promised - (len(self.running) - leased)
 
-    def find_lease(self, lease_id: str) -> Lease | None:
+    def find_lease(self, lease_id: str) -> tasks.Lease | None:
         """Return a lease that has not expired."""
         lease = self.leases.get(lease_id)
         if lease is not None and lease.expiry <= time.monotonic():
@@ -162,7 +124,7 @@
         ttl = float(data['ttl_seconds'])
         lease_id = f'{self.boot_id}-{next(self._ids)}'
         expiry = time.monotonic() + ttl
-        self.leases[lease_id] = Lease(data['holder'], slots, expiry)
+        self.leases[lease_id] = tasks.Lease(data['holder'], slots, expiry)
         granted = {'lease_id': lease_id, 'slots': slots, 'ttl_seconds': ttl}
         return Reply('200 OK', granted)
 
@@ -275,7 +237,7 @@
             return _answer(start_response, _refuse('unknown_lease'))
         if lease.running >= lease.slots:
             return _answer(start_response, _refuse('lease_used_up'))
-        task = Task(
+        task = tasks.Task(
             environ.get('HTTP_REQUEST_KEY', ''),
             environ.get('HTTP_JOB', ''),
             self.fence,
@@ -290,7 +252,11 @@
         return self._stream_task(task, lease, environ, start_response)
 
     def _stream_task(
-        self, task: Task, lease: Lease, environ: dict[str, Any], respond: Any
+        self,
+        task: tasks.Task,
+        lease: tasks.Lease,
+        environ: dict[str, Any],
+        respond: Any,
     ) -> Any:
         deadline = float(environ.get('HTTP_TIMEOUT_MS', 3600000)) / 1000
         try:
@@ -302,7 +268,7 @@
                 respond(status, [*headers, echo])
 
             yield from self._produce(task, environ, body, deadline, answer)
-        except Stopped:
+        except tasks.Stopped:
             respond('504 Gateway Timeout', [('Content-Length', '0'), echo])
         finally:
             task.end = time.time()
@@ -313,7 +279,7 @@
 
     def _produce(
         self,
-        task: Task,
+        task: tasks.Task,
         environ: dict[str, Any],
         body: bytes,
         deadline: float,
@@ -345,15 +311,15 @@
         yield from pieces
 
 
-def _rest(task: Task, seconds: float, deadline: float) -> None:
+def _rest(task: tasks.Task, seconds: float, deadline: float) -> None:
     """Spend the run time in short steps, so that a stop takes effect."""
     end = time.monotonic() + min(seconds, deadline)
     while (left := end - time.monotonic()) > 0:
         if task.stopped:
-            raise Stopped
+            raise tasks.Stopped
         _loop.sleep(min(left, 0.05))
     if task.stopped or seconds > deadline:
-        raise Stopped
+        raise tasks.Stopped
 
 
 def _repeat(size: int) -> Any:
