--- a/skylarktally/_dispatch.py
+++ b/skylarktally/_dispatch.py
@@ -4,6 +4,7 @@
 from returns import result
 
 from skylarktally import _admission
+from skylarktally import _answers
 from skylarktally import _clock
 from skylarktally import _errors
 from skylarktally import _exchange
@@ -49,7 +50,7 @@
             return
         self._returned = True
         self._slots.release(self.lease, reusable)
-        self._pool.selection.note_end(self.worker)
+        self._pool.selection.note_end(self.worker, self.lease.slots)
         held = self._clock.monotonic() - self.start
         self._pool.queue.note_end(self._rank, held)
 
@@ -58,7 +59,7 @@
     """A worker's answer on its way to the caller."""
 
     def __init__(
-        self, answer: _relay.Answer, grant: Grant, pool: _pools.PoolState
+        self, answer: _answers.Answer, grant: Grant, pool: _pools.PoolState
     ) -> None:
         self.answer = answer
         self.instance = grant.worker.instance.name
@@ -69,7 +70,7 @@
         """Yield the body and free the slot at its end."""
         try:
             yield from self.answer.iterate()
-        except _relay.TruncatedAnswer:
+        except _answers.TruncatedAnswer:
             self._pool.selection.outliers.note_failure(self.instance)
             raise
         finally:
@@ -166,9 +167,11 @@
             if pool.queue.may_go(waiter):
                 untried = len(exchange.tried) < len(selection.workers)
                 excluded = exchange.tried if untried else set()
-                worker = selection.choose(excluded)
+                worker = selection.choose(excluded, exchange.job.slots)
             if worker is not None:
-                grant = self._reserve(pool, worker, waiter.rank)
+                grant = self._reserve(
+                    pool, worker, exchange.job.slots, waiter.rank
+                )
                 if grant is not None:
                     pool.queue.wake()
                     if self._clock.monotonic() < waiter.deadline:
@@ -182,16 +185,20 @@
                 return result.Failure(_errors.Failure(kind, message))
 
     def _reserve(
-        self, pool: _pools.PoolState, worker: _selection.Worker, rank: int
+        self,
+        pool: _pools.PoolState,
+        worker: _selection.Worker,
+        slots: int,
+        rank: int,
     ) -> Grant | None:
         """Take a free lease of the worker or ask it for another one."""
         selection = pool.selection
-        lease = self._slots.take(worker.instance)
-        selection.note_start(worker)
+        lease = self._slots.take(worker.instance, slots)
+        selection.note_start(worker, slots)
         if lease is None:
-            requested = self._slots.request(worker.instance)
+            requested = self._slots.request(worker.instance, slots)
             if not isinstance(requested, result.Success):
-                selection.note_end(worker)
+                selection.note_end(worker, slots)
                 self._note_refusal(pool, worker, requested.failure())
                 return None
             lease = requested.unwrap()
@@ -242,7 +249,7 @@
 
     def _send(
         self, exchange: _exchange.Exchange, grant: Grant
-    ) -> result.Result[_relay.Answer, _relay.AttemptFailure]:
+    ) -> result.Result[_answers.Answer, _relay.AttemptFailure]:
         instance = grant.worker.instance
         left = exchange.deadline - self._clock.monotonic()
         key = exchange.key or f'{exchange.request_id}-{exchange.attempts}'
@@ -268,7 +275,7 @@
         exchange: _exchange.Exchange,
         pool: _pools.PoolState,
         grant: Grant,
-        answer: _relay.Answer,
+        answer: _answers.Answer,
     ) -> Delivery | None:
         """Return the delivery, or None after the wait before a retry."""
         failure_class = _retries.classify_status(answer.status)
--- a/skylarktally/_forwarding.py
+++ b/skylarktally/_forwarding.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from skylarktally import _answers
 from skylarktally import _claims
 from skylarktally import _clock
 from skylarktally import _errors
@@ -93,7 +94,7 @@
 
     def forward_to_issuer(
         self, exchange: _exchange.Exchange, issuer: _claims.ClaimState
-    ) -> result.Result[_relay.Answer, _errors.Failure]:
+    ) -> result.Result[_answers.Answer, _errors.Failure]:
         """Send a request to the only router that may run its key."""
         for router in self._peers.list_routers():
             if (router.name, router.incarnation) == (
@@ -108,7 +109,7 @@
 
     def forward(
         self, exchange: _exchange.Exchange, routers: Iterable[Router]
-    ) -> result.Result[_relay.Answer, _errors.Failure]:
+    ) -> result.Result[_answers.Answer, _errors.Failure]:
         """Send a request to the first router that takes it.
 
         :raises RequestError: when the caller's body cannot be read
@@ -178,12 +179,10 @@
 def read_answer(answer: Any) -> _claims.RecordedAnswer:
     """Convert an answer of the peer protocol."""
     state = getattr(answer.state, 'value', answer.state)
-    headers = answer.headers or {}
-    pairs = headers.items() if isinstance(headers, dict) else headers
     return _claims.RecordedAnswer(
         _claims.AnswerState(state),
         answer.status or 0,
-        tuple(pairs),
+        tuple((x.name, x.value) for x in answer.headers or ()),
         answer.body or b'',
     )
 
--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -39,6 +39,7 @@
 HttpProtocol = wsgi.HttpProtocol
 STATE_IDLE = wsgi.STATE_IDLE
 Event = eventlet.Event
+GreenThread = eventlet.greenthread.GreenThread
 Queue = eventlet.queue.LightQueue
 SSLContext = green_ssl.SSLContext
 Semaphore = eventlet.semaphore.Semaphore
