Keep refused claims in their zone while the platform itself is down

Cause: with the platform down, each request with a caller's own key was sent on to another zone, which was refused as well. Each refusal then took a write of two routers' shares, and callers were told "rate_limited". Ruled out: asking the other zone first whether it reaches the table, which costs a call for each request. Change: a request goes to another zone only when the own table is silent, not when the platform answers that it is down. Tests: test_claims.py has this case (503 and no run); the four cases before it say that the own table is silent.

--- a/skylarktally/_claims.py
+++ b/skylarktally/_claims.py
@@ -131,6 +131,11 @@
             collections.OrderedDict()
         )
 
+    @property
+    def table_silent(self) -> bool:
+        """Tell whether claims are refused because the table is silent."""
+        return self._table.silent
+
     def issue_key(self) -> str:
         """Return a key that only this incarnation of the router runs."""
         # The age is judged by the clock that also ages the memory of
--- a/skylarktally/_pipeline.py
+++ b/skylarktally/_pipeline.py
@@ -219,8 +219,11 @@
     ) -> result.Result[_replies.Reply, _errors.Failure]:
         """Try another zone, unless the request ran or is bound here."""
         issued = (exchange.key or '').startswith(_claims.ISSUED_PREFIX)
+        unavailable = failure.kind is _errors.ErrorKind.PLATFORM_UNAVAILABLE
         if (
             failure.kind not in _FORWARDED_KINDS
+            # What the platform refuses itself, it refuses to all zones.
+            or (unavailable and not self._claims.table_silent)
             or exchange.claimed
             or issued
             or exchange.forwarded
@@ -233,8 +236,7 @@
             routers = self._forwarder.find_answering(exchange, routers)
         if not routers:
             return result.Failure(failure)
-        unavailable = _errors.ErrorKind.PLATFORM_UNAVAILABLE
-        cause = 'claim' if failure.kind is unavailable else 'capacity'
+        cause = 'claim' if unavailable else 'capacity'
         self._metrics.forwarded.labels(cause).inc()
         sent = self._forwarder.forward(exchange, routers)
         return sent.map(lambda x: _deliveries.pass_on(x, exchange))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -124,17 +124,19 @@
 
 
 @pytest.mark.parametrize(
-    'table_down, paused, status, outcome, runs',
+    'silent, table_down, paused, status, outcome, runs',
     [
-        (False, 0, 200, 'complete', 1),
+        (True, False, 0, 200, 'complete', 1),
         # Of two routers, the one that does not answer is passed over.
-        (False, 1, 200, 'complete', 1),
-        (False, 2, 503, 'not-run', 0),
-        (True, 0, 503, 'not-run', 0),
+        (True, False, 1, 200, 'complete', 1),
+        (True, False, 2, 503, 'not-run', 0),
+        (True, True, 0, 503, 'not-run', 0),
+        # The platform answers that it is down; others need not ask it.
+        (False, False, 0, 503, 'not-run', 0),
     ],
 )
 def test_claim_of_a_zone_without_the_table(
-    table_down, paused, status, outcome, runs
+    silent, table_down, paused, status, outcome, runs
 ):
     """Guards against refusals that another zone could have avoided."""
     with serving.Cell() as cell:
@@ -144,6 +146,7 @@
         others = [cell.add_router(zone='b') for _ in range(2)]
         own.claims._table = serving.FakeTable()
         own.claims._table.down = True
+        own.claims._table.silent = silent
         cell.table.down = table_down
         cell.peers.paused = {x.peer_address for x in others[:paused]}
         for router in others[:paused]:
