Refuse claims without a write while the table refuses calls

Cause: while the platform was down, each resent request with a caller's own key spent one of the router's 11 writes a second on a claim that was sure to be refused. The share ran out; callers waited up to 2 s for it and were told "rate_limited" instead of "platform_unavailable". Ruled out: a larger share, since all shares together are at the platform's limit. Change: the platform client also notes whether its last call was refused (status 503 or a refused connection). Claims are then refused at once, as for a silent table, until the poll of the log succeeds. Tests: a new one counts no commit for three refused claims; the tests of the clients read the mark for a platform that is down, that loses answers, that is slow, and for a closed port.

--- a/skylarktally/_claims.py
+++ b/skylarktally/_claims.py
@@ -79,6 +79,10 @@
     def silent(self) -> bool:
         """Tell whether the last call that ended got no answer in time."""
 
+    @property
+    def refused(self) -> bool:
+        """Tell whether the last call that ended was refused."""
+
 
 class Owner(NamedTuple):
     """The router that claims keys."""
@@ -225,10 +229,12 @@
         )
         start = self._clock.monotonic()
         # The router polls the table, which finds out when it answers
-        # again; a request that tried would hold up its caller.
-        if self._table.silent:
+        # again; a request that tried would hold up its caller or use up
+        # the router's share of the writes.
+        if self._table.silent or self._table.refused:
             return _refuse(
-                _errors.ErrorKind.PLATFORM_UNAVAILABLE, 'the table is silent'
+                _errors.ErrorKind.PLATFORM_UNAVAILABLE,
+                'the table cannot be reached',
             )
         for attempt in range(_COMMIT_ATTEMPTS):
             # The read after a commit may have met the silence, too.
--- a/skylarktally/_platform.py
+++ b/skylarktally/_platform.py
@@ -46,6 +46,8 @@
         self._limits = limits
         # Whether the last call that ended got no answer in time.
         self.silent = False
+        # Whether it was refused, by the platform or its host.
+        self.refused = False
         # The timeout of a read starts anew with every byte that arrives.
         self._longest = (
             limits.connect_timeout + 2 * limits.response_timeout
@@ -90,22 +92,22 @@
                 method, self._url + path, body=body, headers=headers
             )
         except _NOT_SENT as error:
-            self.silent = isinstance(error, _NO_ANSWER)
+            self._note_error(error)
             return _fail(_errors.ErrorKind.PLATFORM_UNAVAILABLE, str(error))
         except urllib3.exceptions.HTTPError as error:
-            self.silent = isinstance(error, _NO_ANSWER)
+            self._note_error(error)
             # The other idle connections may have gone silent as well.
             self._manager.clear()
             return _fail(_choose_kind(method), str(error))
         except _loop.Timeout as expired:
             if expired is not timeout:
                 raise
-            self.silent = True
+            self.silent, self.refused = True, False
             self._manager.clear()
             return _fail(_choose_kind(method), 'the answer took too long')
         finally:
             timeout.cancel()
-        self.silent = False
+        self.silent, self.refused = False, answer.status == 503
         if answer.status == 429:
             return _fail(_errors.ErrorKind.RATE_LIMITED, 'platform limit')
         if answer.status == 503:
@@ -116,6 +118,10 @@
             Response(answer.status, answer.headers, answer.data)
         )
 
+    def _note_error(self, error: Exception) -> None:
+        self.silent = isinstance(error, _NO_ANSWER)
+        self.refused = isinstance(error, urllib3.exceptions.NewConnectionError)
+
 
 def explain_status(
     response: Response,
--- a/skylarktally/_table.py
+++ b/skylarktally/_table.py
@@ -77,6 +77,11 @@
         """Tell whether the last call that ended got no answer in time."""
         return self._client.silent
 
+    @property
+    def refused(self) -> bool:
+        """Tell whether the last call that ended was refused."""
+        return self._client.refused
+
     def commit(
         self, transaction: Transaction
     ) -> result.Result[int, _errors.Failure]:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -41,7 +41,7 @@
     While ``down`` every call is refused.
     """
 
-    silent = False
+    silent = refused = False
 
     def __init__(self, rows=None):
         self.rows = rows or standin_table.RowStore()
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -101,7 +101,7 @@
 class FakeTable:
     """Transactional table with scripted faults."""
 
-    silent = False
+    silent = refused = False
 
     def __init__(self):
         self.rows = {}
--- a/tests/test_claim_release.py
+++ b/tests/test_claim_release.py
@@ -115,3 +115,15 @@
     assert times == [first, 0, 0]
     routers.claims['a']._table = routers.table
     assert routers.claim('a') is GRANTED
+
+
+def test_refused_table_costs_no_further_writes():
+    """Guards against resent requests that use up the share of writes."""
+    routers = Routers()
+    routers.table.down = routers.table.refused = True
+    for _ in range(3):
+        refused = _errors.ErrorKind.PLATFORM_UNAVAILABLE
+        assert routers.claim('a') is refused
+    assert routers.table.commits == 0
+    routers.table.down = routers.table.refused = False
+    assert routers.claim('a') is GRANTED
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -115,16 +115,20 @@
     set_faults(address, **faults)
     commit = table.commit(insert(key, {}))
     assert commit.failure().kind.value == commit_kind
+    assert table.refused is ('down' in faults)
+    assert table.silent is ('delay_seconds' in faults)
     assert table.read(key).failure().kind.value == read_kind
     set_faults(address, down=False, delay_seconds=0, lose_answers=0)
     time.sleep(1)
     assert (table.read(key).unwrap() is not None) == bool(applied)
+    assert not (table.refused or table.silent)
 
 
 def test_refused_connection_means_not_applied(limits):
     table = make(_table.HttpTable, find_free_address(), limits)
     failure = table.commit(insert('k', {})).failure()
     assert failure.kind is _errors.ErrorKind.PLATFORM_UNAVAILABLE
+    assert table.refused
 
 
 def test_objects_keep_a_racing_write(address, limits):
