Let calls to peers leave from the instance's own address

Cause: a router listened at the address that it told to its peers, and its calls left from whatever address the system chose, so neither an address translation nor a rule between two instances could be put in between. Ruled out: a setting for the source alone; the own IP number is the one that rules are written for. Change: new setting peer_listen_address, by default the peer_address. Calls of routers and controllers leave from its IP number. Tests: test_peers.py reads the source of a call with and without the address. Conclusion: needed to cut routers off from one another by direction.

--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -151,6 +151,7 @@
             settings.snapshot_timeout,
             settings.peer_clients,
             settings.peer_frame_bytes,
+            settings.peer_listen_address or settings.peer_address,
         )
         self._routers = _routers.Routers(
             self._calls,
--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -57,9 +57,17 @@
     return datetime.timedelta(seconds=time.monotonic())
 
 
-def connect(host: str, port: int, timeout: float) -> socket.socket:
-    """Open a cooperative TCP connection; the timeout is in seconds."""
-    connection = green_socket.create_connection((host, port), timeout)
+def connect(
+    host: str, port: int, timeout: float, source: str = ''
+) -> socket.socket:
+    """Open a cooperative TCP connection.
+
+    :param timeout: in seconds
+    :param source: IP number that the connection leaves from, if any
+    """
+    connection = green_socket.create_connection(
+        (host, port), timeout, (source, 0) if source else None
+    )
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return connection
 
--- a/skylarktally/_peers.py
+++ b/skylarktally/_peers.py
@@ -62,6 +62,7 @@
     """Calls to peers; each has a time limit and all are safe to repeat.
 
     :param limit: connections open at any moment, idle ones included
+    :param source: address whose IP number the calls leave from, if any
     """
 
     def __init__(
@@ -71,8 +72,10 @@
         snapshot_timeout: datetime.timedelta,
         limit: int,
         frame_bytes: int,
+        source: str = '',
     ) -> None:
         self._secrets = secrets
+        self._source = _settings.split_address(source)[0] if source else ''
         self._timeout = timeout
         self._snapshot_timeout = snapshot_timeout
         self._limit = limit
@@ -190,7 +193,10 @@
         opened = None
         try:
             opened = _loop.connect(
-                host, port, self._snapshot_timeout.total_seconds()
+                host,
+                port,
+                self._snapshot_timeout.total_seconds(),
+                self._source,
             )
             channel = _channels.open_channel(
                 opened, self._secrets.own, self._frame_bytes + 4
--- a/skylarktally/_router.py
+++ b/skylarktally/_router.py
@@ -114,6 +114,7 @@
             settings.snapshot_timeout,
             settings.peer_clients,
             settings.peer_frame_bytes,
+            settings.peer_listen_address or settings.peer_address,
         )
         self._snapshots = _snapshots.Snapshots(self.fleet)
         self._gossip = _gossip.Gossip(
@@ -262,7 +263,9 @@
         self._dump.install_signal()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._handle_stop)
-        peer_listener = _listeners.open_listener(settings.peer_address)
+        peer_listener = _listeners.open_listener(
+            settings.peer_listen_address or settings.peer_address
+        )
         _loop.spawn(self._server.serve, peer_listener)
         _loop.spawn(
             _loop.serve,
--- a/skylarktally/_settings.py
+++ b/skylarktally/_settings.py
@@ -61,6 +61,10 @@
     )
     # Where the router of this instance serves the peer protocol.
     peer_address: Annotated[str, _Address]
+    # Where it listens for peers, if others reach it by another address.
+    # Calls to peers leave from this IP number, so that the rules of a
+    # network can tell the instances apart.
+    peer_listen_address: Annotated[str, _Address] = ''
     # Shared by all routers and controllers of a deployment.
     peer_secret: Annotated[str, _Secret]
     # Accepted from others but not used for own calls, so that the secret
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -61,9 +61,14 @@
         self.thread = _loop.spawn(self.server.serve, self.listener)
         self.calls = self.create_calls(SECRET)
 
-    def create_calls(self, secret, limit=4):
+    def create_calls(self, secret, limit=4, source=''):
         return _peers.PeerCalls(
-            _peers.Secrets(secret, (secret,)), _LIMIT, _LIMIT, limit, FRAME
+            _peers.Secrets(secret, (secret,)),
+            _LIMIT,
+            _LIMIT,
+            limit,
+            FRAME,
+            source,
         )
 
     def connect(self):
@@ -98,6 +103,20 @@
     assert peer.server.counts['received_bytes'] > 20 * 24
 
 
+@pytest.mark.parametrize('source', ['', '127.0.0.9:8082'])
+def test_calls_leave_from_the_own_address(source):
+    """Guards against network rules that cannot tell instances apart."""
+    listener = _loop.listen(('127.0.0.1', 0))
+    calls = Fixture.create_calls(None, SECRET, source=source)
+    address = f'127.0.0.1:{listener.getsockname()[1]}'
+    thread = _loop.spawn(sync, calls, address)
+    connection, (host, _port) = listener.accept()
+    connection.close()
+    listener.close()
+    assert is_refused(thread.wait())
+    assert host == (source.split(':')[0] or '127.0.0.1')
+
+
 @pytest.mark.parametrize(
     ('secret', 'accepted'),
     [(SECRET, True), (OTHER, True), ('z' * 32, False)],
