Cut routers off from one another in the demo

Cause: the demo could cut a zone off from the platform only; cuts between routers were shown in memory, not with real processes. Change: each router is reached by its peers through a relay, which knows the caller by its IP number. The fault one-way-cut holds back what entries of the first zone send to the last zone; split-zone does so among the entries of the last zone. An instance is drained during the cut, so that the log changes. Every run now also checks that no router's version goes back. Ruled out: a cut of the requests that routers send on to other zones, which use the serving ports and are not relayed yet.

--- a/demo/_deployment.py
+++ b/demo/_deployment.py
@@ -17,6 +17,8 @@
 _PEER_PORT = 8082
 _API_PORT = 8083
 _CONTROLLER_ADMIN_PORT = 8084
+# Difference between the last numbers of an entry and of its peer link.
+_PEER_LINKS = 50
 # Tests of single modules use other loopback networks.
 _FIRST_NETWORK, _LAST_NETWORK = 224, 254
 
@@ -49,10 +51,16 @@
         return f'{self.ip}:{_ADMIN_PORT}'
 
     @property
-    def peer_address(self) -> str:
-        """Return the thrift address of the router."""
+    def peer_listen_address(self) -> str:
+        """Return where the router listens for peers."""
         return f'{self.ip}:{_PEER_PORT}'
 
+    @property
+    def peer_address(self) -> str:
+        """Return where peers reach the router, through a link."""
+        network, place = self.ip.rsplit('.', 1)
+        return f'{network}.{int(place) + _PEER_LINKS}:{_PEER_PORT}'
+
     @property
     def api_address(self) -> str:
         """Return the resource API of the controller."""
--- a/demo/_faults.py
+++ b/demo/_faults.py
@@ -1,82 +1,19 @@
 """Faults that the demo brings about while callers send requests."""
 
 from collections.abc import Callable
-import contextlib
 import signal
-import socket
+import sys
 from typing import Any, NamedTuple
 
 import urllib3
 
 from demo import _callers
 from demo import _deployment
+from demo import _links
 from demo import _operator
 from demo import _processes
 from skylarktally import _loop
 
-_PIECE = 65536
-
-
-class Link:
-    """Relays TCP between the entries of a zone and the platform."""
-
-    def __init__(self, address: str, target: str) -> None:
-        self._target = _split(target)
-        self._listener = _loop.listen(_split(address))
-        self._silent = False
-        # Accepted during a cut; a dropped socket would be closed.
-        self._swallowed: list[socket.socket] = []
-        _loop.spawn(self._accept)
-
-    def cut(self) -> None:
-        """Swallow all bytes from now on, without closing anything."""
-        self._silent = True
-
-    def heal(self) -> None:
-        """Let new connections through; the cut ones stay silent."""
-        self._silent = False
-
-    def _accept(self) -> None:
-        while True:
-            client, _address = self._listener.accept()
-            if self._silent:
-                self._swallowed.append(client)
-            else:
-                _loop.spawn(self._relay, client)
-
-    def _relay(self, client: socket.socket) -> None:
-        try:
-            server = _loop.connect(*self._target, timeout=2.0)
-        except OSError:
-            client.close()
-            return
-        back = _loop.spawn(self._copy, server, client)
-        self._copy(client, server)
-        back.wait()
-        client.close()
-        server.close()
-
-    def _copy(self, source: socket.socket, sink: socket.socket) -> None:
-        try:
-            while data := source.recv(_PIECE):
-                while self._silent:
-                    _loop.sleep(0.1)
-                sink.sendall(data)
-        except OSError:
-            # The other direction ends as well.
-            _shut(source, socket.SHUT_RDWR)
-        _shut(sink, socket.SHUT_WR)
-
-
-def _shut(connection: socket.socket, how: int) -> None:
-    with contextlib.suppress(OSError):
-        connection.shutdown(how)
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, port = address.rsplit(':', 1)
-    return host, int(port)
-
 
 class Scene(NamedTuple):
     """What a fault may act on."""
@@ -86,17 +23,8 @@
     operator: _operator.Operator
     callers: _callers.Callers
     # Links to the platform by zone.
-    links: dict[str, Link]
-
-
-def start_links(deployment: _deployment.Deployment) -> dict[str, Link]:
-    """Start the link of each zone to the platform."""
-    return {
-        zone: Link(
-            deployment.find_link_address(zone), deployment.platform_address
-        )
-        for zone in deployment.zones
-    }
+    links: dict[str, _links.Link]
+    peers: _links.PeerLinks
 
 
 def kill_entry(scene: Scene, seconds: float) -> None:
@@ -144,6 +72,51 @@
     link.heal()
 
 
+def cut_one_way(scene: Scene, seconds: float) -> None:
+    """Hold back what entries of the first zone send to the last zone."""
+    first, last = scene.deployment.zones[0], scene.deployment.zones[-1]
+    entries = scene.deployment.entries
+    _cut_peers(
+        scene,
+        seconds,
+        {
+            (a.ip, b.ip)
+            for a in entries
+            for b in entries
+            if (a.zone, b.zone) == (first, last)
+        },
+    )
+
+
+def split_zone(scene: Scene, seconds: float) -> None:
+    """Cut the entries of the last zone off from one another."""
+    last = scene.deployment.zones[-1]
+    inside = [x.ip for x in scene.deployment.entries if x.zone == last]
+    _cut_peers(
+        scene, seconds, {(a, b) for a in inside for b in inside if a != b}
+    )
+
+
+def _cut_peers(
+    scene: Scene, seconds: float, pairs: set[tuple[str, str]]
+) -> None:
+    """Cut the pairs, change the log by a drain, and heal the cut."""
+    end = _loop.monotonic().total_seconds() + seconds
+    scene.peers.cut |= pairs
+    # The operator asks the entries from the last one on; this one stays
+    # outside of a cut of the last zone.
+    last = scene.deployment.zones[-1]
+    outside = sum(x.zone == last for x in scene.deployment.entries)
+    scene.operator.run(
+        'drain', scene.deployment.workers[7].name, entry=outside
+    )
+    _loop.sleep(max(end - _loop.monotonic().total_seconds(), 0))
+    scene.peers.cut -= pairs
+    print(
+        f'pieces of peer calls held back: {scene.peers.held}', file=sys.stderr
+    )
+
+
 def race_operators(scene: Scene, seconds: float) -> None:
     """Let two operators drain and move the same instances."""
     workers = scene.deployment.workers
@@ -180,4 +153,6 @@
     'lost-answers': lose_answers,
     'cut': cut_zone,
     'operators': race_operators,
+    'one-way-cut': cut_one_way,
+    'split-zone': split_zone,
 }
--- a/demo/_processes.py
+++ b/demo/_processes.py
@@ -180,6 +180,7 @@
     return {
         'zone': entry.zone,
         'peer_address': entry.peer_address,
+        'peer_listen_address': entry.peer_listen_address,
         'platform_address': deployment.find_link_address(entry.zone),
         'seeds': [
             other.peer_address
--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -11,6 +11,7 @@
 from demo import _checks
 from demo import _deployment
 from demo import _faults
+from demo import _links
 from demo import _operator
 from demo import _processes
 from skylarktally import _loop
@@ -19,6 +20,7 @@
 _ROLLOUT_LIMIT_SECONDS = 5.0
 _URGENT_LIMIT_SECONDS = 5.5
 _POLL_SECONDS = 0.1
+_WATCH_SECONDS = 0.5
 
 
 class Plan(NamedTuple):
@@ -38,7 +40,8 @@
     network = _deployment.Network()
     deployment = _deployment.read_deployment(path, network.number)
     processes = _processes.Processes(directory)
-    links = _faults.start_links(deployment)
+    links = _links.start_links(deployment)
+    peers = _links.PeerLinks(deployment.entries)
     try:
         failed = _start(deployment, processes)
         if failed:
@@ -54,6 +57,7 @@
             operator,
             _callers.Callers(deployment, plan.seed),
             links,
+            peers,
         )
         return [declared, *_run_load(scene, plan)]
     finally:
@@ -84,6 +88,8 @@
     deployment, seconds = scene.deployment, plan.seconds
     _print(f'sending {plan.rate:.0f} requests a second for {seconds:.0f} s')
     load = _loop.spawn(scene.callers.run, seconds, plan.rate)
+    reverted: list[str] = []
+    _loop.spawn(_watch_versions, deployment, reverted)
     _loop.sleep(seconds * 0.2)
     leaving = deployment.workers[0].name
     stop = _loop.spawn(scene.operator.drain, leaving)
@@ -111,6 +117,11 @@
         _checks.Check(f'planned stop of {leaving}', *drained),
         _checks.check_budgets(deployment),
         _check_versions(scene),
+        _checks.Check(
+            'log versions that went back',
+            ', '.join(reverted) or '0',
+            not reverted,
+        ),
     ]
 
 
@@ -160,6 +171,19 @@
     return _checks.Check(name, 'not reached', False)
 
 
+def _watch_versions(
+    deployment: _deployment.Deployment, reverted: list[str]
+) -> None:
+    """Note the routers whose version in force goes back."""
+    highest: dict[str, int] = {}
+    while True:
+        for name, version in read_versions(deployment).items():
+            if version < highest.get(name, 0):
+                reverted.append(name)
+            highest[name] = version
+        _loop.sleep(_WATCH_SECONDS)
+
+
 def _check_versions(scene: _faults.Scene) -> _checks.Check:
     """Check that the routers agree once nothing changes any more."""
     deadline = time.monotonic() + _ROLLOUT_LIMIT_SECONDS
