--- a/demo/_processes.py
+++ b/demo/_processes.py
@@ -69,6 +69,10 @@
         """Send a signal to a process."""
         self.running[name].process.send_signal(number)
 
+    def is_running(self, name: str) -> bool:
+        """Tell whether a process was started and not killed."""
+        return name in self.running
+
     def kill(self, name: str) -> None:
         """End a process without notice, as when its host fails."""
         self.running[name].process.kill()
@@ -177,6 +181,7 @@
     return {
         'zone': entry.zone,
         'peer_address': entry.peer_address,
+        'peer_listen_address': entry.peer_listen_address,
         'platform_address': deployment.find_link_address(entry.zone),
         'seeds': [
             other.peer_address
--- a/demo/_scenario.py
+++ b/demo/_scenario.py
@@ -11,6 +11,7 @@
 from demo import _checks
 from demo import _deployment
 from demo import _faults
+from demo import _links
 from demo import _operator
 from demo import _processes
 from demo import _surge
@@ -20,6 +21,7 @@
 _ROLLOUT_LIMIT_SECONDS = 5.0
 _URGENT_LIMIT_SECONDS = 5.5
 _POLL_SECONDS = 0.1
+_WATCH_SECONDS = 0.5
 
 
 class Plan(NamedTuple):
@@ -44,7 +46,8 @@
         controller_settings=plan.controller_settings
     )
     processes = _processes.Processes(directory)
-    links = _faults.start_links(deployment)
+    links = _links.start_links(deployment)
+    peers = _links.PeerLinks(deployment.entries)
     try:
         failed = _start(deployment, processes)
         if failed:
@@ -62,6 +65,7 @@
             operator,
             _callers.Callers(deployment, plan.seed),
             links,
+            peers,
         )
         return [declared, *_run_load(scene, plan)]
     finally:
@@ -108,16 +112,17 @@
     deployment, seconds = scene.deployment, plan.seconds
     _print(f'sending {plan.rate:.0f} requests a second for {seconds:.0f} s')
     load = _loop.spawn(scene.callers.run, seconds, plan.rate)
+    reverted: list[str] = []
+    _loop.spawn(_watch_versions, deployment, reverted)
     _loop.sleep(seconds * 0.2)
     leaving = deployment.workers[0].name
     stop = _loop.spawn(scene.operator.drain, leaving)
     _print(f'draining {leaving}')
     _loop.sleep(seconds * 0.2)
-    faults = []
-    for name in plan.faults:
-        _print(f'fault: {name}')
-        fault = _faults.FAULTS[name]
-        faults.append(_loop.spawn(fault, scene, seconds * 0.3))
+    faults = [
+        _loop.spawn(_cause, scene, name, plan.faults.count(name), seconds)
+        for name in sorted(set(plan.faults))
+    ]
     load.wait()
     for running in faults:
         running.wait()
@@ -126,7 +131,6 @@
         _print(line)
     records = _checks.read_records(deployment)
     outage = 'outage' in plan.faults
-    killed = deployment.entries[0].name if 'kill' in plan.faults else ''
     return [
         *_checks.check_calls(scene.callers.calls, records, outage),
         _checks.check_urgent(
@@ -136,10 +140,24 @@
         _checks.check_interrupted(records),
         _checks.Check(f'planned stop of {leaving}', *drained),
         _checks.check_budgets(deployment),
-        _check_versions(deployment, killed),
+        _check_versions(scene),
+        _checks.Check(
+            'log versions that went back',
+            ', '.join(reverted) or '0',
+            not reverted,
+        ),
     ]
 
 
+def _cause(
+    scene: _faults.Scene, name: str, times: int, seconds: float
+) -> None:
+    """Bring a fault about as often as asked, one after the other."""
+    for _ in range(times):
+        _print(f'fault: {name}')
+        _faults.FAULTS[name](scene, seconds * 0.3)
+
+
 def _start(
     deployment: _deployment.Deployment, processes: _processes.Processes
 ) -> list[_checks.Check]:
@@ -177,15 +195,29 @@
     return _checks.Check(name, 'not reached', False)
 
 
-def _check_versions(
-    deployment: _deployment.Deployment, killed: str
-) -> _checks.Check:
+def _watch_versions(
+    deployment: _deployment.Deployment, reverted: list[str]
+) -> None:
+    """Note the routers whose version in force goes back."""
+    highest: dict[str, int] = {}
+    while True:
+        for name, version in read_versions(deployment).items():
+            if version < highest.get(name, 0):
+                reverted.append(name)
+            highest[name] = version
+        _loop.sleep(_WATCH_SECONDS)
+
+
+def _check_versions(scene: _faults.Scene) -> _checks.Check:
     """Check that the routers agree once nothing changes any more."""
     deadline = time.monotonic() + _ROLLOUT_LIMIT_SECONDS
     versions: dict[str, int] = {}
     while time.monotonic() < deadline:
-        versions = read_versions(deployment)
-        versions.pop(killed, None)
+        versions = {
+            name: version
+            for name, version in read_versions(scene.deployment).items()
+            if scene.processes.is_running(f'{name}-router')
+        }
         if len(set(versions.values())) == 1:
             return _checks.Check(
                 'log version at every router',
--- a/skylarktally/_claims.py
+++ b/skylarktally/_claims.py
@@ -79,6 +79,10 @@
     def silent(self) -> bool:
         """Tell whether the last call that ended got no answer in time."""
 
+    @property
+    def refused(self) -> bool:
+        """Tell whether the last call that ended was refused."""
+
 
 class Owner(NamedTuple):
     """The router that claims keys."""
@@ -131,6 +135,11 @@
             collections.OrderedDict()
         )
 
+    @property
+    def table_silent(self) -> bool:
+        """Tell whether claims are refused because the table is silent."""
+        return self._table.silent
+
     def issue_key(self) -> str:
         """Return a key that only this incarnation of the router runs."""
         # The age is judged by the clock that also ages the memory of
@@ -220,10 +229,12 @@
         )
         start = self._clock.monotonic()
         # The router polls the table, which finds out when it answers
-        # again; a request that tried would hold up its caller.
-        if self._table.silent:
+        # again; a request that tried would hold up its caller or use up
+        # the router's share of the writes.
+        if self._table.silent or self._table.refused:
             return _refuse(
-                _errors.ErrorKind.PLATFORM_UNAVAILABLE, 'the table is silent'
+                _errors.ErrorKind.PLATFORM_UNAVAILABLE,
+                'the table cannot be reached',
             )
         for attempt in range(_COMMIT_ATTEMPTS):
             # The read after a commit may have met the silence, too.
--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -160,6 +160,7 @@
             settings.peer_clients,
             settings.peer_frame_bytes,
             self._certificates.find_client('peer'),
+            settings.peer_listen_address or settings.peer_address,
         )
         self._routers = _routers.Routers(
             self._calls,
--- a/skylarktally/_peers.py
+++ b/skylarktally/_peers.py
@@ -63,6 +63,7 @@
     """Calls to peers; each has a time limit and all are safe to repeat.
 
     :param limit: connections open at any moment, idle ones included
+    :param source: address whose IP number the calls leave from, if any
     """
 
     def __init__(
@@ -73,9 +74,11 @@
         limit: int,
         frame_bytes: int,
         certificates: _certificates.Certificates | None = None,
+        source: str = '',
     ) -> None:
         self._certificates = certificates
         self._secrets = secrets
+        self._source = _settings.split_address(source)[0] if source else ''
         self._timeout = timeout
         self._snapshot_timeout = snapshot_timeout
         self._limit = limit
@@ -193,7 +196,10 @@
         opened = None
         try:
             opened = _loop.connect(
-                host, port, self._snapshot_timeout.total_seconds()
+                host,
+                port,
+                self._snapshot_timeout.total_seconds(),
+                self._source,
             )
             if self._certificates is not None:
                 opened = self._certificates.connect(opened, host)
--- a/skylarktally/_router.py
+++ b/skylarktally/_router.py
@@ -117,6 +117,7 @@
             settings.peer_clients,
             settings.peer_frame_bytes,
             self._certificates.find_client('peer'),
+            settings.peer_listen_address or settings.peer_address,
         )
         self._snapshots = _snapshots.Snapshots(self.fleet)
         self._gossip = _gossip.Gossip(
@@ -272,7 +273,9 @@
         self._dump.install_signal()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._handle_stop)
-        peer_listener = _listeners.open_listener(settings.peer_address)
+        peer_listener = _listeners.open_listener(
+            settings.peer_listen_address or settings.peer_address
+        )
         _loop.spawn(self._server.serve, peer_listener)
         _listeners.serve_wsgi(
             settings.admin_address,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -70,7 +70,7 @@
         self.thread = _loop.spawn(self.server.serve, self.listener)
         self.calls = self.create_calls(SECRET)
 
-    def create_calls(self, secret, limit=4, tls=None):
+    def create_calls(self, secret, limit=4, tls=None, source=''):
         return _peers.PeerCalls(
             _peers.Secrets(secret, (secret,)),
             _LIMIT,
@@ -78,6 +78,7 @@
             limit,
             FRAME,
             tls,
+            source,
         )
 
     def connect(self):
@@ -112,6 +113,20 @@
     assert peer.server.counts['received_bytes'] > 20 * 24
 
 
+@pytest.mark.parametrize('source', ['', '127.0.0.9:8082'])
+def test_calls_leave_from_the_own_address(source):
+    """Guards against network rules that cannot tell instances apart."""
+    listener = _loop.listen(('127.0.0.1', 0))
+    calls = Fixture.create_calls(None, SECRET, source=source)
+    address = f'127.0.0.1:{listener.getsockname()[1]}'
+    thread = _loop.spawn(sync, calls, address)
+    connection, (host, _port) = listener.accept()
+    connection.close()
+    listener.close()
+    assert is_refused(thread.wait())
+    assert host == (source.split(':')[0] or '127.0.0.1')
+
+
 @pytest.mark.parametrize(
     ('secret', 'accepted'),
     [(SECRET, True), (OTHER, True), ('z' * 32, False)],
