Divide the platform's rates by the number of live entries

Cause: the shares were fixed settings for nine entries; 24 entries would have taken 384 writes and 960 reads a second of 150 and 500.

Each process divides 7/8 of its kind's rates by the live entries that it sees: routers by the membership, controllers by the beat rows that changed between two counts. A count that is too low is kept from use: an assumed number of entries (24) counts until the process has reached the table for 10 s or 40 s, and a lower count replaces a higher one only after 2 hours. The settings remain as caps, which hold today's shares of small systems.

Ruled out: counting silent members as well, since they are forgotten after 10 minutes and a cut lasts an hour; and a reserve alone, which does not cover two zones that return together.

Tests step 24, 9 and 3 entries that start at once, and a zone of three that returns after 1 or 60 minutes, restarted or not; the sum stays below 150 writes and 500 reads a second at each step. They work on the shares and not on processes: no run with 24 real entries under load was made. In the first 10 s or 40 s a process of a small deployment has a smaller share than before (3.6 writes a second for a router, 1.8 for a controller) unless assumed_entries is set; the demo sets it.

--- a/demo/_processes.py
+++ b/demo/_processes.py
@@ -183,6 +183,7 @@
             if other.name != entry.name
         ],
         'peer_secret': deployment.peer_secret,
+        'assumed_entries': len(deployment.entries),
         'tokens': {
             _deployment.digest_token(deployment.operator_token): {
                 'subject': 'demo-operator',
--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -46,6 +46,8 @@
 # Well below the time after which a router counts as dead.
 _LEARN_INTERVAL = datetime.timedelta(seconds=3)
 _PARALLEL_WORKERS = 16
+# Two counts of the controllers, 16 s apart, with some time to spare.
+_SETTLE = datetime.timedelta(seconds=40)
 _API_CONNECTIONS = 256
 _ADMIN_CONNECTIONS = 64
 _STOP_LIMIT = datetime.timedelta(seconds=10)
@@ -87,6 +89,13 @@
             settings.platform_reads_per_second,
             response_timeout=settings.platform_timeout,
         )
+        self._shares = _limits.Shares(
+            self._clock,
+            limits,
+            _limits.CONTROLLER_RATES,
+            _SETTLE,
+            settings.assumed_entries,
+        )
         address = settings.platform_address
         self._table = _table.HttpTable(address, self._clock, limits)
         self._objects = _objects.HttpObjects(address, self._clock, limits)
@@ -179,6 +188,7 @@
             ('pushed_version', lambda: self._pushed),
             ('peer_calls', lambda: self._calls.counts),
             ('demand', self._demand.sum_pools),
+            ('platform_share', lambda: self._shares.current._asdict()),
             ('own_runs', self._batch.count_own),
         ):
             self._dump.add_section(name, read)
@@ -212,7 +222,7 @@
             listener = _listeners.open_listener(address)
             _loop.spawn(_loop.serve, listener, application, max_size=limit)
         for act, interval in (
-            (self.leases.renew, _RENEW_INTERVAL),
+            (self._renew, _RENEW_INTERVAL),
             (self._learn_routers, _LEARN_INTERVAL),
             (self._observe, settings.reconcile_interval),
             (self._push, settings.reconcile_interval),
@@ -259,6 +269,10 @@
             self._demand.note_report(router, report)
             self._probes.note_counters(router, report.get('workers', {}))
 
+    def _renew(self) -> None:
+        self.leases.renew()
+        self._shares.note(self.leases.live_controllers, self.leases.reached)
+
     def _learn_routers(self) -> None:
         self._routers.refresh(self.fleet.version)
 
--- a/skylarktally/_leases.py
+++ b/skylarktally/_leases.py
@@ -99,6 +99,8 @@
         # Controllers of all zones at the last count, the own one included;
         # None until they were counted.
         self.live_controllers: int | None = None
+        # Whether the last scan succeeded.
+        self.reached = False
         self._stopped = False
 
     def renew(self) -> None:
@@ -179,6 +181,7 @@
             or now - self._counted_at >= _COUNT_INTERVAL
         )
         scanned = self._table.scan('lease/' if counting else self._prefix)
+        self.reached = isinstance(scanned, result.Success)
         if not isinstance(scanned, result.Success):
             return
         now = self._clock.monotonic()
--- a/skylarktally/_limits.py
+++ b/skylarktally/_limits.py
@@ -1,5 +1,6 @@
 """A process's share of the platform's rates, and the request path's limits."""
 
+import collections
 import datetime
 import random
 from typing import NamedTuple
@@ -11,6 +12,14 @@
 
 # A caller that would wait longer is refused and may do other work.
 _WAIT_LIMIT = datetime.timedelta(seconds=2)
+# Entries that are assumed while they have not been counted.
+_ASSUMED_ENTRIES = 24
+# Part of the rates that is divided; the rest is for a zone of three entries
+# that the others do not see yet, at the target of 24.
+_DIVIDED = 7 / 8
+# A cut between regions lasts an hour now and then; the entries on its other
+# side keep their part for longer than that.
+_KEEP_COUNT = datetime.timedelta(hours=2)
 
 
 class TokenBucket:
@@ -25,14 +34,15 @@
         self._tokens = self._burst
         self._filled_at = clock.monotonic()
 
+    def set_rate(self, per_second: float) -> None:
+        """Change the rate from now on."""
+        self._fill()
+        self._per_second = per_second
+        self._burst = max(per_second / 4, 1.0)
+
     def acquire(self) -> result.Result[None, _errors.Failure]:
         """Take a token, waiting for it; RATE_LIMITED if that takes long."""
-        now = self._clock.monotonic()
-        elapsed = (now - self._filled_at).total_seconds()
-        self._filled_at = now
-        self._tokens = min(
-            self._burst, self._tokens + elapsed * self._per_second
-        )
+        self._fill()
         wait = datetime.timedelta(
             seconds=max(0.0, (1 - self._tokens) / self._per_second)
         )
@@ -50,6 +60,21 @@
             self._clock.sleep(wait)
         return result.Success(None)
 
+    def _fill(self) -> None:
+        now = self._clock.monotonic()
+        elapsed = (now - self._filled_at).total_seconds()
+        self._filled_at = now
+        self._tokens = min(
+            self._burst, self._tokens + elapsed * self._per_second
+        )
+
+
+class Rates(NamedTuple):
+    """Requests a second."""
+
+    writes: float
+    reads: float
+
 
 class Limits:
     """Rates and timeouts that all platform clients of a process share."""
@@ -62,12 +87,85 @@
         connect_timeout: datetime.timedelta = datetime.timedelta(seconds=1),
         response_timeout: datetime.timedelta = datetime.timedelta(seconds=2),
     ) -> None:
+        self.rates = Rates(writes_per_second, reads_per_second)
         self.writes = TokenBucket(clock, writes_per_second)
         self.reads = TokenBucket(clock, reads_per_second)
         self.connect_timeout = connect_timeout
         self.response_timeout = response_timeout
 
 
+# What all routers and all controllers may use, section 6 of the design.
+ROUTER_RATES = Rates(100, 250)
+CONTROLLER_RATES = Rates(50, 250)
+
+
+class Shares:
+    """Divides rates by the number of live entries, as one process sees it.
+
+    A view that is too small would let the sum exceed the rates. An assumed
+    number of entries therefore counts until the process has reached the
+    platform for some time, and a lower count replaces a higher one only
+    after two hours.
+    """
+
+    def __init__(
+        self,
+        clock: _clock.Clock,
+        limits: Limits,
+        rates: Rates,
+        settle: datetime.timedelta,
+        assumed: int = _ASSUMED_ENTRIES,
+    ) -> None:
+        """Create the shares and set the limits for the assumed entries.
+
+        :param limits: their first rates are the most this process may use
+        :param settle: time in which the others become known
+        """
+        self._clock = clock
+        self._limits = limits
+        self._rates = rates
+        self._caps = limits.rates
+        self._settle = settle
+        self._assumed = assumed
+        self._reached_since: datetime.timedelta | None = None
+        # Counts that are highest from their time on, the highest first.
+        self._counts: collections.deque[tuple[datetime.timedelta, int]] = (
+            collections.deque()
+        )
+        self.current = self._caps
+        self._set(assumed)
+
+    def note(self, live: int | None, reached: bool) -> None:
+        """Take in the live entries, None when they are not known.
+
+        :param reached: whether the last call of the platform succeeded
+        """
+        now = self._clock.monotonic()
+        if not reached or live is None:
+            self._reached_since = None
+        elif self._reached_since is None:
+            self._reached_since = now
+        if live is not None:
+            while self._counts and self._counts[-1][1] <= live:
+                self._counts.pop()
+            self._counts.append((now, live))
+        while self._counts and now - self._counts[0][0] > _KEEP_COUNT:
+            self._counts.popleft()
+        count = self._counts[0][1] if self._counts else 0
+        since = self._reached_since
+        if since is None or now - since < self._settle:
+            count = max(count, self._assumed)
+        self._set(max(count, 1))
+
+    def _set(self, entries: int) -> None:
+        self.current = Rates(
+            min(self._rates.writes * _DIVIDED / entries, self._caps.writes),
+            min(self._rates.reads * _DIVIDED / entries, self._caps.reads),
+        )
+        self._limits.writes.set_rate(self.current.writes)
+        self._limits.reads.set_rate(self.current.reads)
+
+
 class Backoff:
     """Growing delays with full jitter, up to a total time."""
 
--- a/skylarktally/_router.py
+++ b/skylarktally/_router.py
@@ -50,6 +50,8 @@
 # Periods vary by this share, so that routers started together spread out.
 _JITTER = 0.25
 _ADMIN_CONNECTIONS = 64
+# Members become known within some gossip periods and healed cuts within 4 s.
+_SETTLE = datetime.timedelta(seconds=10)
 
 
 @dataclasses.dataclass
@@ -85,6 +87,8 @@
         self._finished = _loop.Event()
         self._gossiping = 0
         self._surplus = False
+        # Whether the last poll of the table succeeded.
+        self._reached = False
         incarnation = time.time_ns()
         self.fleet = _fleet.Fleet()
         self._build_membership(incarnation)
@@ -137,6 +141,13 @@
             settings.platform_reads_per_second,
             response_timeout=settings.platform_timeout,
         )
+        self._shares = _limits.Shares(
+            self._clock,
+            limits,
+            _limits.ROUTER_RATES,
+            _SETTLE,
+            settings.assumed_entries,
+        )
         address = settings.platform_address
         self._table = _table.HttpTable(address, self._clock, limits)
         self._objects = _objects.HttpObjects(address, self._clock, limits)
@@ -186,6 +197,7 @@
             ('membership', self.membership.dump),
             ('gossip', lambda: self._gossip.counts),
             ('peer_calls', lambda: self._calls.counts),
+            ('platform_share', lambda: self._shares.current._asdict()),
             ('peer_server', lambda: self._server.counts),
             ('pipeline', self._pipeline.dump),
         ):
@@ -315,7 +327,8 @@
         self._repeat(self._poll_table, self._settings.table_poll_interval)
 
     def _poll_table(self) -> bool:
-        return isinstance(self._journal.refresh(), result.Success)
+        self._reached = isinstance(self._journal.refresh(), result.Success)
+        return self._reached
 
     def _list_sources(self) -> dict[str, _bootstrap.Source]:
         """Return the sources of a state other than the table."""
@@ -341,6 +354,7 @@
 
     def _start_gossip(self) -> None:
         self._surplus = self._is_surplus()
+        self._shares.note(len(self.membership.list_live()), self._reached)
         # A step lasts as long as a silent peer takes to time out.
         if self._gossiping < _GOSSIP_LIMIT:
             _loop.spawn(self._run_gossip_step)
--- a/skylarktally/_settings.py
+++ b/skylarktally/_settings.py
@@ -76,10 +76,13 @@
         ),
     ] = 'INFO'
     platform_timeout: Annotated[_Duration, _SHORT] = _seconds(2)
-    # Share of this process in the platform's rates. Nine routers and nine
-    # controllers may send 144 of the 150 writes a second.
+    # The most that this process uses of the platform's rates. Its share of
+    # them, by the number of live entries, may be lower.
     platform_writes_per_second: Annotated[int, _count(1, 300)] = 11
     platform_reads_per_second: Annotated[int, _count(1, 2000)] = 20
+    # Entry instances, each with a router and a controller, that are assumed
+    # while the live ones have not been counted.
+    assumed_entries: Annotated[int, _count(1, 1024)] = 24
     peer_timeout: Annotated[_Duration, _SHORT] = _seconds(1)
     snapshot_timeout: Annotated[_Duration, _SHORT] = _seconds(5)
     # Largest frame of the peer protocol; a snapshot of 3,200 workers has
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -161,3 +161,90 @@
     failure = outcomes[-1].failure()
     assert failure.kind is _errors.ErrorKind.RATE_LIMITED
     assert failure.retry_after > datetime.timedelta(seconds=2)
+
+
+RATES = (_limits.ROUTER_RATES, _limits.CONTROLLER_RATES)
+
+
+class Entry:
+    """The shares of the router and the controller of one entry."""
+
+    def __init__(self, clock):
+        self.shares = [
+            _limits.Shares(
+                clock,
+                _limits.Limits(clock, 1000, 1000),
+                rates,
+                datetime.timedelta(seconds=settle),
+            )
+            for rates, settle in zip(RATES, (10, 40), strict=True)
+        ]
+
+    def note(self, live, reached=True):
+        for shares in self.shares:
+            shares.note(live, reached)
+
+
+def check_sum(entries):
+    used = [s.current for e in entries for s in e.shares]
+    assert sum(rates.writes for rates in used) <= 150
+    assert sum(rates.reads for rates in used) <= 500
+
+
+@pytest.mark.parametrize('known', [24, 9, 3])
+def test_shares_of_entries_that_start_at_once_stay_below_the_rates(known):
+    # Fixed shares took 384 writes and 960 reads a second at 24 entries.
+    clock = fakes.ManualClock()
+    entries = [Entry(clock) for _ in range(known)]
+    check_sum(entries)
+    for second in range(120):
+        clock.advance(1)
+        for number, entry in enumerate(entries):
+            # Members become known one after the other, in 8 s.
+            seen = min(known, 1 + second * (1 + number % 3))
+            entry.note(max(seen, known if second >= 8 else 1))
+        check_sum(entries)
+    used = sum(e.shares[0].current.writes for e in entries)
+    assert used == pytest.approx(100 * 7 / 8)
+
+
+@pytest.mark.parametrize('minutes', [1, 60])
+@pytest.mark.parametrize('restarted', [False, True])
+def test_shares_stay_below_the_rates_when_a_zone_returns(minutes, restarted):
+    # The zone sees three entries and the others 21 at the end of a cut.
+    clock = fakes.ManualClock()
+    entries = [Entry(clock) for _ in range(24)]
+
+    def run(seconds, cut):
+        for _ in range(seconds):
+            clock.advance(1)
+            for number, entry in enumerate(entries):
+                away = number < 3
+                live = (3 if away else 21) if cut else 24
+                entry.note(live, reached=not (cut and away))
+            check_sum(entries)
+
+    run(60, False)
+    run(minutes * 60, True)
+    if restarted:
+        entries[:3] = [Entry(clock) for _ in range(3)]
+        run(60, True)
+    for entry in entries:
+        # The first look after the cut, with views still apart.
+        entry.note(3 if entry in entries[:3] else 21)
+    check_sum(entries)
+    run(60, False)
+
+
+def test_a_lower_count_raises_the_share_in_the_end():
+    clock = fakes.ManualClock()
+    entry = Entry(clock)
+    for _ in range(3 * 60):
+        entry.note(24)
+        clock.advance(60)
+    for minute in range(3 * 60):
+        entry.note(9)
+        clock.advance(60)
+        expected = 24 if minute <= 119 else 9
+        writes = entry.shares[0].current.writes
+        assert writes == pytest.approx(100 * 7 / 8 / expected)
