Report jobs that can never run in their status

Cause: a job that fits no empty instance of its pool left a record in the ring buffer of one controller and a counter. The operator who declared it saw nothing in the resource, and request jobs were not judged at all. Ruled out: a refusal when the job is declared (instances may be declared later, or move).

Change: the controller that holds the first shard of a zone judges every job of both modes when the version has changed, and writes the missing resource, the amount needed and the most that there is. The status goes when an instance fits. All zones judge alike; the first one writes.

Before: status {} (the new assertions fail). After: phase unschedulable, missing_resource accelerators, 4 needed, 0 available; no further version in 20 passes; {} within 3 passes once the job fits.

--- a/skylarktally/_maintenance.py
+++ b/skylarktally/_maintenance.py
@@ -145,15 +145,4 @@
     }
     if status == resource['status']:
         return []
-    value = _resources.Resource(
-        kind=resource['kind'],
-        name=resource['name'],
-        spec=resource['spec'],
-        status=status,
-        resource_version=resource['resource_version'],
-    )
-    return [
-        _resources.Change(
-            kind=resource['kind'], name=resource['name'], value=value
-        )
-    ]
+    return [_transitions.replace_status(resource, status)]
--- a/skylarktally/_reconciler.py
+++ b/skylarktally/_reconciler.py
@@ -11,6 +11,7 @@
 
 from skylarktally import _batch
 from skylarktally import _fleet
+from skylarktally import _jobs
 from skylarktally import _journal
 from skylarktally import _maintenance
 from skylarktally import _measures
@@ -56,6 +57,7 @@
             self._plan_repairs,
             _maintenance.Maintenance(tools, measures).step,
             self._plan_moves,
+            _jobs.JobStatuses(tools).step,
             batch.step,
         )
         self._planner = _planning.Planner(
--- a/skylarktally/_transitions.py
+++ b/skylarktally/_transitions.py
@@ -63,10 +63,19 @@
         'reason': reason,
     }
     spec = {**resource['spec'], 'pool': pool or resource['spec']['pool']}
+    return replace_status(resource, status, spec)
+
+
+def replace_status(
+    resource: Resource,
+    status: dict[str, Any],
+    spec: dict[str, Any] | None = None,
+) -> _resources.Change:
+    """Return the change to a status, and to a specification if given."""
     value = Resource(
         kind=resource['kind'],
         name=resource['name'],
-        spec=spec,
+        spec=spec or resource['spec'],
         status=status,
         resource_version=resource['resource_version'],
     )
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -48,6 +48,10 @@
     return _runs.RunTable(table).list().unwrap()
 
 
+def find_job(world):
+    return world.read_fleet().find(controls.Kind.JOB, 'notices')
+
+
 def count_started(world):
     return sum(len(worker.tasks) for worker in world.workers.values())
 
@@ -165,13 +169,30 @@
     assert (run.status, run.attempt) == (500, _runs.ATTEMPTS_LIMIT)
 
 
-def test_a_job_that_can_never_run_is_explained():
+@pytest.mark.parametrize('mode', ['batch', 'request'])
+def test_a_job_that_can_never_run_is_explained(mode):
     world, controller = build(idempotent=True, accelerators=4)
+    api = apis.ApiHarness(world.table, 'api2', seed=5)
+    job = find_job(world)
+    assert api.apply({**job, 'spec': {**job['spec'], 'mode': mode}})[0] == 200
     controller.step(5)
     assert read_runs(world) == []
     record = controller.explanations.find('job', 'notices')[-1]
     assert record.outcome == 'unschedulable'
     assert '4 accelerators needed' in record.observed
+    status = find_job(world)['status']
+    assert status['phase'] == 'unschedulable'
+    assert status['missing_resource'] == 'accelerators'
+    assert (status['needed'], status['available']) == (4, 0)
+    # The status goes once the job fits, and is written only when it changes.
+    version = world.read_fleet().version
+    controller.step(20)
+    assert world.read_fleet().version == version
+    spec = {**job['spec'], 'accelerators': 0}
+    fitting = apis.declare('job', 'notices', **spec)
+    assert api.apply(fitting)[0] == 200
+    controller.step(3)
+    assert find_job(world)['status'] == {}
 
 
 def test_the_rows_of_a_deleted_job_are_cleared():
