Stop the runs of deleted jobs

Cause: plan_cancellations had no caller. The runs of a deleted job went on to their end and kept their slots, rows of ended runs were deleted one by one, and after the last batch job was deleted the next pass came up to 30 s later. Ruled out: a STOPPED row for each run (two writes a run, at 5 writes a second for each controller).

Change: a pass stops the runs of deleted jobs at their workers, each controller on its own instances, and deletes the rows in transactions of a hundred. A row stays until its worker has been told, so that the next pass or another controller tries again. Rows that changed meanwhile are deleted one by one. A pass follows within 2 s of the last job's deletion.

Before: the new tests find none of 3 runs stopped. After: all 3, also by the heir of a controller that is gone and after an unreachable worker; 250 cancelled runs in 5 jobs cost 250 calls and 3 transactions. Conclusion: the cost is in proportion to what is cancelled.

--- a/skylarktally/_batch.py
+++ b/skylarktally/_batch.py
@@ -24,7 +24,7 @@
 State = _runs.State
 
 _INTERVAL = datetime.timedelta(seconds=2)
-# Without batch jobs only the rows of deleted ones are left to clear.
+# Without batch jobs and rows only those of other zones are left to clear.
 _IDLE_INTERVAL = datetime.timedelta(seconds=30)
 _STARTS_LIMIT = 16
 _DRAIN_PATIENCE = datetime.timedelta(seconds=30)
@@ -50,6 +50,8 @@
         self._holder = holder
         self._spawn = spawn
         self._stepped_at: datetime.timedelta | None = None
+        # Whether the last pass found jobs, or rows, perhaps of deleted jobs.
+        self._is_busy = False
         # Request keys of the tasks that this process waits for.
         self._own: set[str] = set()
         # When a run without an owner was first seen, by request key.
@@ -62,7 +64,7 @@
             job.name: job
             for job in _planning.read_jobs(self._tools.fleet, 'batch')
         }
-        interval = _INTERVAL if jobs else _IDLE_INTERVAL
+        interval = _INTERVAL if jobs or self._is_busy else _IDLE_INTERVAL
         last = self._stepped_at
         if last is not None and now - last < interval:
             return
@@ -71,6 +73,8 @@
         if not isinstance(listed, result.Success):
             return
         runs = listed.unwrap()
+        self._is_busy = bool(jobs or runs)
+        self._cancel([run for run in runs if run.job not in jobs])
         for run in runs:
             self._settle(run, jobs.get(run.job))
         self._place(jobs, runs)
@@ -233,15 +237,44 @@
             'finished' if end.status < 500 else 'failed'
         ).inc()
 
+    def _cancel(self, runs: list[_runs.Run]) -> None:
+        """Stop the runs of deleted jobs and delete their rows.
+
+        The cost is one call for each run that still runs, and one
+        transaction for each hundred rows.
+        """
+        if not runs:
+            return
+        known = {(run.job, run.run): run for run in runs}
+        reports = _placement.index_usage(map(_runs.read_usage, runs))
+        ended = []
+        for cancelled in _placement.plan_cancellations(
+            sorted(reports), reports
+        ):
+            run = known.pop((cancelled.job, cancelled.run))
+            if self._find_held(run.instance) is None:
+                continue
+            # The row stays until the worker has been told: the next pass,
+            # of whichever controller, tries again.
+            stopped = self._tools.workers.control(
+                run.address, run.request_key, 'stop'
+            )
+            if isinstance(stopped, result.Success):
+                ended.append(run)
+        self._measures.runs.labels('cancelled').inc(len(ended))
+        if self._tools.leases.holds(_planning.ZONE_SHARD):
+            ended += known.values()
+        self._runs.clear_all(ended)
+
     def _settle(self, run: _runs.Run, job: _resources.Job | None) -> None:
         """Look after a run that no task of this process stands for."""
-        if run.state in _runs.ACTIVE:
+        if run.state in _runs.ACTIVE and (
+            job is not None or self._find_held(run.instance) is None
+        ):
             if run.request_key not in self._own:
                 self._adopt(run)
             elif job is not None and job.idempotent:
                 self._hurry(run)
-        elif job is None and self._tools.leases.holds(_planning.ZONE_SHARD):
-            self._runs.clear(run)
 
     def _adopt(self, run: _runs.Run) -> None:
         """Learn from the worker what became of an orphan."""
--- a/skylarktally/_runs.py
+++ b/skylarktally/_runs.py
@@ -5,8 +5,10 @@
 is therefore sent at most once, whatever becomes of its controller.
 """
 
+from collections.abc import Sequence
 import datetime
 from typing import Any, NamedTuple
+import uuid
 
 from returns import result
 
@@ -23,6 +25,8 @@
 ADOPT_AFTER = 3 * LEASE_TTL
 # Failed attempts after which an idempotent run is given up.
 ATTEMPTS_LIMIT = 5
+# The most writes that the platform takes in a transaction.
+_WRITES_LIMIT = 100
 
 State = _sizes.RunState
 ACTIVE = (State.RUNNING, State.THROTTLED)
@@ -129,6 +133,21 @@
         """Delete the row of a run, unless it has changed."""
         return self._commit(run, None, None)
 
+    def clear_all(self, runs: Sequence[Run]) -> None:
+        """Delete rows of runs, those that have changed excepted."""
+        for start in range(0, len(runs), _WRITES_LIMIT):
+            chunk = runs[start : start + _WRITES_LIMIT]
+            cleared = self._table.commit(
+                _table.Transaction(
+                    f'clear/{uuid.uuid4().hex}',
+                    tuple(_table.Condition(r.key, r.version) for r in chunk),
+                    tuple(_table.Write(r.key, None) for r in chunk),
+                )
+            )
+            if _is_conflict(cleared):
+                for run in chunk:
+                    self.clear(run)
+
     def _commit(
         self,
         run: Run,
@@ -158,3 +177,10 @@
         # An absent effect may still follow, so this is never a permission
         # to act.
         return result.Failure(failure)
+
+
+def _is_conflict(committed: result.Result[int, _errors.Failure]) -> bool:
+    return (
+        isinstance(committed, result.Failure)
+        and committed.failure().kind is _errors.ErrorKind.CONFLICT
+    )
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -195,6 +195,73 @@
     assert find_job(world)['status'] == {}
 
 
+@pytest.mark.parametrize('idempotent', [False, True])
+@pytest.mark.parametrize('heir', [False, True])
+def test_runs_of_a_deleted_job_are_stopped(idempotent, heir):
+    # A run that nobody stopped would hold its slots until its end.
+    world, controller = build(idempotent, runs=3)
+    stopped = []
+    hold = controller.calls.run
+    # The tasks are on their workers and do not end by themselves.
+    controller.calls.run = lambda *task: (
+        hold(*task),
+        fakes.fail(_errors.ErrorKind.WORKER_UNREACHABLE),
+    )[1]
+    controller.step(2)
+    running = {r.request_key for r in read_runs(world)}
+    assert len(running) == 3
+    if heir:
+        controller = controls.FakeController(world, 'c2', seed=2)
+        world.table.faults = []
+    api = apis.ApiHarness(world.table, 'api2', seed=5)
+    assert api.call('DELETE', '/v1/jobs/notices')[0] == 200
+    answers = [fakes.fail(_errors.ErrorKind.WORKER_UNREACHABLE)]
+
+    def control(address, key, action):
+        assert action == 'stop'
+        if answers:
+            # A worker that was not reached is told again.
+            return answers.pop()
+        stopped.append(key)
+        return result.Success(None)
+
+    controller.calls.control = control
+    controller.step(60)
+    assert sorted(stopped) == sorted(running)
+    assert read_runs(world) == []
+    assert count_started(world) == 3
+
+
+def test_the_cost_of_a_wave_of_cancellations_follows_what_is_cancelled():
+    world, controller = build(idempotent=True, runs=3)
+    table = _runs.RunTable(world.table)
+    for number in range(250):
+        table.write(
+            _runs.Run(
+                f'gone{number // 50}',
+                number,
+                State.RUNNING,
+                'w1',
+                world.get_worker('w1').name,
+                f'key-{number}',
+                'c1/1',
+                world.clock.now().isoformat(),
+            )
+        )
+    calls = []
+    controller.calls.control = lambda *call: (
+        calls.append(call),
+        result.Success(None),
+    )[1]
+    controller.calls.count = 0
+    controller.batch.step()
+    # One stop each, and a transaction for each hundred rows.
+    assert len(calls) == 250
+    starts = 3 * 5
+    assert controller.calls.count <= 3 + starts
+    assert {r.job for r in read_runs(world)} == {'notices'}
+
+
 def test_the_rows_of_a_deleted_job_are_cleared():
     world, controller = build(idempotent=True)
     controller.step(10)
