Reboot cordoned workers and count their first failures

Cause: no run of real processes had cordoned a worker that fails every task. One was tried and was never cordoned in 60 s, for two reasons. The first reading of a worker at a router was taken as a baseline, so that the five failures before the first ejection were lost; later ones come one by one as the ejections grow. And a cordoned worker returned without a reboot, with whatever made it fail. Ruled out: fewer failures for a cordon than the routers' own limit needs; a baseline of zero for every first reading, which would count the failures of long ago after a controller takes a lease over.

Change: a worker that is new in a later reading of a known router counts from zero. A cordon ends with a drain and a reboot by the platform, under an operation id of its own; the worker counts towards the 20 % until it serves. The id takes the place of a wave's, which visits the worker again. The time of the first cordon is a setting.

Changed tests: the two cases of test_repairs.py that end a cordon expect REBOOT in place of RETURN. The test of growing cordons counts the cordoned phase alone, since phases of the reboot follow it, and asserts reboots.

With one router in a zone it still takes its five failures and five trials, some 30 s.

--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -142,6 +142,7 @@
             self._batch,
             _loop.GreenPool(_PARALLEL_WORKERS).imap,
             settings.build_move_policy(),
+            settings.cordon_time,
         )
         self._snapshots = _reconciler.SnapshotWriter(
             self.fleet, self._objects, settings.snapshot_versions
--- a/skylarktally/_observations.py
+++ b/skylarktally/_observations.py
@@ -50,6 +50,8 @@
     def __init__(self, clock: _clock.Clock) -> None:
         self._clock = clock
         self._workers: dict[str, _Worker] = {}
+        # Workers in the last reading of each router.
+        self._listed: dict[str, frozenset[str]] = {}
 
     def _find(self, name: str) -> _Worker:
         known = self._workers.get(name)
@@ -101,13 +103,21 @@
         worker.boot_id = fence.boot_id
 
     def note_counters(self, router: str, workers: dict[str, Any]) -> None:
-        """Take in the successes and failures that a router has counted."""
+        """Take in the successes and failures that a router has counted.
+
+        The first reading of a router may be of long ago. A worker that is
+        new in a later one has come to all its counts since the last one.
+        """
+        before = self._listed.get(router)
+        self._listed[router] = frozenset(workers)
         for name, counts in workers.items():
             if name not in self._workers:
                 continue
             worker = self._workers[name]
             new = (int(counts['successes']), int(counts['failures']))
-            old = worker.counters.get(router, new)
+            is_new = before is not None and name not in before
+            first = (0, 0) if is_new else new
+            old = worker.counters.get(router, first)
             worker.counters[router] = new
             if new[0] < old[0] or new[1] < old[1]:
                 # The router has restarted its counters.
--- a/skylarktally/_planning.py
+++ b/skylarktally/_planning.py
@@ -90,12 +90,14 @@
         demand: _observations.DemandTracker,
         measures: _measures.Measures,
         policy: _moves.Policy = _moves.POLICY,
+        cordon_time: datetime.timedelta = _repairs.CORDON_TIME,
     ) -> None:
         self._tools = tools
         self._probes = probes
         self._demand = demand
         self._measures = measures
         self._policy = policy
+        self._cordon_time = cordon_time
 
     def _list_own(self) -> list[_resources.Instance]:
         """Return the instances of the zone whose shards are held."""
@@ -185,9 +187,9 @@
             i for pool in sorted(pools) for i in fleet.find_instances(pool)
         ]
         budgets = _transitions.list_budgets(fleet, pools)
-        return _repairs.plan_repairs(instances, observations, budgets, now)[
-            :_REPAIRS_LIMIT
-        ]
+        return _repairs.plan_repairs(
+            instances, observations, budgets, now, self._cordon_time
+        )[:_REPAIRS_LIMIT]
 
     def _finish_repair(
         self,
@@ -197,7 +199,8 @@
         done = isinstance(committed, result.Success)
         if done:
             self._measures.repairs.labels(repair.action.value).inc()
-        if done and repair.action is _repairs.Action.RETURN:
+        back = (_repairs.Action.RETURN, _repairs.Action.REBOOT)
+        if done and repair.action in back:
             self._probes.forget_tasks(repair.instance)
         _steps.explain(
             self._tools,
@@ -342,6 +345,16 @@
             return _transitions.fail(resource, now, repair.reason)
         case _repairs.Action.RETURN:
             return _transitions.serve(resource, now, repair.reason)
+        case _repairs.Action.REBOOT:
+            # The drain waits for tasks from before the cordon.
+            return _transitions.advance(
+                resource,
+                Phase.DRAINING,
+                now,
+                repair.reason,
+                operation_id=_repairs.OPERATION_PREFIX + now.isoformat(),
+                then=_transitions.REBOOT,
+            )
     cordons = resource['status'].get('cordons', 0) + 1
     return _transitions.advance(
         resource, Phase.CORDONED, now, repair.reason, cordons=cordons
--- a/skylarktally/_reconciler.py
+++ b/skylarktally/_reconciler.py
@@ -19,6 +19,7 @@
 from skylarktally import _objects
 from skylarktally import _observations
 from skylarktally import _planning
+from skylarktally import _repairs
 from skylarktally import _resources
 from skylarktally import _snapshots
 from skylarktally import _steps
@@ -45,6 +46,7 @@
         batch: _batch.Batch,
         spread: Spread = map,
         policy: _moves.Policy = _moves.POLICY,
+        cordon_time: datetime.timedelta = _repairs.CORDON_TIME,
     ) -> None:
         self._tools = tools
         self._journal = journal
@@ -61,7 +63,7 @@
             batch.step,
         )
         self._planner = _planning.Planner(
-            tools, probes, demand, measures, policy
+            tools, probes, demand, measures, policy, cordon_time
         )
         # Whether the table has ever been read.
         self.has_read = False
--- a/skylarktally/_repairs.py
+++ b/skylarktally/_repairs.py
@@ -12,6 +12,7 @@
 from skylarktally import _resources
 
 _Phase = _resources.Phase
+_IN_REBOOT = (_Phase.DRAINING, _Phase.STOPPING, _Phase.MAINTENANCE)
 
 # The same time after which another controller takes over a lease.
 SILENCE_LIMIT = datetime.timedelta(seconds=12)
@@ -21,6 +22,8 @@
 FLAP_LIMIT = 3
 CORDON_SHARE = 0.2
 PROBES_TO_RETURN = 3
+# Operations that reboot a cordoned worker have ids that begin so.
+OPERATION_PREFIX = 'repair/'
 # Least time in a cordon, doubled with each restart seen in the window.
 CORDON_TIME = datetime.timedelta(seconds=30)
 CORDON_TIME_LIMIT = datetime.timedelta(minutes=30)
@@ -31,6 +34,8 @@
 
     FAIL = 'fail'
     CORDON = 'cordon'
+    # A cordoned worker returns by way of a reboot.
+    REBOOT = 'reboot'
     RETURN = 'return'
 
 
@@ -60,18 +65,21 @@
     observations: Iterable[WorkerObservation],
     budgets: Iterable[_resources.Budget],
     now: datetime.datetime,
+    cordon_time: datetime.timedelta = CORDON_TIME,
 ) -> list[Repair]:
-    """Plan which workers fail, are cordoned or return.
+    """Plan which workers fail, are cordoned, are rebooted or return.
 
     Losses are recorded whatever the budgets say. A cordon takes a serving
     worker away: it needs the budget, and at most a fifth of the pool is
-    cordoned at a time.
+    cordoned, or rebooted after a cordon, at a time.
+
+    :param cordon_time: least time in the first cordon
     """
     seen = {o.instance: o for o in observations}
     ledger = _budgets.Ledger(budgets, instances)
     sizes = collections.Counter(i.pool for i in instances)
     cordoned = collections.Counter(
-        i.pool for i in instances if i.phase is _Phase.CORDONED
+        i.pool for i in instances if _is_cordoned(i)
     )
     repairs = []
     suspects = []
@@ -79,7 +87,7 @@
         observation = seen.get(instance.name)
         if observation is None:
             continue
-        repair = _judge(instance, observation, now)
+        repair = _judge(instance, observation, now, cordon_time)
         if repair is None:
             continue
         if repair.action is Action.CORDON:
@@ -97,10 +105,19 @@
     return repairs
 
 
+def _is_cordoned(instance: _resources.Instance) -> bool:
+    if instance.phase is _Phase.CORDONED:
+        return True
+    return instance.phase in _IN_REBOOT and (
+        instance.operation_id or ''
+    ).startswith(OPERATION_PREFIX)
+
+
 def _judge(
     instance: _resources.Instance,
     seen: WorkerObservation,
     now: datetime.datetime,
+    cordon_time: datetime.timedelta,
 ) -> Repair | None:
     if instance.phase in (_Phase.SERVING, _Phase.CORDONED, _Phase.DRAINING):
         if seen.silent >= SILENCE_LIMIT:
@@ -109,7 +126,7 @@
     if instance.phase is _Phase.SERVING:
         return _judge_serving(instance, seen)
     if instance.phase in (_Phase.FAILED, _Phase.CORDONED):
-        return _judge_return(instance, seen, now)
+        return _judge_return(instance, seen, now, cordon_time)
     return None
 
 
@@ -129,15 +146,18 @@
     instance: _resources.Instance,
     seen: WorkerObservation,
     now: datetime.datetime,
+    cordon_time: datetime.timedelta,
 ) -> Repair | None:
     if seen.probes_passed < PROBES_TO_RETURN:
         return None
     if instance.phase is _Phase.CORDONED and instance.since:
         since = datetime.datetime.fromisoformat(instance.since)
         hold = min(
-            CORDON_TIME * 2 ** min(seen.restarts, 10), CORDON_TIME_LIMIT
+            cordon_time * 2 ** min(seen.restarts, 10), CORDON_TIME_LIMIT
         )
         if now - since < hold:
             return None
     reason = f'{seen.probes_passed} probes passed in a row'
-    return Repair(instance.name, Action.RETURN, reason)
+    cordoned = instance.phase is _Phase.CORDONED
+    action = Action.REBOOT if cordoned else Action.RETURN
+    return Repair(instance.name, action, reason)
--- a/skylarktally/_settings.py
+++ b/skylarktally/_settings.py
@@ -15,6 +15,7 @@
 from skylarktally import _fields
 from skylarktally import _limits
 from skylarktally import _moves
+from skylarktally import _repairs
 
 Token = _fields.Token
 split_address = _fields.split_address
@@ -202,6 +203,9 @@
         _moves.POLICY.deadline_share
     )
 
+    # Least time in the first cordon of a worker.
+    cordon_time: Annotated[_Duration, _LONG] = _repairs.CORDON_TIME
+
     def build_move_policy(self) -> _moves.Policy:
         """Return the limits that keep moves few."""
         return _moves.POLICY._replace(
--- a/tests/test_controller_process.py
+++ b/tests/test_controller_process.py
@@ -97,7 +97,7 @@
     return document
 
 
-def write_settings(path, name, platform):
+def write_settings(path, name, platform, **more):
     settings = {
         'name': name,
         'zone': 'z1',
@@ -110,10 +110,45 @@
     }
     for kind in ('admin', 'api', 'peer'):
         settings[f'{kind}_address'] = find_address()
+    settings.update(more)
     path.write_text(json.dumps(settings))
     return settings
 
 
+def register_instances(processes, platform, workers):
+    processes.http.request(
+        'PUT',
+        f'http://{platform}/standin/instances',
+        json={
+            'instances': [
+                {'name': w['name'], 'state': 'live', **w['spec']}
+                for w in workers
+            ]
+        },
+    )
+
+
+def start_routers(processes, settings):
+    """Start two routers, the first one next to the controller."""
+    shared = ('zone', 'platform_address', 'peer_secret', 'peer_address')
+    routers = [
+        {
+            **{key: settings[key] for key in (*shared, 'tokens')},
+            'name': name,
+            'serving_address': find_address(),
+            'admin_address': find_address(),
+            'seeds': [settings['peer_address']],
+        }
+        for name in ('r1', 'r2')
+    ]
+    routers[1]['peer_address'] = find_address()
+    for router in routers:
+        path = processes.directory / f'{router["name"]}.json'
+        path.write_text(json.dumps(router))
+        processes.start('skylarktally.router', f'--settings={path}')
+    return routers
+
+
 def test_a_controller_stops_reboots_and_returns_a_worker(processes, tmp_path):
     platform = find_address()
     processes.start('standins.platform', f'--address={platform}')
@@ -126,16 +161,7 @@
     api = f'--api={settings["api_address"]}'
     admin = settings['admin_address']
     wait_until(lambda: processes.get(admin, '/readyz')[0] == 200)
-    processes.http.request(
-        'PUT',
-        f'http://{platform}/standin/instances',
-        json={
-            'instances': [
-                {'name': w['name'], 'state': 'live', **w['spec']}
-                for w in workers
-            ]
-        },
-    )
+    register_instances(processes, platform, workers)
     resources = tmp_path / 'resources.json'
     resources.write_text(
         json.dumps([apis.declare('pool', 'desk', team='north'), *workers])
@@ -162,3 +188,83 @@
     # The leases are given back, so that another controller need not wait.
     _, data = processes.get(platform, '/v1/rows?prefix=lease/')
     assert json.loads(data)['rows'] == []
+
+
+def test_a_worker_that_fails_every_task_is_cordoned_rebooted_and_returned(
+    processes, tmp_path
+):
+    """Guards against failures that routers see and controllers ignore."""
+    platform = find_address()
+    processes.start('standins.platform', f'--address={platform}')
+    names = [f'w{n}' for n in range(1, 6)]
+    workers = [start_worker(processes, name) for name in names]
+    addresses = {w['name']: w['spec']['address'] for w in workers}
+    path = tmp_path / 'c1.json'
+    settings = write_settings(path, 'c1', platform, cordon_time_seconds=3)
+    processes.start('skylarktally.controller', f'--settings={path}')
+    routers = start_routers(processes, settings)
+    for admin in [x['admin_address'] for x in (settings, *routers)]:
+        wait_until(lambda a=admin: processes.get(a, '/readyz')[0] == 200)
+    register_instances(processes, platform, workers)
+    resources = tmp_path / 'resources.json'
+    resources.write_text(
+        json.dumps(
+            [
+                apis.declare('pool', 'desk', team='north'),
+                apis.declare('job', 'report', pool='desk'),
+                *workers,
+            ]
+        )
+    )
+    api = f'--api={settings["api_address"]}'
+    assert processes.run_ctl(api, 'apply', str(resources)).returncode == 0
+
+    def set_fail_ratio(name, ratio):
+        url = f'http://{addresses[name]}/standin/faults'
+        processes.http.request('PUT', url, json={'fail_ratio': ratio})
+
+    def find_boot(name):
+        """Return the boot of a worker that a controller has fenced."""
+        status, data = processes.get(addresses[name], '/v1/fence')
+        fence = json.loads(data) if status == 200 else {'epoch': 0}
+        return fence['boot_id'] if fence['epoch'] else ''
+
+    def read_phases():
+        _, data = processes.get(platform, '/v1/rows?prefix=resource/instance/')
+        rows = [row['value'] for row in json.loads(data)['rows']]
+        return {row['name']: row['status']['phase'] for row in rows}
+
+    wait_until(lambda: all(map(find_boot, names)))
+    for name in ('w1', 'w2'):
+        set_fail_ratio(name, 1.0)
+    seen = []
+
+    def send_until(check):
+        def send():
+            for router in routers:
+                processes.http.request(
+                    'GET',
+                    f'http://{router["serving_address"]}'
+                    '/v1/pools/desk/jobs/report/a',
+                    headers={'Authorization': 'Bearer north'},
+                    timeout=15.0,
+                )
+            phases = read_phases()
+            away = {n for n, phase in phases.items() if phase != 'serving'}
+            seen.append(away)
+            return check(away)
+
+        end = time.monotonic() + 2 * _LIMIT_SECONDS
+        while not send():
+            assert time.monotonic() < end, seen[-1]
+            time.sleep(0.01)
+
+    send_until(lambda away: away)
+    (first,) = seen[-1]
+    boot = find_boot(first)
+    set_fail_ratio(first, 0.0)
+    send_until(lambda away: first not in away)
+    wait_until(lambda: find_boot(first) not in ('', boot))
+    # The other one may follow, but a fifth of five workers is one.
+    assert max(map(len, seen)) == 1
+    assert set().union(*seen) <= {'w1', 'w2'}
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -169,9 +169,13 @@
         if instance.phase is Phase.SERVING:
             failures += 5
             report(controller, 'r1', 'w1', 50, failures)
-        elif not times or times[-1][0] != instance.epoch:
-            times.append((instance.epoch, world.clock.elapsed))
+        elif instance.phase is Phase.CORDONED:
+            if not times or times[-1][0] != instance.epoch:
+                times.append((instance.epoch, world.clock.elapsed))
         controller.step()
+        world.boot_all()
+    # It is rebooted after each cordon, and fails again.
+    assert world.get_worker('w1').boots >= len(times)
     gaps = [
         (b[1] - a[1]).total_seconds()
         for a, b in zip(times, times[1:], strict=False)
@@ -190,6 +194,20 @@
     assert world.read_instances()['w1'].phase is Phase.SERVING
 
 
+@pytest.mark.parametrize(
+    ('known', 'phase'), [(True, 'cordoned'), (False, 'serving')]
+)
+def test_the_first_failures_at_a_known_router_count(known, phase):
+    # A router ejects a worker after five; later ones come one by one.
+    world, controller = build(min_available=2)
+    for router in ('r1', 'r2'):
+        if known:
+            controller.probes.note_counters(router, {})
+        report(controller, router, 'w1', 0, 5)
+    controller.step(2)
+    assert world.read_instances()['w1'].phase.value == phase
+
+
 def test_failures_count_from_the_last_success():
     world, controller = build()
     successes = failures = 0
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -33,9 +33,9 @@
         ('failed', 0, {'probes_passed': 2}, None),
         ('failed', 0, {'probes_passed': 3}, Action.RETURN),
         ('cordoned', 29, {'probes_passed': 3}, None),
-        ('cordoned', 30, {'probes_passed': 3}, Action.RETURN),
+        ('cordoned', 30, {'probes_passed': 3}, Action.REBOOT),
         ('cordoned', 200, {'probes_passed': 3, 'restarts': 3}, None),
-        ('cordoned', 240, {'probes_passed': 3, 'restarts': 3}, Action.RETURN),
+        ('cordoned', 240, {'probes_passed': 3, 'restarts': 3}, Action.REBOOT),
         ('maintenance', 0, {'silent': 99 * SECONDS}, None),
     ],
 )
