--- a/skylarktally/_reconciler.py
+++ b/skylarktally/_reconciler.py
@@ -12,6 +12,7 @@
 from skylarktally import _batch
 from skylarktally import _departures
 from skylarktally import _fleet
+from skylarktally import _jobs
 from skylarktally import _journal
 from skylarktally import _maintenance
 from skylarktally import _measures
@@ -19,6 +20,7 @@
 from skylarktally import _objects
 from skylarktally import _observations
 from skylarktally import _planning
+from skylarktally import _repairs
 from skylarktally import _resources
 from skylarktally import _snapshots
 from skylarktally import _steps
@@ -45,6 +47,7 @@
         batch: _batch.Batch,
         spread: Spread = map,
         policy: _moves.Policy = _moves.POLICY,
+        cordon_time: datetime.timedelta = _repairs.CORDON_TIME,
     ) -> None:
         self._tools = tools
         self._journal = journal
@@ -58,10 +61,11 @@
             _departures.Departures(tools, measures).step,
             _maintenance.Maintenance(tools, measures).step,
             self._plan_moves,
+            _jobs.JobStatuses(tools).step,
             batch.step,
         )
         self._planner = _planning.Planner(
-            tools, probes, demand, measures, policy
+            tools, probes, demand, measures, policy, cordon_time
         )
         # Whether the table has ever been read.
         self.has_read = False
