Apply files of more than 97 resources in several transactions

Cause: a transaction of the table holds 100 writes, so apply refused a file of more than 97 resources and left the split to the operator.

Change: skylarktallyctl sends a dry run of the whole file, then parts of 97 in the order pool, quota, budget, configuration, instance, job, wave. A failure after the first part is reported with the number of resources in force; the file can be applied again. The dry run of the API takes any number within the body limit of 1 MiB; a write is limited as before.

Ruled out: quotas and budgets before pools, since a budget refers to its pool, and a pool without instances and jobs relies on nothing; taking back what was applied, since others may have built on it by then.

Figures: 204 resources with the wave first and the pool last in the file take 3 transactions of 97, 97 and 10. With a resource that refers to an absent pool nothing is written. Before, both files were refused with "one transaction holds at most 97".

Conclusion: files up to 1 MiB can be applied by one command.

--- a/skylarktally/_api.py
+++ b/skylarktally/_api.py
@@ -267,15 +267,15 @@
         )
 
     def _apply(self, request: _requests.Request) -> _requests.Outcome:
-        parsed = _requests.parse_apply(request.body)
-        if not isinstance(parsed, result.Success):
-            return result.Failure(parsed.failure())
-        wanted = parsed.unwrap()
         dry_run = request.query.get('dry_run', 'false')
         if dry_run not in ('true', 'false'):
             return _requests.fail(
                 ErrorKind.INVALID_REQUEST, 'dry_run must be true or false'
             )
+        parsed = _requests.parse_apply(request.body, dry_run == 'true')
+        if not isinstance(parsed, result.Success):
+            return result.Failure(parsed.failure())
+        wanted = parsed.unwrap()
         if dry_run == 'false':
             return self._write(request.identity, wanted)
         plan = _declarations.plan_write(
--- a/skylarktally/_commands.py
+++ b/skylarktally/_commands.py
@@ -11,6 +11,7 @@
 import json5
 from returns import result
 
+from skylarktally import _applying
 from skylarktally import _client
 from skylarktally import _clock
 from skylarktally import _errors
@@ -110,16 +111,20 @@
 def apply_file(
     client: _client.Client, screen: Screen, path: str, dry_run: bool
 ) -> int:
-    """Declare the resources of a file, all or nothing."""
+    """Declare the resources of a file, in one transaction if they fit."""
     documents = read_documents(path)
     if not isinstance(documents, result.Success):
         return explain_failure(screen, documents.failure())
-    outcome = client.call(
-        'POST',
-        f'/v1/apply?dry_run={"true" if dry_run else "false"}',
-        {'resources': documents.unwrap()},
+    applied = _applying.apply(
+        client, documents.unwrap(), dry_run, screen.report
     )
-    return _finish(screen, outcome, _describe_apply)
+    code = _finish(screen, applied.outcome, _describe_apply)
+    if code != DONE and applied.done:
+        screen.report(
+            f'{applied.done} of {applied.total} resources were applied, in '
+            f'{applied.parts} transactions; apply the file again to go on'
+        )
+    return code
 
 
 def _locate(kind: str, name: str = '') -> str:
--- a/skylarktally/_journal.py
+++ b/skylarktally/_journal.py
@@ -21,8 +21,6 @@
 from skylarktally import _table
 
 HEAD_KEY = 'head'
-# A transaction has at most 100 writes; three are head, log and trimming.
-CHANGES_LIMIT = 97
 _PAGE = 200
 _SETTLE_LIMIT = datetime.timedelta(seconds=10)
 
@@ -89,7 +87,7 @@
         table did not tell in time.
         """
         listed = list(changes)
-        if len(listed) > CHANGES_LIMIT:
+        if len(listed) > _resources.CHANGES_LIMIT:
             return result.Failure(
                 _Failure(_Kind.INVALID_REQUEST, 'too many changes at once')
             )
--- a/skylarktally/_requests.py
+++ b/skylarktally/_requests.py
@@ -10,6 +10,7 @@
 
 from skylarktally import _declarations
 from skylarktally import _errors
+from skylarktally import _resources
 from skylarktally import _schemas
 from skylarktally import _tokens
 
@@ -18,9 +19,6 @@
 ErrorKind = _errors.ErrorKind
 
 _BODY_LIMIT = 2**20
-# A transaction holds at most 100 writes, three of which are the head, the
-# log entry and the entry that falls out of the retention.
-APPLY_LIMIT = 97
 
 
 class Reply(NamedTuple):
@@ -131,7 +129,7 @@
 
 
 def parse_apply(
-    body: Any,
+    body: Any, dry_run: bool
 ) -> result.Result[list[_declarations.Wanted], _errors.Failure]:
     documents = body.get('resources') if isinstance(body, dict) else None
     if not isinstance(documents, list) or not documents:
@@ -139,11 +137,12 @@
             ErrorKind.INVALID_REQUEST,
             'the body must be {"resources": [...]} with one resource or more',
         )
-    if len(documents) > APPLY_LIMIT:
+    # What is only planned may be more than one transaction.
+    if not dry_run and len(documents) > _resources.CHANGES_LIMIT:
         return fail(
             ErrorKind.INVALID_REQUEST,
             f'{len(documents)} resources; one transaction holds at most '
-            f'{APPLY_LIMIT}',
+            f'{_resources.CHANGES_LIMIT}',
         )
     wanted, problems = [], []
     for index, document in enumerate(documents):
--- a/skylarktally/_resources.py
+++ b/skylarktally/_resources.py
@@ -4,6 +4,11 @@
 from typing import Any, NamedTuple, TypedDict
 
 
+# A transaction of the table has at most 100 writes, three of which are the
+# head, the log entry and the entry that falls out of the retention.
+CHANGES_LIMIT = 97
+
+
 class Kind(enum.Enum):
     """Kinds of resource, by their name in URLs and in the log."""
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from skylarktally import _client
 from skylarktally import _transitions
 from skylarktally import ctl
 from tests import apis
@@ -81,6 +82,77 @@
     assert json.loads(out)['changes'][0]['action'] == 'unchanged'
 
 
+def declare_many(count, bad=None):
+    """Declare workers before the pool that they need, and a wave first."""
+    resources = [
+        apis.declare('wave', 'v', pools=['big'], max_parallel=1),
+        apis.declare('job', 'j', pool='big'),
+        *(
+            apis.declare_worker(f'x{n}', 'big', port=1000 + n)
+            for n in range(count)
+        ),
+        apis.declare('budget', 'big', pool='big', min_available=1),
+        apis.declare('pool', 'big', team='north'),
+    ]
+    if bad is not None:
+        resources[bad]['spec']['pool'] = 'absent'
+    return resources
+
+
+def find_log(harness, after):
+    return [
+        [change['kind'] for change in record['changes']]
+        for record in harness.fleet.read_records(after, 100)
+    ]
+
+
+def test_large_file_is_applied_in_a_safe_order(run, harness, tmp_path):
+    """Guards against work that starts before its pool has its budget."""
+    before = harness.fleet.version
+    path = write(tmp_path / 'a.json', declare_many(200))
+    code, out, _ = run('apply', path, '--dry-run')
+    assert (code, harness.fleet.version) == (0, before)
+    assert out.count('create') == 204
+    code, out, err = run('apply', path)
+    assert (code, out.count('create')) == (0, 204)
+    assert f'204 of 204 resources at version {before + 3}' in err
+    written = find_log(harness, before)
+    assert [len(kinds) for kinds in written] == [97, 97, 10]
+    assert written[0][:3] == ['pool', 'budget', 'instance']
+    assert written[2][-2:] == ['job', 'wave']
+
+
+def test_bad_resource_stops_a_large_file_at_once(run, harness, tmp_path):
+    """Guards against half of a file applied before its error is found."""
+    before = harness.fleet.version
+    path = write(tmp_path / 'a.json', declare_many(200, bad=150))
+    code, _, err = run('apply', path)
+    assert (code, harness.fleet.version) == (1, before)
+    assert "resources[150].spec.pool: there is no pool 'absent'" in err
+
+
+def test_failure_between_transactions_is_reported(
+    run, harness, tmp_path, monkeypatch
+):
+    """Guards against an operator who cannot tell what is in force."""
+    before = harness.fleet.version
+    path = write(tmp_path / 'a.json', declare_many(200))
+    transact = harness.journal.transact
+
+    def fail_later(decide):
+        if harness.fleet.version > before:
+            return _client.fail(_client.ErrorKind.PLATFORM_UNAVAILABLE, 'down')
+        return transact(decide)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(harness.journal, 'transact', fail_later)
+        code, _, err = run('apply', path)
+    assert code == 4
+    assert '97 of 204 resources were applied, in 1 transactions' in err
+    code, out, _ = run('apply', path)
+    assert (code, out.count('unchanged')) == (0, 97)
+
+
 @pytest.mark.parametrize(
     ('arguments', 'code', 'text'),
     [
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -89,8 +89,8 @@
     journal: _journal.Journal, changes: list[_resources.Change]
 ) -> None:
     """Commit changes in transactions of the greatest size."""
-    for start in range(0, len(changes), _journal.CHANGES_LIMIT):
-        part = changes[start : start + _journal.CHANGES_LIMIT]
+    for start in range(0, len(changes), _resources.CHANGES_LIMIT):
+        part = changes[start : start + _resources.CHANGES_LIMIT]
         done = journal.transact(lambda _fleet, part=part: _succeed(part))
         if not isinstance(done, result.Success):
             raise RuntimeError(done.failure().message)
