--- a/tools/bench_serving.py
+++ b/tools/bench_serving.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import pathlib
 import random
 import signal
 import statistics
@@ -13,6 +14,7 @@
 from absl import app
 from absl import flags
 
+from skylarktally import _certificates
 from skylarktally import _claims
 from skylarktally import _clock
 from skylarktally import _connections
@@ -22,6 +24,7 @@
 from skylarktally import _pipeline
 from skylarktally import _selection
 from skylarktally import _server
+from skylarktally import _tls
 from standins import worker as worker_standin
 from tests import serving
 
@@ -33,17 +36,57 @@
 _SECONDS = flags.DEFINE_float('seconds', 4.0, 'Length of each measurement.')
 _CALLERS = flags.DEFINE_integer('callers', 16, 'Callers at the same time.')
 
+_TLS = flags.DEFINE_string(
+    'tls',
+    '',
+    'Folder with server.pem, server.key and ca.pem; puts the router, or with '
+    '--tls_workers also the workers, below TLS.',
+)
+_TLS_WORKERS = flags.DEFINE_bool('tls_workers', False, 'Workers below TLS.')
+
+_CHOICES = flags.DEFINE_integer('choices', 20000, 'Choices to measure.')
+
 _PATH = '/v1/pools/desk/jobs/report/bench'
 _IDLE_CONNECTIONS = 500
 _SIZES = (10, 100, 1000)
-_CHOICES = 20000
 
 
 def run_worker() -> None:
     """Serve a stand-in worker that is fenced for the pool."""
     worker = worker_standin.Worker('w')
     worker.fence = (1, serving.POOL)
-    worker_standin.serve(worker, _ADDRESS.value)
+    if not _TLS_WORKERS.value:
+        worker_standin.serve(worker, _ADDRESS.value)
+        return
+    server = find_server()
+    host, port = _ADDRESS.value.rsplit(':', 1)
+    protocol = _certificates.secure(
+        _loop.HttpProtocol, server, _limits.ServingLimits().header_timeout
+    )
+    _loop.serve(
+        _loop.listen((host, int(port))),
+        worker.application,
+        protocol=protocol,
+    )
+
+
+def find_server() -> _certificates.Certificates | None:
+    """Return the certificate of listeners, if any are below TLS."""
+    if not _TLS.value:
+        return None
+    folder = pathlib.Path(_TLS.value)
+    files = _tls.TlsFiles(
+        str(folder / 'server.pem'), str(folder / 'server.key')
+    )
+    return _certificates.Certificates('serving', files, client=False)
+
+
+def find_client() -> _certificates.Certificates | None:
+    """Return the CA of the folder."""
+    if not _TLS.value:
+        return None
+    files = _tls.TlsFiles(ca_file=str(pathlib.Path(_TLS.value) / 'ca.pem'))
+    return _certificates.Certificates('upstream', files, client=True)
 
 
 def run_router() -> None:
@@ -59,17 +102,24 @@
     settings = serving.Settings('r1', 'a', _ADDRESS.value, 'peer', limits)
     metrics = _metrics.ServingMetrics(_metrics.create_registry())
     pipeline = _pipeline.Pipeline(
-        settings, fleet, clock, claims, serving.FakePeers(), metrics
+        settings,
+        fleet,
+        clock,
+        claims,
+        serving.FakePeers(),
+        metrics,
+        certificates=find_client(),
     )
     host, port = _ADDRESS.value.rsplit(':', 1)
     listener = _loop.listen((host, int(port)))
-    _server.serve(listener, pipeline.application, limits)
+    _server.serve(listener, pipeline.application, limits, find_server())
 
 
 def start(role: str, address: str, *extra: str) -> subprocess.Popen[bytes]:
     """Start this program in another role and wait until it listens."""
     command = [sys.executable, '-m', 'tools.bench_serving']
     command += [f'--role={role}', f'--listen_address={address}', *extra]
+    command += [f'--tls={_TLS.value}', f'--tls_workers={_TLS_WORKERS.value}']
     process = subprocess.Popen(command)  # noqa: S603
     host, port = address.rsplit(':', 1)
     for _ in range(200):
@@ -93,10 +143,11 @@
 ) -> tuple[float, list[float]]:
     """Return requests a second and sorted latencies in milliseconds."""
     latencies: list[float] = []
+    client = find_client()
     end = time.perf_counter() + _SECONDS.value
 
     def call() -> None:
-        connection = _connections.Connection(address, 5)
+        connection = _connections.Connection(address, 5, client)
         while time.perf_counter() < end:
             start = time.perf_counter()
             connection.request('GET', path, headers=headers)
@@ -124,7 +175,9 @@
     """Return a lease for the calls that go straight to the worker."""
     data = {'holder': 'b', 'epoch': 1, 'pool': serving.POOL, 'slots': 8}
     body = json.dumps({**data, 'ttl_seconds': 3600})
-    reply = serving.call(address, 'POST', '/v1/leases', body)
+    reply = serving.call(
+        address, 'POST', '/v1/leases', body, client=find_client()
+    )
     lease_id: str = json.loads(reply.body)['lease_id']
     return lease_id
 
@@ -160,12 +213,20 @@
     return pages * os.sysconf('SC_PAGE_SIZE')
 
 
+def read_cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    with open(f'/proc/{pid}/stat') as file:
+        fields = file.read().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
+
+
 def measure_connections(router: str, pid: int) -> float:
     """Return the memory in bytes of one open caller connection."""
+    client = find_client()
     before = read_memory(pid)
     connections = []
     for _ in range(_IDLE_CONNECTIONS):
-        connection = _connections.Connection(router, 5)
+        connection = _connections.Connection(router, 5, client)
         connection.request('GET', '/elsewhere')
         connection.getresponse().read()
         connections.append(connection)
@@ -202,12 +263,12 @@
     """Return the microseconds of one choice, start and end."""
     selection = create_selection(size)
     begin = time.perf_counter()
-    for _ in range(_CHOICES):
+    for _ in range(_CHOICES.value):
         worker = selection.choose()
         assert worker is not None  # noqa: S101
         selection.note_start(worker)
         selection.note_end(worker)
-    return (time.perf_counter() - begin) / _CHOICES * 1e6
+    return (time.perf_counter() - begin) / _CHOICES.value * 1e6
 
 
 def run_all() -> None:
@@ -215,13 +276,19 @@
     worker_addresses = [reserve_address() for _ in range(4)]
     router_address = reserve_address()
     processes = [start('worker', x) for x in worker_addresses]
-    workers = '--workers=' + ','.join(worker_addresses[1:])
     try:
+        if _TLS_WORKERS.value:
+            worker_addresses = [f'https://{x}' for x in worker_addresses]
+        workers = '--workers=' + ','.join(worker_addresses[1:])
         router = start('router', router_address, workers)
         processes.append(router)
+        if _TLS.value:
+            router_address = f'https://{router_address}'
         measure(router_address, _PATH, {}, 2)
         latency = compare_latency(router_address, worker_addresses[0])
-        rate, _ = measure(router_address, _PATH, {}, _CALLERS.value)
+        used = -read_cpu_seconds(router.pid)
+        rate, loaded = measure(router_address, _PATH, {}, _CALLERS.value)
+        used += read_cpu_seconds(router.pid)
         memory = measure_connections(router_address, router.pid)
     finally:
         for process in processes:
@@ -235,6 +302,8 @@
     }
     figures = {
         'requests_per_second': round(rate),
+        'loaded_p50_ms': round(find_quantile(loaded, 0.5), 2),
+        'router_cpu_ms_per_request': round(used / len(loaded) * 1000, 3),
         'latency': latency,
         'bytes_per_connection': round(memory),
         'microseconds_per_choice': choice,
