Keep one set of certificates for both sides of the peer port

Cause: a router read the files of the role peer twice, for its listener and for its calls, so that a bad file wrote two log lines and counted twice. Change: the certificates of a role hold the context of a server and that of a client, made and replaced together. Ruled out: another role name for the calls; a reader of the counter would have to know that both are one file.

Figures: one line and one count for a bad file of the role peer, two before.

Conclusion: one log line and one count for each bad file and role.

--- a/skylarktally/_certificates.py
+++ b/skylarktally/_certificates.py
@@ -39,37 +39,36 @@
 
 
 class Certificates:
-    """The context of one role, replaced as a whole at each reload.
+    """The contexts of one role, replaced as a whole at each reload.
 
-    Connections keep the context that they were made with.
+    Connections keep the context that they were made with. The peer role
+    uses the same files on both sides, so every role has both contexts.
     """
 
-    def __init__(self, role: str, files: _tls.TlsFiles, client: bool) -> None:
+    def __init__(self, role: str, files: _tls.TlsFiles) -> None:
         """Read the files.
 
         :raises _tls.UnusableFileError: when a file cannot be used
         """
         self.role = role
         self._files = files
-        self._client = client
         self._loaded = self._seen = self._sign()
-        self.context = self._build()
-
-    def _build(self) -> ssl.SSLContext:
-        if self._client:
-            context = _loop.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-            # Routers come and go with their addresses; what a peer must
-            # prove is a certificate of the CA and the shared secret.
-            context.check_hostname = self.role != 'peer'
-        else:
-            context = _loop.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-            if self._files.ca_file is not None:
-                required = self._files.require_client_certificate
-                context.verify_mode = (
-                    ssl.CERT_REQUIRED if required else ssl.CERT_OPTIONAL
-                )
-        _tls.configure(context, self._files)
-        return context
+        self.server_context, self.client_context = self._build()
+
+    def _build(self) -> tuple[ssl.SSLContext, ssl.SSLContext]:
+        client = _loop.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        # Routers come and go with their addresses; what a peer must prove
+        # is a certificate of the CA and the shared secret.
+        client.check_hostname = self.role != 'peer'
+        server = _loop.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        if self._files.ca_file is not None:
+            required = self._files.require_client_certificate
+            server.verify_mode = (
+                ssl.CERT_REQUIRED if required else ssl.CERT_OPTIONAL
+            )
+        _tls.configure(server, self._files)
+        _tls.configure(client, self._files)
+        return server, client
 
     def _sign(self) -> _Signature:
         paths = self._files[:3]
@@ -90,7 +89,7 @@
         """Load the files; unusable ones leave the old context in use."""
         self._loaded = self._sign()
         try:
-            self.context = self._build()
+            self.server_context, self.client_context = self._build()
         except _tls.UnusableFileError as error:
             RELOADS.labels(self.role, 'failed').inc()
             log.error(
@@ -107,7 +106,7 @@
         :raises OSError: when the handshake fails, after closing
         """
         try:
-            wrapped = _loop.wrap_tls(connection, self.context, host)
+            wrapped = _loop.wrap_tls(connection, self.client_context, host)
         except BaseException:
             connection.close()
             raise
@@ -126,7 +125,7 @@
         :param keep: gets the connection to close, before the handshake
         """
         try:
-            wrapped = _loop.wrap_tls(connection, self.context, None)
+            wrapped = _loop.wrap_tls(connection, self.server_context, None)
         except OSError as error:
             self._count_failure(error)
             return None
@@ -237,7 +236,7 @@
     def manager(self) -> urllib3.PoolManager:
         """Return the connections to use for the next request."""
         if self._certificates is not None:
-            context = self._certificates.context
+            context = self._certificates.client_context
             if context is not self._context:
                 self._context = context
                 self._manager.clear()
@@ -251,36 +250,24 @@
     """All certificates of a process, by role."""
 
     def __init__(self, files: Mapping[str, _tls.TlsFiles]) -> None:
-        clients = ('platform', 'upstream')
-        self._servers = {
-            role: Certificates(role, each, client=False)
-            for role, each in files.items()
-            if role not in clients
+        self._roles = {
+            role: Certificates(role, each) for role, each in files.items()
         }
-        self._clients = {
-            role: Certificates(role, each, client=True)
-            for role, each in files.items()
-            if role in (*clients, 'peer')
-        }
-
-    def find_server(self, role: str) -> Certificates | None:
-        """Return what a listener presents; None for plain text."""
-        return self._servers.get(role)
 
-    def find_client(self, role: str) -> Certificates | None:
-        """Return what own calls of a role use; None for plain text."""
-        return self._clients.get(role)
+    def find(self, role: str) -> Certificates | None:
+        """Return the certificates of a role; None for plain text."""
+        return self._roles.get(role)
 
     def reload(self) -> None:
         """Load all files, changed or not."""
-        for each in (*self._servers.values(), *self._clients.values()):
+        for each in self._roles.values():
             each.reload()
 
     def follow(self, clock: _clock.Clock) -> None:
         """Load changed files until the calling green thread is killed."""
-        while self._servers or self._clients:
+        while self._roles:
             clock.sleep(_CHECK_INTERVAL)
-            for each in (*self._servers.values(), *self._clients.values()):
+            for each in self._roles.values():
                 each.check()
 
     def install_signal(self) -> None:
--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -90,7 +90,7 @@
             response_timeout=settings.platform_timeout,
         )
         address = settings.platform_address
-        platform = self._certificates.find_client('platform')
+        platform = self._certificates.find('platform')
         self._table = _table.HttpTable(address, self._clock, limits, platform)
         self._objects = _objects.HttpObjects(
             address, self._clock, limits, platform
@@ -119,7 +119,7 @@
         self._explanations = _explanations.Explanations(settings.explanations)
         self._measures = _measures.Measures(self._registry)
         self._workers = _workers.HttpWorkers(
-            settings.peer_timeout, self._certificates.find_client('upstream')
+            settings.peer_timeout, self._certificates.find('upstream')
         )
         tools = _steps.Tools(
             self.journal,
@@ -158,7 +158,7 @@
             settings.snapshot_timeout,
             settings.peer_clients,
             settings.peer_frame_bytes,
-            self._certificates.find_client('peer'),
+            self._certificates.find('peer'),
         )
         self._routers = _routers.Routers(
             self._calls,
@@ -223,7 +223,7 @@
                 _API_CONNECTIONS,
             ),
         ):
-            certificates = self._certificates.find_server(role)
+            certificates = self._certificates.find(role)
             _listeners.serve_wsgi(
                 address, application, certificates, max_size=limit
             )
--- a/skylarktally/_router.py
+++ b/skylarktally/_router.py
@@ -116,7 +116,7 @@
             settings.snapshot_timeout,
             settings.peer_clients,
             settings.peer_frame_bytes,
-            self._certificates.find_client('peer'),
+            self._certificates.find('peer'),
         )
         self._snapshots = _snapshots.Snapshots(self.fleet)
         self._gossip = _gossip.Gossip(
@@ -141,7 +141,7 @@
             response_timeout=settings.platform_timeout,
         )
         address = settings.platform_address
-        platform = self._certificates.find_client('platform')
+        platform = self._certificates.find('platform')
         self._table = _table.HttpTable(address, self._clock, limits, platform)
         self._objects = _objects.HttpObjects(
             address, self._clock, limits, platform
@@ -172,7 +172,7 @@
             _handlers.Routers(self.membership, self._calls),
             _metrics.ServingMetrics(self._registry),
             self._authenticate,
-            self._certificates.find_client('upstream'),
+            self._certificates.find('upstream'),
         )
         handler = _handlers.PeerHandler(
             self._gossip, self._snapshots, self._claims, self._pipeline.observe
@@ -182,7 +182,7 @@
             _peers.collect_secrets(settings),
             settings.peer_server_connections,
             settings.peer_frame_bytes,
-            self._certificates.find_server('peer'),
+            self._certificates.find('peer'),
         )
 
     def _build_diagnosis(self) -> None:
@@ -277,7 +277,7 @@
         _listeners.serve_wsgi(
             settings.admin_address,
             self._admin.application,
-            self._certificates.find_server('admin'),
+            self._certificates.find('admin'),
             max_size=_ADMIN_CONNECTIONS,
             socket_timeout=settings.progress_timeout.total_seconds(),
         )
@@ -286,7 +286,7 @@
             _listeners.open_listener(settings.serving_address),
             self.application,
             settings.limits,
-            self._certificates.find_server('serving'),
+            self._certificates.find('serving'),
         )
         self._certificates.install_signal()
         _loop.spawn(self._certificates.follow, self._clock)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Guards the peer protocol: authentication, time limits and bounds."""
 
 import datetime
+import pathlib
 import socket
 import struct
 import time
@@ -8,6 +9,7 @@
 import pytest
 from returns import result
 
+from skylarktally import _certificates
 from skylarktally import _channels
 from skylarktally._gen.peer import ttypes
 from skylarktally import _loop
@@ -353,6 +355,15 @@
     calls.close()
 
 
+def test_bad_file_of_both_sides_is_reported_once(secure_peer, caplog):
+    """Guards against two log lines for one file."""
+    files = secure_peer.authority.build_files('both')
+    store = _certificates.Store({'peer': files})
+    pathlib.Path(files.key_file).write_text('broken')
+    store.reload()
+    assert len([x for x in caplog.records if 'not usable' in x.message]) == 1
+
+
 def test_large_snapshot_and_restarted_server_under_tls(secure_peer):
     """Guards against a closed TLS connection that is not opened again."""
     tls = secure_peer.authority.open_client('peer', 'p')
--- a/tools/bench_serving.py
+++ b/tools/bench_serving.py
@@ -78,7 +78,7 @@
     files = _tls.TlsFiles(
         str(folder / 'server.pem'), str(folder / 'server.key')
     )
-    return _certificates.Certificates('serving', files, client=False)
+    return _certificates.Certificates('serving', files)
 
 
 def find_client() -> _certificates.Certificates | None:
@@ -86,7 +86,7 @@
     if not _TLS.value:
         return None
     files = _tls.TlsFiles(ca_file=str(pathlib.Path(_TLS.value) / 'ca.pem'))
-    return _certificates.Certificates('upstream', files, client=True)
+    return _certificates.Certificates('upstream', files)
 
 
 def run_router() -> None:
