--- a/skylarktally/_router.py
+++ b/skylarktally/_router.py
@@ -120,7 +120,7 @@
             settings.snapshot_timeout,
             settings.peer_clients,
             settings.peer_frame_bytes,
-            self._certificates.find_client('peer'),
+            self._certificates.find('peer'),
             settings.peer_listen_address or settings.peer_address,
         )
         self._snapshots = _snapshots.Snapshots(self.fleet)
@@ -153,7 +153,7 @@
             settings.assumed_entries,
         )
         address = settings.platform_address
-        platform = self._certificates.find_client('platform')
+        platform = self._certificates.find('platform')
         self._table = _table.HttpTable(address, self._clock, limits, platform)
         self._objects = _objects.HttpObjects(
             address, self._clock, limits, platform
@@ -184,7 +184,7 @@
             _handlers.Routers(self.membership, self._calls),
             _metrics.ServingMetrics(self._registry),
             self._authenticate,
-            self._certificates.find_client('upstream'),
+            self._certificates.find('upstream'),
         )
         handler = _handlers.PeerHandler(
             self._gossip, self._snapshots, self._claims, self._pipeline.observe
@@ -194,7 +194,7 @@
             _peers.collect_secrets(settings),
             settings.peer_server_connections,
             settings.peer_frame_bytes,
-            self._certificates.find_server('peer'),
+            self._certificates.find('peer'),
         )
 
     def _build_diagnosis(self) -> None:
@@ -292,7 +292,7 @@
         _listeners.serve_wsgi(
             settings.admin_address,
             self._admin.application,
-            self._certificates.find_server('admin'),
+            self._certificates.find('admin'),
             max_size=_ADMIN_CONNECTIONS,
             socket_timeout=settings.progress_timeout.total_seconds(),
         )
@@ -301,7 +301,7 @@
             _listeners.open_listener(settings.serving_address),
             self.application,
             settings.limits,
-            self._certificates.find_server('serving'),
+            self._certificates.find('serving'),
         )
         self._certificates.install_signal()
         _loop.spawn(self._certificates.follow, self._clock)
--- a/tests/certificates.py
+++ b/tests/certificates.py
@@ -4,7 +4,6 @@
 import pathlib
 import subprocess
 import tempfile
-from typing import NamedTuple
 
 from skylarktally import _certificates
 from skylarktally import _tls
@@ -60,7 +59,7 @@
 
     def open_server(self, name='server', role='serving', **fields):
         files = self.build_files(name, **fields)
-        return _certificates.Certificates(role, files, client=False)
+        return _certificates.Certificates(role, files)
 
     def open_client(self, role='upstream', name=None, trusted=None):
         """Return what a client uses that may trust another CA."""
@@ -69,22 +68,16 @@
             files = self.build_files(name)
         ca_file = str((trusted or self).ca_file)
         files = files._replace(ca_file=ca_file)
-        return _certificates.Certificates(role, files, client=True)
-
-
-class Shared(NamedTuple):
-    """What tests that change no file may share."""
-
-    authority: Authority
-    server: _certificates.Certificates
-    client: _certificates.Certificates
+        return _certificates.Certificates(role, files)
 
 
 @functools.cache
 def share():
-    directory = tempfile.mkdtemp(prefix='skylarktally-tls-')
-    authority = Authority(directory)
-    return Shared(authority, authority.open_server(), authority.open_client())
+    """Return an authority whose files no test changes."""
+    authority = Authority(tempfile.mkdtemp(prefix='skylarktally-tls-'))
+    authority.server = authority.open_server()
+    authority.client = authority.open_client()
+    return authority
 
 
 def encrypt_key(source, target):
