End the sending of a body at the deadline of its request

Cause: a body of more than 64 KiB is passed on while it arrives, and only 30 s without progress ended it. A caller that sent a byte at a time held a worker's slot for as long as it liked, whatever its deadline.

Ruled out: a check between two pieces, which does not end a read that waits for the next byte. A body that fits in 64 KiB needs no bound here: it is read before a slot is taken.

The naive router fails the check as well.

--- a/skylarktally/_relay.py
+++ b/skylarktally/_relay.py
@@ -160,10 +160,17 @@
         connection: _connections.Connection,
     ) -> None:
         chunked = exchange.body.length is None
+        left = exchange.deadline - self._clock.monotonic()
+        # A caller that sends a byte at a time always makes progress; only
+        # the deadline keeps it from holding the slot.
+        late = _exchange.RequestError(
+            _errors.ErrorKind.REQUEST_TIMEOUT, 'body: the deadline passed'
+        )
         try:
-            connection.endheaders(
-                exchange.body.iterate(), encode_chunked=chunked
-            )
+            with _loop.Timeout(max(left.total_seconds(), 0.001), late):
+                connection.endheaders(
+                    exchange.body.iterate(), encode_chunked=chunked
+                )
         except OSError:
             # A worker that refuses may close before it has read the
             # body; its answer is then waiting to be read.
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -200,6 +200,27 @@
     connection.close()
 
 
+def test_drip_of_body_bytes_ends_at_the_deadline(cell):
+    """Guards against a body that holds a slot by constant progress."""
+    connection = serving.connect(cell.routers[0].serving_address)
+    headers = 'Skylarktally-Timeout-Ms: 1000\r\nContent-Length: 150000\r\n'
+    connection.sendall(build(headers, 'a' * 70000))
+
+    def check():
+        deadline = time.monotonic() + 2.5
+        while not _loop.is_readable(connection):
+            assert time.monotonic() < deadline
+            connection.sendall(b'a')
+            _loop.sleep(0.1)
+        answer = connection.recv(65536)
+        assert b'Skylarktally-Outcome: unknown' in answer
+        _loop.sleep(0.1)
+        assert not cell.workers[0].worker.running
+
+    cell.expect_failure_if_naive(check)
+    connection.close()
+
+
 def test_cut_request_body_does_not_run(cell):
     """Guards against a task that runs with half of its body."""
     connection = serving.connect(cell.routers[0].serving_address)
