Keep equal shares of a worker's slots at busy routers

Cause: a busy router gave every lease back after 3 s and asked again at once. Two busy routers of a zone drew lots for all slots at a time: with 40 callers each and 16 slots, samples a second apart were 8 and 8, 4 and 12, 2 and 14, 13 and 3.

Change: a busy router keeps its equal share, returns what is beyond it after 3 s, and leaves that worker's free slots to the others for two polls. Its own share is open to all after ten times as long, in case it does not see a router; without that exception for the hold-off all slots stood still for 0.1 s in every 30 s (seen as a dip in the new test).

The fake peers of the tests leave the asking router out, as the product's do.

--- a/skylarktally/_dispatch.py
+++ b/skylarktally/_dispatch.py
@@ -49,8 +49,10 @@
         if self._returned:
             return
         self._returned = True
-        self._slots.release(self.lease, reusable)
+        yielded = self._slots.release(self.lease, reusable)
         self._pool.selection.note_end(self.worker, self.lease.slots)
+        if yielded:
+            self._pool.selection.note_yield(self.worker)
         held = self._clock.monotonic() - self.start
         self._pool.queue.note_end(self._rank, held)
 
--- a/skylarktally/_pipeline.py
+++ b/skylarktally/_pipeline.py
@@ -89,7 +89,13 @@
         )
         calls = _worker_calls.WorkerCalls(self._connections)
         holder = f'{settings.name}-{uuid.uuid4().hex}'
-        self._slots = _slots.SlotLeases(clock, limits, holder, calls)
+        self._slots = _slots.SlotLeases(
+            clock,
+            limits,
+            holder,
+            calls,
+            lambda: 1 + len(peers.list_routers(settings.zone)),
+        )
         self._pools = _pools.Pools(
             fleet, settings.zone, clock, limits, self._slots, source
         )
--- a/skylarktally/_selection.py
+++ b/skylarktally/_selection.py
@@ -166,6 +166,13 @@
         worker.running -= slots
         self.update(worker.instance.name)
 
+    def note_yield(self, worker: Worker) -> None:
+        """Leave the slots of a worker to the other routers for a moment.
+
+        They ask again after one poll interval, this router after two.
+        """
+        self.note_full(worker, 2 * self._limits.poll_interval)
+
     def note_full(self, worker: Worker, delay: datetime.timedelta) -> None:
         """Leave a worker alone that had no slot to grant."""
         worker.full_until = self._clock.monotonic() + delay
--- a/skylarktally/_slots.py
+++ b/skylarktally/_slots.py
@@ -74,13 +74,22 @@
         limits: _limits.ServingLimits,
         holder: str,
         calls: Calls,
+        count_routers: Callable[[], int] = lambda: 1,
     ) -> None:
+        """Create without a lease.
+
+        :param count_routers: number of routers alive in the zone, which
+            share the slots of its workers
+        """
         self._clock = clock
+        self._count_routers = count_routers
         self._limits = limits
         self._holder = holder
         self._calls = calls
         self._free: dict[Fence, collections.deque[Lease]] = {}
         self._held: dict[str, Lease] = {}
+        # Slots of the held leases, by worker.
+        self._slots_held: collections.Counter[Fence] = collections.Counter()
         # Called when the free leases of an instance change.
         self.notify: Callable[[Fence], None] = lambda fence: None
 
@@ -109,7 +118,7 @@
             if self.is_usable(lease):
                 lease.busy = True
                 return lease
-            self._held.pop(lease.lease_id, None)
+            self._forget(lease)
         return None
 
     def request(
@@ -137,7 +146,7 @@
         others = [x for x in self._free.get(fence, ()) if x.slots != slots]
         for lease in others:
             self._remove_free(lease)
-            self._held.pop(lease.lease_id, None)
+            self._forget(lease)
         for lease in others:
             self._return(lease)
         return bool(others)
@@ -180,30 +189,58 @@
             return result.Failure(_errors.Failure(kind, _NO_FREE_SLOT))
         lease.busy = True
         self._held[lease.lease_id] = lease
+        self._slots_held[lease.fence] += lease.slots
         return result.Success(lease)
 
-    def release(self, lease: Lease, reusable: bool = True) -> None:
+    def release(self, lease: Lease, reusable: bool = True) -> bool:
         """Make a lease free after its task.
 
         :param reusable: False when the task may still run under the
             lease, or when the worker has refused the lease
+        :returns: whether it was given back for the zone's other routers,
+            which should come first with their requests
         """
-        now = self._clock.monotonic()
         lease.busy = False
-        lease.used = now
+        lease.used = self._clock.monotonic()
+        yielded = False
         if not self.is_usable(lease):
-            self._held.pop(lease.lease_id, None)
-        elif not reusable or (
-            now - lease.granted >= self._limits.lease_tenure
-        ):
+            self._forget(lease)
+        elif not reusable or self._is_worn(lease):
+            self._give_back(lease)
+        elif self._is_owed(lease):
+            yielded = True
             self._give_back(lease)
         else:
             free = self._free.setdefault(lease.fence, collections.deque())
             free.append(lease)
         self.notify(lease.fence)
+        return yielded
+
+    def _is_owed(self, lease: Lease) -> bool:
+        """Tell whether another router should have its turn.
+
+        A router keeps its equal share of a worker while it is busy, and
+        returns what it holds beyond that after the tenure.
+        """
+        if lease.used - lease.granted < self._limits.lease_tenure:
+            return False
+        share = lease.instance.slots // max(self._count_routers(), 1)
+        return self._slots_held[lease.fence] > max(share, 1)
+
+    def _is_worn(self, lease: Lease) -> bool:
+        # For routers that this one does not see, its share is open to all
+        # now and then.
+        return lease.used - lease.granted >= 10 * self._limits.lease_tenure
+
+    def _forget(self, lease: Lease) -> None:
+        if self._held.pop(lease.lease_id, None) is None:
+            return
+        self._slots_held[lease.fence] -= lease.slots
+        if not self._slots_held[lease.fence]:
+            del self._slots_held[lease.fence]
 
     def _give_back(self, lease: Lease) -> None:
-        self._held.pop(lease.lease_id, None)
+        self._forget(lease)
         _loop.spawn(self._return, lease)
 
     def _return(self, lease: Lease) -> None:
@@ -272,5 +309,5 @@
         else:
             # The worker no longer knows the lease.
             lease.expiry = asked
-            self._held.pop(lease.lease_id, None)
+            self._forget(lease)
             self._remove_free(lease)
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -218,6 +218,19 @@
         self.listener.close()
 
 
+class Others:
+    """The peers without the router that asks."""
+
+    def __init__(self, peers, own):
+        self.own = own
+        self.peers = peers
+        self.find_answer = peers.find_answer
+
+    def list_routers(self, zone=None):
+        found = self.peers.list_routers(zone)
+        return [x for x in found if x is not self.own]
+
+
 class Router:
     """A pipeline on loopback with its own claims."""
 
@@ -251,7 +264,7 @@
             fleet,
             clock,
             self.claims,
-            peers,
+            Others(peers, self),
             self.metrics,
             certificates=upstream,
         )
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -175,6 +175,42 @@
     assert (leases.take(INSTANCE) is not None) == usable
 
 
+def test_busy_routers_keep_equal_shares():
+    """Guards against a router that waits while another has its slots."""
+    tenure = datetime.timedelta(seconds=0.5)
+    limits = _limits.ServingLimits(lease_tenure=tenure)
+    with serving.Cell(limits=limits) as cell:
+        for _ in range(2):
+            cell.add_worker()
+        routers = [cell.add_router() for _ in range(2)]
+        path = f'/v1/pools/{serving.POOL}/jobs/report/a/work?seconds=0.3'
+
+        def send(router):
+            while True:
+                serving.call(router.serving_address, 'GET', path)
+
+        def observe(router):
+            return router.pipeline.observe()['pools'][serving.POOL]['running']
+
+        threads = []
+        for router in routers:
+            threads += [_loop.spawn(send, router) for _ in range(24)]
+            # The first router has all slots when the second one begins.
+            _loop.sleep(0.5)
+        _loop.sleep(2)
+        seen = []
+        for _ in range(60):
+            _loop.sleep(0.05)
+            seen.append([observe(router) for router in routers])
+        for thread in threads:
+            thread.kill()
+    # Half of 16 slots each, a quarter of them between two tasks, in every
+    # half second: an average over longer hides turns of all or nothing.
+    for start in range(0, len(seen), 10):
+        for running in zip(*seen[start : start + 10], strict=True):
+            assert sum(running) / 10 >= 6, (start, running)
+
+
 def test_lease_of_an_old_epoch_is_not_used():
     """Guards against work sent to an instance that has been moved."""
     clock = serving.ManualClock()
