--- a/skylarktally/_objects.py
+++ b/skylarktally/_objects.py
@@ -27,9 +27,16 @@
         """Return an object, or None when it is absent."""
 
     def write(
-        self, key: str, data: bytes, if_match: str | None = None
+        self,
+        key: str,
+        data: bytes,
+        if_match: str | None = None,
+        if_absent: bool = False,
     ) -> result.Result[str, _errors.Failure]:
-        """Store an object and return its tag, or CONFLICT."""
+        """Store an object and return its tag, or CONFLICT.
+
+        :param if_absent: whether only a new object may be stored
+        """
 
     def delete(self, key: str) -> result.Result[None, _errors.Failure]:
         """Delete an object, present or not."""
@@ -51,12 +58,21 @@
         return self._client.send('GET', _locate(key)).bind(_read_object)
 
     def write(
-        self, key: str, data: bytes, if_match: str | None = None
+        self,
+        key: str,
+        data: bytes,
+        if_match: str | None = None,
+        if_absent: bool = False,
     ) -> result.Result[str, _errors.Failure]:
-        """Store an object and return its tag, or CONFLICT."""
+        """Store an object and return its tag, or CONFLICT.
+
+        :param if_absent: whether only a new object may be stored
+        """
         headers = {'Content-Type': 'application/octet-stream'}
         if if_match is not None:
             headers['If-Match'] = if_match
+        if if_absent:
+            headers['If-None-Match'] = '*'
         return self._client.send('PUT', _locate(key), data, headers).bind(
             _read_tag
         )
--- a/skylarktally/_reconciler.py
+++ b/skylarktally/_reconciler.py
@@ -169,7 +169,8 @@
         """Store the present state when it is far enough ahead.
 
         A controller that is behind must not overwrite a newer snapshot, so
-        the write is conditioned on the object that was read.
+        the write is conditioned on the object that was read, or on its
+        absence.
         """
         if self._fleet.version < self._stored + self._versions:
             return
@@ -186,6 +187,7 @@
             _snapshots.KEY,
             _snapshots.encode_object(self._fleet),
             found.etag if found else None,
+            if_absent=found is None,
         )
         if isinstance(written, result.Success):
             self._stored = version
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -158,6 +158,8 @@
         expected = request.headers.get('if-match')
         if expected is not None and expected != _compute_etag(data):
             return Answer(412, {'error': 'precondition failed'})
+        if request.headers.get('if-none-match') == '*' and data is not None:
+            return Answer(412, {'error': 'precondition failed'})
         if request.method == 'PUT':
             self._objects[key] = data = request.body
             return Answer(200, {}, (('ETag', _compute_etag(data)),))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -109,13 +109,15 @@
     def read(self, key):
         return result.Success(self.stored.get(key))
 
-    def write(self, key, data, if_match=None):
+    def write(self, key, data, if_match=None, if_absent=False):
         interfere, self.interfere = self.interfere, None
         if interfere:
             interfere()
         held = self.stored.get(key)
         if if_match is not None and (held is None or held.etag != if_match):
             return fail(_errors.ErrorKind.CONFLICT)
+        if if_absent and held is not None:
+            return fail(_errors.ErrorKind.CONFLICT)
         etag = str(hash(data))
         self.stored[key] = _objects.StoredObject(data, etag)
         return result.Success(etag)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -72,7 +72,9 @@
         tag = str(self.writes)
         return result.Success(_objects.StoredObject(self.data, tag))
 
-    def write(self, key, data, if_match=None):
+    def write(self, key, data, if_match=None, if_absent=False):
+        if if_absent and self.data is not None:
+            return fakes.fail(_errors.ErrorKind.CONFLICT)
         if if_match is not None and if_match != str(self.writes):
             return fakes.fail(_errors.ErrorKind.CONFLICT)
         self.data = data
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -131,7 +131,10 @@
     objects = make(_objects.HttpObjects, address, limits)
     tag = objects.write('s/1', b'one').unwrap()
     assert objects.read('s/1').unwrap() == (b'one', tag)
+    again = objects.write('s/1', b'again', if_absent=True).failure()
+    assert again.kind is _errors.ErrorKind.CONFLICT
     objects.write('s/1', b'two', if_match=tag).unwrap()
+    objects.write('s/2', b'new', if_absent=True).unwrap()
     late = objects.write('s/1', b'three', if_match=tag).failure()
     assert late.kind is _errors.ErrorKind.CONFLICT
     assert objects.read('s/1').unwrap().data == b'two'
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -87,7 +87,9 @@
     assert fleet.version == 0
 
 
-def test_stored_snapshot_never_goes_back():
+# The first snapshot of all is written on condition of its absence.
+@pytest.mark.parametrize('first', [True, False])
+def test_stored_snapshot_never_goes_back(first):
     objects = fakes.FakeObjects()
     fleets = [_fleet.Fleet() for _ in range(3)]
     for version, fleet in zip((100, 200, 300), fleets, strict=True):
@@ -95,7 +97,8 @@
     writers = [
         _reconciler.SnapshotWriter(fleet, objects, 100) for fleet in fleets
     ]
-    writers[0].step()
+    if not first:
+        writers[0].step()
     objects.interfere = writers[2].step
     writers[1].step()
     writers[0].step()
