Bind the deferrable callers of the surge to an entry

The deferrable callers chose an entry at random for each request. All zones then get requests at the pace of the slowest one, where the callers gather, so that the demand of the others dips below what asks for an instance; a zone decides by the least demand of its own routers in the window. The explanation follows from the load; the demand of each zone was not recorded.

Change: each deferrable caller keeps to one entry. The check of returns counts moves from the pool that surged alone, which is stricter.

--- a/demo/_callers.py
+++ b/demo/_callers.py
@@ -106,12 +106,19 @@
         for thread in threads:
             thread.wait()
 
-    def repeat(self, name: str, job: dict[str, Any], end: float) -> None:
-        """Send requests of one job one after another until a Unix time."""
+    def repeat(self, place: int, job: dict[str, Any], end: float) -> None:
+        """Send requests of one job one after another until a Unix time.
+
+        Each caller keeps to one entry. With a random one for each request,
+        callers gather in the slowest zone and the demand of the others does
+        not last.
+        """
+        entry = self._entries[place % len(self._entries)]
         number = 0
         while time.time() < end:
             number += 1
-            self._call_under(f'{_OWN_PREFIX}{name}-{number}', job)
+            key = f'{_OWN_PREFIX}{place:03d}-{number:06d}'
+            self._call_under(key, job, entry)
 
     def _choose_job(self, left: float, duration: float) -> dict[str, Any]:
         """Give each pool in turn five times the weight of the others."""
@@ -125,12 +132,18 @@
     def _call(self, number: int, job: dict[str, Any]) -> None:
         self._call_under(self._choose_key(number, job), job)
 
-    def _call_under(self, key: str, job: dict[str, Any]) -> None:
+    def _call_under(
+        self,
+        key: str,
+        job: dict[str, Any],
+        first: _deployment.Entry | None = None,
+    ) -> None:
         started = time.monotonic()
         outcome, error, attempts = 'not-run', '', 0
         while attempts < _MOST_ATTEMPTS:
             attempts += 1
-            entry = self._random.choice(self._entries)
+            entry = first or self._random.choice(self._entries)
+            first = None
             outcome, error = self._send(entry, job, key)
             final = outcome in ('complete', 'wrong-answer')
             if final or not self._may_resend(job, outcome):
--- a/demo/_surge.py
+++ b/demo/_surge.py
@@ -60,7 +60,7 @@
     size = deployment.worker_size
     count = _DEFERRABLE_FACTOR * size['per_pool'] * size['slots']
     threads = [
-        _loop.spawn(callers.repeat, f'later-{number}', later, end)
+        _loop.spawn(callers.repeat, number, later, end)
         for number in range(count)
     ]
     threads.append(_loop.spawn(callers.send_at, urgent, find_rate, end))
@@ -121,7 +121,7 @@
     moves: list[Moved], pool: str, spare: str, surge: float, end: float
 ) -> list[_checks.Check]:
     lent = [m for m in moves if (m.source, m.target) == (spare, pool)]
-    back = [m for m in moves if m.target == spare]
+    back = [m for m in moves if (m.source, m.target) == (pool, spare)]
     served = [m.served - surge for m in lent if m.served is not None]
     first = min(served, default=None)
     once = len({m.instance for m in moves})
@@ -134,7 +134,9 @@
             'never' if first is None else f'{first:.2f} s',
             first is not None,
         ),
-        _checks.Check(f'moves to {spare}', str(len(back)), bool(back)),
+        _checks.Check(
+            f'moves from {pool} to {spare}', str(len(back)), bool(back)
+        ),
         # An instance moves once there and once back.
         _checks.Check(
             f'moves in {end - surge:.0f} s, of {once} instances',
