--- a/demo/_callers.py
+++ b/demo/_callers.py
@@ -126,7 +126,8 @@
         callers gather in the slowest zone and the demand of the others does
         not last.
         """
-        entry = self._entries[place % len(self._entries)]
+        entries = self._deployment.entries
+        entry = entries[place % len(entries)]
         number = 0
         while time.time() < end:
             number += 1
