Let the oldest routers of a zone keep serving beside a fifth

Cause: a router decides from the members of its zone whether it is one of the four that may use the workers, and looked for itself among them. The list that the router process hands over has only the others, so every router counted all of them as older. With five live routers in a zone, as during a replacement of one of four, all five refused requests after their first one.

Change: a router compares its own incarnation and name with the others'.

--- a/skylarktally/_claims.py
+++ b/skylarktally/_claims.py
@@ -135,6 +135,11 @@
             collections.OrderedDict()
         )
 
+    @property
+    def owner(self) -> Owner:
+        """Return the router whose claims these are."""
+        return self._owner
+
     @property
     def table_silent(self) -> bool:
         """Tell whether claims are refused because the table is silent."""
--- a/skylarktally/_pipeline.py
+++ b/skylarktally/_pipeline.py
@@ -342,13 +342,11 @@
         routers in a zone. The oldest ones keep their place, so that a
         further router takes it from none.
         """
-        members = self._peers.list_routers(self._zone)
-        own = [x for x in members if x.name == self._name]
+        own = (self._claims.owner.incarnation, self._name)
         older = [
             x
-            for x in members
-            if not own
-            or (x.incarnation, x.name) < (own[0].incarnation, self._name)
+            for x in self._peers.list_routers(self._zone)
+            if (x.incarnation, x.name) < own
         ]
         has_place = len(older) < self._limits.routers_per_zone
         if has_place != self._has_place:
--- a/tests/test_router_processes.py
+++ b/tests/test_router_processes.py
@@ -373,6 +373,29 @@
     assert record['peak_running'] == 8
 
 
+def test_a_fifth_router_leaves_the_others_in_service(started):
+    """Guards against a zone whose routers all take themselves for surplus."""
+    declare_worker(started)
+    for number in range(5):
+        started.add_router(f'r{number}', 'z', tokens=TOKENS)
+    for name in started.routers:
+        started.start_router(name)
+        # The oldest ones keep their place, so the order matters.
+        wait_until(lambda name=name: started.is_listening(name))
+    names = list(started.routers)
+    wait_until(lambda: all(count_members(started, n) == 4 for n in names))
+    for _ in range(2):
+        statuses = [send(started, name).status for name in names]
+        assert statuses == [200] * 4 + [503]
+        # The first request starts the check of the router's own place.
+        time.sleep(1)
+    expected = [True] * 4 + [False]
+    assert [started.is_ready(n) for n in names] == expected
+    started.kill('r0')
+    del started.routers['r0']
+    wait_until(lambda: send(started, 'r4').status == 200)
+
+
 def test_errors_in_settings_end_the_process(tmp_path):
     path = tmp_path / 'router.json'
     path.write_text('{"name": "r", "zon": "z", "queue_limit": 0}')
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -161,6 +161,14 @@
         url = f'http://{address}/debug/state'
         return dict(self.http.request('GET', url).json())
 
+    def is_listening(self, name: str) -> bool:
+        """Tell whether a router answers at its admin address."""
+        address = self.routers[name]['admin_address']
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            url = f'http://{address}/healthz'
+            return self.http.request('GET', url).status == 200
+        return False
+
     def is_ready(self, name: str) -> bool:
         """Tell whether a router is ready."""
         address = self.routers[name]['admin_address']
