Move the network in memory beside the tool that measures with it

Change: tools.peer_network and tools.clocks; tests import both. Conclusion: one clock, and tools no longer import it from the tests.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,34 +1,14 @@
 """Fakes at the interfaces: a manual clock and a table with faults."""
 
-import datetime
-
 from returns import result
 
 from skylarktally import _errors
 from skylarktally import _objects
 from skylarktally import _table
 from standins import table as standin_table
+from tools import clocks
 
-_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
-
-
-class ManualClock:
-    """Clock that only advances when told to, or by its own sleeps."""
-
-    def __init__(self):
-        self.elapsed = datetime.timedelta()
-
-    def now(self):
-        return _START + self.elapsed
-
-    def monotonic(self):
-        return self.elapsed
-
-    def sleep(self, delay):
-        self.elapsed += max(delay, datetime.timedelta())
-
-    def advance(self, seconds):
-        self.elapsed += datetime.timedelta(seconds=seconds)
+ManualClock = clocks.ManualClock
 
 
 class FaultyTable:
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -1,6 +1,5 @@
 """Fakes and servers on loopback for the tests of the request path."""
 
-import datetime
 import socket
 from typing import Any, NamedTuple
 
@@ -22,28 +21,17 @@
 from standins import worker as worker_standin
 from tests import certificates
 from tests import naive
+from tools import clocks
 
 POOL = 'desk'
 
 
-class ManualClock:
-    """Clock that moves only when told to."""
+class ManualClock(clocks.ManualClock):
+    """Clock of a host that started an hour ago."""
 
     def __init__(self):
-        self.time = datetime.timedelta(hours=1)
-
-    def now(self):
-        start = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
-        return start + self.time
-
-    def monotonic(self):
-        return self.time
-
-    def sleep(self, delay):
-        self.time += delay
-
-    def advance(self, seconds):
-        self.time += datetime.timedelta(seconds=seconds)
+        super().__init__()
+        self.advance(3600)
 
 
 class FakeFleet:
--- a/tests/test_bootstrap.py
+++ b/tests/test_bootstrap.py
@@ -13,7 +13,7 @@
 from skylarktally import _loop
 from skylarktally import _objects
 from skylarktally import _snapshots
-from tests import peer_network
+from tools import peer_network
 
 
 class Offers:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,7 @@
 
 from skylarktally import _membership
 from tests import fakes
-from tests import peer_network
+from tools import peer_network
 
 ALIVE, SUSPECT, DEAD = _membership.State
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -14,7 +14,7 @@
 from skylarktally import _snapshots
 from skylarktally import _table
 from tests import naive_replica
-from tests import peer_network
+from tools import peer_network
 
 ZONES = 'abc'
 _Draw = strategies.integers(0, 10**6)
--- a/tools/gossip_traffic.py
+++ b/tools/gossip_traffic.py
@@ -4,7 +4,7 @@
 import time
 from typing import NamedTuple
 
-from tests import peer_network
+from tools import peer_network
 
 _WARM_UP_SECONDS = 30
 # Zones and routers in each of them.
--- a/tests/peer_network.py
+++ b/tools/peer_network.py
@@ -16,7 +16,7 @@
 from skylarktally import _gossip
 from skylarktally import _membership
 from skylarktally import _snapshots
-from tests import fakes
+from tools import clocks
 
 PERIOD = 0.5
 _FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
@@ -39,6 +39,7 @@
         self.restart()
 
     def restart(self):
+        """Lose everything, as a process does that starts anew."""
         network = self.network
         network.incarnations += 1
         self.incarnation = network.incarnations
@@ -71,11 +72,13 @@
         self.incarnation = node.incarnation
 
     def sync(self, address, request):
+        """Exchange heartbeat counters and log entries."""
         return self._call(
             address, request, ttypes.SyncReply, lambda n: n.gossip.handle_sync
         )
 
     def push_log(self, address, entries):
+        """Send log entries; return the version in force after them."""
         message = ttypes.SyncReply(entries=entries)
         reply = self._call(
             address,
@@ -90,6 +93,7 @@
         return reply.map(lambda answer: answer.log_version)
 
     def fetch_snapshot(self, address):
+        """Return the whole state of the other node."""
         return self._call(
             address,
             ttypes.SyncRequest(),
@@ -117,7 +121,7 @@
 
     def __init__(self, seed, loss=0.0, fleet_type=_fleet.Fleet):
         self.random = random.Random(seed)
-        self.clock = fakes.ManualClock()
+        self.clock = clocks.ManualClock()
         self.loss = loss
         self.fleet_type = fleet_type
         # As long on the wire as a start time in nanoseconds.
@@ -154,9 +158,11 @@
             )
 
     def find(self, name):
+        """Return a node by name."""
         return next(n for n in self.nodes.values() if n.name == name)
 
     def spawn(self, function, *arguments):
+        """Keep a function for the next call of settle."""
         self._tasks.append((function, arguments))
 
     def settle(self):
