Take two refusals in a row for an outage of the platform

Cause: one answer with status 503 made a router refuse all claims until its next poll of the log, up to 2 s. A platform that answers every tenth call that way would have refused most claims, and a claim that is not tried cannot clear the mark. Ruled out: trying every claim (an outage uses up the share of writes).

Change: two answers with status 503 in a row count as an outage; a refused connection still counts at once.

Conclusion: single refusals cost one claim.

--- a/skylarktally/_platform.py
+++ b/skylarktally/_platform.py
@@ -28,6 +28,10 @@
 )
 
 
+# Answers with status 503 in a row that stand for an outage.
+_UNAVAILABLE_ANSWERS = 2
+
+
 class Response(NamedTuple):
     """A complete answer of the platform."""
 
@@ -55,6 +59,8 @@
         self.silent = False
         # Whether it was refused, by the platform or its host.
         self.refused = False
+        # Answers with status 503 in a row.
+        self._unavailable = 0
         # The timeout of a read starts anew with every byte that arrives.
         self._longest = (
             limits.connect_timeout + 2 * limits.response_timeout
@@ -115,7 +121,13 @@
             return _fail(_choose_kind(method), 'the answer took too long')
         finally:
             timeout.cancel()
-        self.silent, self.refused = False, answer.status == 503
+        self.silent = False
+        self._unavailable = (
+            self._unavailable + 1 if answer.status == 503 else 0
+        )
+        # One such answer among others is no outage: claims would be
+        # refused until the next poll of the log, 2 s later.
+        self.refused = self._unavailable >= _UNAVAILABLE_ANSWERS
         if answer.status == 429:
             return _fail(_errors.ErrorKind.RATE_LIMITED, 'platform limit')
         if answer.status == 503:
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -115,9 +115,11 @@
     set_faults(address, **faults)
     commit = table.commit(insert(key, {}))
     assert commit.failure().kind.value == commit_kind
-    assert table.refused is ('down' in faults)
+    # One answer with status 503 may be an exception.
+    assert not table.refused
     assert table.silent is ('delay_seconds' in faults)
     assert table.read(key).failure().kind.value == read_kind
+    assert table.refused is ('down' in faults)
     set_faults(address, down=False, delay_seconds=0, lose_answers=0)
     time.sleep(1)
     assert (table.read(key).unwrap() is not None) == bool(applied)
