Build the clients of the platform in one place

Change: _services.build_services; no behaviour changes. Before and after: 89 tests of five files pass, among them both binaries as processes. Conclusion: one place for what a process is told of the platform.

--- a/skylarktally/_controller.py
+++ b/skylarktally/_controller.py
@@ -17,23 +17,21 @@
 from skylarktally import _dumps
 from skylarktally import _explanations
 from skylarktally import _fleet
-from skylarktally import _instances
 from skylarktally import _journal
 from skylarktally import _leases
 from skylarktally import _limits
 from skylarktally import _listeners
 from skylarktally import _loop
 from skylarktally import _measures
-from skylarktally import _objects
 from skylarktally import _observations
 from skylarktally import _peers
 from skylarktally import _reconciler
 from skylarktally import _resources
 from skylarktally import _routers
 from skylarktally import _runs
+from skylarktally import _services
 from skylarktally import _settings
 from skylarktally import _steps
-from skylarktally import _table
 from skylarktally import _tokens
 from skylarktally import _watches
 from skylarktally import _workers
@@ -85,28 +83,17 @@
 
     def _build_platform(self, incarnation: int) -> None:
         settings = self._settings
-        limits = _limits.Limits(
+        services = _services.build_services(
+            settings,
             self._clock,
-            settings.platform_writes_per_second,
-            settings.platform_reads_per_second,
-            response_timeout=settings.platform_timeout,
-        )
-        self._shares = _limits.Shares(
-            self._clock,
-            limits,
+            self._certificates.find('platform'),
             _limits.CONTROLLER_RATES,
             _SETTLE,
-            settings.assumed_entries,
-        )
-        address = settings.platform_address
-        platform = self._certificates.find('platform')
-        self._table = _table.HttpTable(address, self._clock, limits, platform)
-        self._objects = _objects.HttpObjects(
-            address, self._clock, limits, platform
-        )
-        self._instances = _instances.HttpInstances(
-            address, self._clock, limits, platform
         )
+        self._shares = services.shares
+        self._table = services.table
+        self._objects = services.objects
+        self._instances = services.instances
         self.journal = _journal.Journal(
             self._table, self.fleet, self._clock, settings.name
         )
--- a/skylarktally/_router.py
+++ b/skylarktally/_router.py
@@ -31,15 +31,14 @@
 from skylarktally import _loop
 from skylarktally import _membership
 from skylarktally import _metrics
-from skylarktally import _objects
 from skylarktally import _peers
 from skylarktally import _pipeline
 from skylarktally import _replies
 from skylarktally import _resources
 from skylarktally import _server
+from skylarktally import _services
 from skylarktally import _settings
 from skylarktally import _snapshots
-from skylarktally import _table
 from skylarktally import _tokens
 
 log = logging.getLogger(__name__)
@@ -139,25 +138,16 @@
 
     def _build_platform(self) -> None:
         settings = self._settings
-        limits = _limits.Limits(
+        services = _services.build_services(
+            settings,
             self._clock,
-            settings.platform_writes_per_second,
-            settings.platform_reads_per_second,
-            response_timeout=settings.platform_timeout,
-        )
-        self._shares = _limits.Shares(
-            self._clock,
-            limits,
+            self._certificates.find('platform'),
             _limits.ROUTER_RATES,
             _SETTLE,
-            settings.assumed_entries,
-        )
-        address = settings.platform_address
-        platform = self._certificates.find('platform')
-        self._table = _table.HttpTable(address, self._clock, limits, platform)
-        self._objects = _objects.HttpObjects(
-            address, self._clock, limits, platform
         )
+        self._shares = services.shares
+        self._table = services.table
+        self._objects = services.objects
         self._journal = _journal.Journal(
             self._table, self.fleet, self._clock, settings.name
         )
