Commit planned changes of instances in one place

Cause: departures and repairs had the same steps: plan, plan again inside the transaction, build a change for each item, commit. Change: _steps.commit_plan serves both; a plan that could not be committed is still explained. No behaviour changes. Before and after: the tests of departures, planning, reconciler, repairs, races and controllers pass, among them a controller as a process. Conclusion: one place for plans that must hold in their transaction.

--- a/skylarktally/_departures.py
+++ b/skylarktally/_departures.py
@@ -157,21 +157,12 @@
 
     def _record(self, listing: _instances.InstanceList) -> None:
         now = self._tools.clock.now()
-        planned: list[Departure] = []
-
-        def decide(fleet: _fleet.Fleet) -> _transitions.Changes:
-            planned[:] = self._plan(fleet, listing)
-            changes = []
-            for departure in planned:
-                resource = fleet.find(Kind.INSTANCE, departure.instance)
-                assert resource is not None
-                changes.append(_build_change(departure, resource, now))
-            return result.Success(changes)
-
-        decide(self._tools.fleet)
-        if not planned:
-            return
-        committed = _steps.commit(self._tools, _planning.ZONE_SHARD, decide)
+        planned, committed = _steps.commit_plan(
+            self._tools,
+            _planning.ZONE_SHARD,
+            lambda fleet: self._plan(fleet, listing),
+            lambda departure, found: _build_change(departure, found, now),
+        )
         done = isinstance(committed, result.Success)
         for departure in planned:
             self._explain(departure, done)
--- a/skylarktally/_planning.py
+++ b/skylarktally/_planning.py
@@ -157,21 +157,12 @@
         self, shard: int, observations: list[_repairs.WorkerObservation]
     ) -> None:
         now = self._tools.clock.now()
-        planned: list[_repairs.Repair] = []
-
-        def decide(fleet: _fleet.Fleet) -> _transitions.Changes:
-            planned[:] = self._find_repairs(fleet, shard, observations, now)
-            changes = []
-            for repair in planned:
-                resource = fleet.find(Kind.INSTANCE, repair.instance)
-                assert resource is not None
-                changes.append(_apply_repair(resource, repair, now))
-            return result.Success(changes)
-
-        decide(self._tools.fleet)
-        if not planned:
-            return
-        committed = _steps.commit(self._tools, shard, decide)
+        planned, committed = _steps.commit_plan(
+            self._tools,
+            shard,
+            lambda fleet: self._find_repairs(fleet, shard, observations, now),
+            lambda repair, found: _apply_repair(found, repair, now),
+        )
         for repair in planned:
             self._finish_repair(repair, committed)
 
--- a/skylarktally/_steps.py
+++ b/skylarktally/_steps.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 import datetime
 import logging
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol, TypeVar
 
 from returns import result
 
@@ -111,6 +111,45 @@
     return tools.journal.transact(decide, [fence])
 
 
+class Planned(Protocol):
+    """One planned change of an instance."""
+
+    @property
+    def instance(self) -> str:
+        """Return the name of the instance."""
+
+
+P = TypeVar('P', bound=Planned)
+
+
+def commit_plan(
+    tools: Tools,
+    shard: int,
+    plan: Callable[[_fleet.Fleet], list[P]],
+    build: Callable[[P, Resource], _resources.Change],
+) -> tuple[list[P], result.Result[int, _errors.Failure]]:
+    """Commit a plan that is made again from the state of the transaction.
+
+    :returns: the last plan, and whether it was committed; an empty plan
+        writes nothing
+    """
+    planned = plan(tools.fleet)
+    if not planned:
+        return [], result.Success(tools.fleet.version)
+
+    def decide(fleet: _fleet.Fleet) -> _transitions.Changes:
+        planned[:] = plan(fleet)
+        changes = []
+        for item in planned:
+            found = fleet.find(_resources.Kind.INSTANCE, item.instance)
+            assert found is not None
+            changes.append(build(item, found))
+        return result.Success(changes)
+
+    committed = commit(tools, shard, decide)
+    return planned, committed
+
+
 class Stepper:
     """Takes the steps of the instances whose shards are held."""
 
