Schedule the jobs of a pool under a fenced term

Cause: the product ran opaque requests on slots; the platform's workers run tasks of jobs under leases, and no instance has a disk.

The owner of a pool keeps its jobs on a board, commits accepted jobs and progress in groups under the condition of its term row, renews leases on its workers and rebuilds what runs from their reports. The version of the term row is the fencing token, so that it rises across holders, pools and moves.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 .PHONY: demo test check format thrift bench
 
-$(VENV)/.installed: requirements.txt
+$(VENV)/.installed: requirements.txt deploy/requirements.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
 	touch $@
@@ -25,3 +25,4 @@
 
 thrift:
 	thrift --gen py:package_prefix=skylarktally._gen. -out skylarktally/_gen skylarktally/skylarktally.thrift
+	thrift --gen py:package_prefix=skylarktally._gen. -out skylarktally/_gen skylarktally/entry.thrift
--- /dev/null
+++ b/skylarktally/_gen/entry/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Entry']
--- /dev/null
+++ b/skylarktally/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling of jobs on the workers of a pool."""
--- /dev/null
+++ b/skylarktally/scheduling/_admission.py
@@ -0,0 +1,75 @@
+"""Whether a job is accepted, or refused at once and until when.
+
+The load it answers: a backlog so long that the job could not even be late.
+"""
+
+import datetime
+from typing import NamedTuple
+
+from skylarktally.scheduling import _board
+from skylarktally.scheduling import _ordering
+from skylarktally.scheduling import _placing
+from skylarktally.scheduling import _work
+
+_SHORTEST_DELAY = datetime.timedelta(seconds=1)
+
+
+class Refusal(NamedTuple):
+    """A job is not accepted."""
+
+    # Whether no worker of the pool could ever run it.
+    is_permanent: bool
+    retry_after: datetime.timedelta
+    reason: str
+
+
+def review(
+    board: _board.Board, queue: _work.Queue, spec: _work.JobSpec
+) -> Refusal | None:
+    """Return why the job is refused; None if it is accepted."""
+    seats = list(board.seats.values())
+    # With no worker in sight the pool may just not be known yet.
+    if seats:
+        for step in spec.steps:
+            if not _placing.can_run(step, seats):
+                reason = 'no worker of the pool could run a task of the job'
+                return Refusal(True, _SHORTEST_DELAY, reason)
+    if spec.first_run is not None or any(
+        step.is_long_running for step in spec.steps
+    ):
+        return None
+    chain = _board.find_chain(spec)
+    allowed = queue.stretch * chain + queue.target_latency
+    delay = estimate_delay(board)
+    latest = _ordering.LATE_FACTOR * allowed
+    if delay + chain <= latest:
+        return None
+    wait = max(delay + chain - allowed, _SHORTEST_DELAY)
+    return Refusal(False, wait, 'the backlog of the pool is too long')
+
+
+def estimate_delay(board: _board.Board) -> datetime.timedelta:
+    """Return how long the pool works on what it has accepted."""
+    capacity = 0
+    for seat in board.seats.values():
+        capacity += seat.record.capacity.cpu_millicores if seat.is_open else 0
+        for run in seat.runs.values():
+            step = run.task.group.step
+            if step.is_long_running:
+                capacity -= _board.occupy(step).cpu_millicores
+    work = datetime.timedelta()
+    for job in board.jobs.values():
+        if not job.is_final:
+            work += _measure_work(job)
+    return work / max(capacity, 1)
+
+
+def _measure_work(job: _board.Job) -> datetime.timedelta:
+    """Return the work that is left, in time of one millicore."""
+    work = datetime.timedelta()
+    for group in job.groups.values():
+        step = group.step
+        if group.remaining and not step.is_long_running:
+            cost = step.resources.cpu_millicores * group.remaining
+            work += step.estimate * cost
+    return work
--- /dev/null
+++ b/skylarktally/scheduling/_placing.py
@@ -0,0 +1,126 @@
+"""Choice of the workers for the tasks of a step."""
+
+from collections.abc import Iterable, Iterator
+import datetime
+from typing import NamedTuple
+
+from skylarktally.scheduling import _board
+from skylarktally.scheduling import _work
+
+
+class Placement(NamedTuple):
+    """A task and the worker that is to run it."""
+
+    task: _board.Task
+    seat: _board.Seat
+
+
+class Sketch:
+    """Room on the workers of a pool, less what a plan has placed."""
+
+    def __init__(
+        self, seats: Iterable[_board.Seat], now: datetime.timedelta
+    ) -> None:
+        self._room = {
+            seat.record.id: (seat, seat.room)
+            for seat in seats
+            if seat.is_open and seat.avoided_until <= now
+        }
+        self._spread: dict[tuple[_board.Group, str], int] = {}
+
+    def place(self, task: _board.Task) -> Placement | None:
+        """Take room for the task where it is best placed, if anywhere."""
+        group = task.group
+        need = _board.occupy(group.step)
+        best = None
+        for seat, room in self._room.values():
+            if not self._admits(group, seat) or not need.fits(room):
+                continue
+            score = self._score(group, seat, room)
+            if best is None or score > best[0]:
+                best = score, seat
+        if best is None:
+            return None
+        self._take(group, best[1], need)
+        return Placement(task, best[1])
+
+    def _admits(self, group: _board.Group, seat: _board.Seat) -> bool:
+        step = group.step
+        if step.required_label not in ('', *seat.record.labels):
+            return False
+        most = step.tasks_per_worker
+        return not most or self._count(group, seat) < most
+
+    def _count(self, group: _board.Group, seat: _board.Seat) -> int:
+        id_ = seat.record.id
+        return group.spread.get(id_, 0) + self._spread.get((group, id_), 0)
+
+    def _score(
+        self,
+        group: _board.Group,
+        seat: _board.Seat,
+        room: _work.Resources,
+    ) -> tuple[bool, bool, int, float]:
+        step = group.step
+        capacity = seat.record.capacity.cpu_millicores
+        near = bool(step.data_rack) and step.data_rack == seat.record.rack
+        together = step.is_tightly_coupled and self._is_near(group, seat)
+        # Of sound workers the one with the most room.
+        free = room.cpu_millicores / max(capacity, 1)
+        return near, together, -seat.failures, free
+
+    def _is_near(self, group: _board.Group, seat: _board.Seat) -> bool:
+        taken = {id_ for placed, id_ in self._spread if placed is group}
+        taken.update(group.spread)
+        return any(
+            self._room[id_][0].record.rack == seat.record.rack
+            for id_ in taken
+            if id_ in self._room
+        )
+
+    def _take(
+        self,
+        group: _board.Group,
+        seat: _board.Seat,
+        need: _work.Resources,
+    ) -> None:
+        id_ = seat.record.id
+        self._room[id_] = seat, self._room[id_][1].minus(need)
+        key = group, id_
+        self._spread[key] = self._spread.get(key, 0) + 1
+
+    def place_all(self, tasks: list[_board.Task]) -> list[Placement]:
+        """Place all members of a gang, or none."""
+        room, spread = dict(self._room), dict(self._spread)
+        placed = [self.place(task) for task in tasks]
+        found = [item for item in placed if item is not None]
+        if len(found) == len(tasks):
+            return found
+        self._room, self._spread = room, spread
+        return []
+
+
+def place_group(
+    sketch: Sketch, group: _board.Group, waiting: list[_board.Task]
+) -> Iterator[Placement]:
+    """Yield placements of the waiting tasks as far as there is room."""
+    if group.step.is_gang:
+        if len(waiting) == len(group.tasks):
+            yield from sketch.place_all(waiting)
+        return
+    for task in waiting:
+        placement = sketch.place(task)
+        if placement is None:
+            # The tasks of a step need the same.
+            return
+        yield placement
+
+
+def can_run(step: _work.Step, seats: Iterable[_board.Seat]) -> bool:
+    """Tell whether a worker could run a task of the step when empty."""
+    need = _board.occupy(step)
+    return any(
+        need.fits(seat.record.capacity)
+        and step.required_label in ('', *seat.record.labels)
+        for seat in seats
+    )
--- /dev/null
+++ b/skylarktally/scheduling/_planning.py
@@ -0,0 +1,123 @@
+"""Which runs to start, to stop and to slow down next."""
+
+import datetime
+
+from skylarktally.scheduling import _board
+from skylarktally.scheduling import _ordering
+from skylarktally.scheduling import _placing
+
+# A task that takes this much longer than its estimate stands still.
+_STUCK_FACTOR = 4
+_STUCK_MARGIN = datetime.timedelta(seconds=2)
+
+
+def plan_starts(
+    board: _board.Board, now: datetime.timedelta
+) -> list[_placing.Placement]:
+    """Return the tasks to start now, with their workers."""
+    ranked = sorted(
+        (
+            (_ordering.rank(group, now), id(group), group)
+            for group in board.open_groups
+        ),
+    )
+    sketch = _placing.Sketch(board.seats.values(), now)
+    placements: list[_placing.Placement] = []
+    for _, _, group in ranked:
+        waiting = board.list_waiting(group, now)
+        placements.extend(_placing.place_group(sketch, group, waiting))
+    return placements
+
+
+def plan_stops(
+    board: _board.Board, now: datetime.timedelta
+) -> list[_board.Run]:
+    """Return the runs to stop now."""
+    stops = list(board.list_obsolete())
+    evacuation = _Evacuation(board, now)
+    for seat in board.seats.values():
+        if seat.is_vacating or seat.record.is_draining:
+            stops.extend(evacuation.plan(seat))
+        else:
+            stops.extend(
+                run for run in seat.runs.values() if _is_stuck(run, now)
+            )
+    return stops
+
+
+def _is_stuck(run: _board.Run, now: datetime.timedelta) -> bool:
+    step = run.task.group.step
+    if step.is_long_running or run.state is not _board.RunState.ACTIVE:
+        return False
+    allowed = _STUCK_FACTOR * step.estimate + _STUCK_MARGIN
+    return now - run.sent_at > allowed
+
+
+class _Evacuation:
+    """Chooses the runs that leave their workers, as budgets allow."""
+
+    def __init__(self, board: _board.Board, now: datetime.timedelta) -> None:
+        self._now = now
+        self._sketch = _placing.Sketch(board.seats.values(), now)
+        # Tasks of each group that this pass stops, on any worker.
+        self._stopped: dict[_board.Group, int] = {}
+
+    def plan(self, seat: _board.Seat) -> list[_board.Run]:
+        """Return the runs to stop on a worker."""
+        return [run for run in seat.runs.values() if self._take(run, seat)]
+
+    def _take(self, run: _board.Run, seat: _board.Seat) -> bool:
+        group = run.task.group
+        if run.state is not _board.RunState.ACTIVE:
+            return False
+        if group.job.is_final or not _leaves(run, seat, self._now):
+            return False
+        stopped = self._stopped.get(group, 0)
+        if not may_interrupt(run.task, stopped):
+            return False
+        if self._sketch.place(run.task) is None:
+            return False
+        self._stopped[group] = stopped + 1
+        return True
+
+
+def _leaves(
+    run: _board.Run, seat: _board.Seat, now: datetime.timedelta
+) -> bool:
+    """Tell whether a run is better moved than left to finish."""
+    step = run.task.group.step
+    if step.is_long_running:
+        return True
+    left = step.estimate - (now - run.sent_at)
+    remaining = seat.record.remaining
+    if seat.record.is_draining and remaining is not None:
+        return step.saves_checkpoints and left > remaining
+    return False
+
+
+def may_interrupt(task: _board.Task, others_stopped: int = 0) -> bool:
+    """Tell whether a planned action may make the task unavailable.
+
+    :param others_stopped: tasks of the group that the same plan stops
+    """
+    group = task.group
+    if not group.step.is_long_running or not group.step.unavailable_limit:
+        return True
+    if not task.is_working:
+        return True
+    away = others_stopped + sum(
+        not other.is_working for other in group.tasks if other is not task
+    )
+    return away < group.step.unavailable_limit
+
+
+def is_vacant(seat: _board.Seat) -> bool:
+    """Tell whether an instance can go without ending a run."""
+    return seat.is_vacating and not seat.runs
+
+
+def release_due(board: _board.Board, wall: datetime.datetime) -> None:
+    """Make the occurrences that have become due ready to start."""
+    for job in board.jobs.values():
+        if job.spec.first_run is not None and not job.is_final:
+            board.release(job, wall)
--- /dev/null
+++ b/skylarktally/scheduling/_records.py
@@ -0,0 +1,103 @@
+"""Rows of jobs, of their progress and of terms in the table service."""
+
+import json
+from typing import Any, NamedTuple
+
+from skylarktally.scheduling import _board
+from skylarktally.scheduling import _rows
+from skylarktally.scheduling import _work
+
+JOBS = 'jobs'
+PROGRESS = 'progress'
+TERMS = 'terms'
+TERM_KEY = 'term'
+
+
+class JobRecord(NamedTuple):
+    """A job as it is stored when it is accepted."""
+
+    queue: str
+    # Time of acceptance in milliseconds since the epoch.
+    accepted_ms: int
+    # What the caller sent.
+    body: str
+
+
+class Term(NamedTuple):
+    """The time for which one entry owns a shard."""
+
+    holder: str
+    # Where the holder serves other entries.
+    address: str
+    # Tells the processes of one instance apart.
+    incarnation: str
+    # Number of terms of the shard so far.
+    generation: int
+    # Grows with each transaction of the holder.
+    sequence: int
+    is_released: bool = False
+    # Workers that are lost and whose leases may not have ended.
+    suspects: tuple[str, ...] = ()
+
+
+def encode_job(record: JobRecord) -> bytes:
+    """Return the value of a row."""
+    return json.dumps(record, separators=(',', ':')).encode()
+
+
+def decode_job(value: bytes) -> JobRecord:
+    """Return the record of a row; ValueError if it is damaged."""
+    return JobRecord(*_load_list(value, len(JobRecord._fields)))
+
+
+def encode_term(term: Term) -> bytes:
+    """Return the value of a row."""
+    return json.dumps(term, separators=(',', ':')).encode()
+
+
+def decode_term(value: bytes) -> Term:
+    """Return the term of a row; ValueError if it is damaged."""
+    term = Term(*_load_list(value, len(Term._fields)))
+    return term._replace(suspects=tuple(term.suspects))
+
+
+def _load_list(value: bytes, size: int) -> list[Any]:
+    data = json.loads(value)
+    if not isinstance(data, list) or len(data) != size:
+        raise ValueError(f'expected a list of {size} items')
+    return data
+
+
+def place_term(shard: str) -> _rows.RowKey:
+    """Return the place of a shard's term."""
+    return _rows.RowKey(TERMS, shard, TERM_KEY)
+
+
+def encode_progress(job: _board.Job) -> bytes:
+    """Return the value of a row with the progress of a job."""
+    done: dict[str, list[int]] = {}
+    failed: list[list[Any]] = []
+    if not job.is_final:
+        for group in job.groups.values():
+            indexes = [task.id.ordinal for task in group.tasks if task.is_done]
+            if indexes:
+                done[f'{group.occurrence}.{group.position}'] = indexes
+            for task in group.tasks:
+                if task.failed_runs and not task.is_done:
+                    failed.append([*task.id[1:], sorted(task.failed_runs)])
+    data = [job.state.value, done, failed]
+    return json.dumps(data, separators=(',', ':')).encode()
+
+
+def decode_progress(id_: str, value: bytes) -> _board.Progress:
+    """Return the progress of a job; ValueError if it is damaged."""
+    state, done, failed = _load_list(value, 3)
+    progress = _board.Progress(_work.JobState(state))
+    for place, indexes in done.items():
+        occurrence, position = (int(item) for item in place.split('.'))
+        for index in indexes:
+            progress.done.add(_work.TaskId(id_, occurrence, position, index))
+    for occurrence, position, index, numbers in failed:
+        task = _work.TaskId(id_, occurrence, position, index)
+        progress.failed[task] = set(numbers)
+    return progress
--- /dev/null
+++ b/skylarktally/scheduling/_sessions.py
@@ -0,0 +1,326 @@
+"""Contact of the owner of a pool with one worker.
+
+A session renews the leases of all runs on the worker, reads its report and
+compares it with the board. It bounds how long a run can outlive the contact.
+"""
+
+import datetime
+import logging
+from typing import Protocol
+
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _errors
+from skylarktally import _loop
+from skylarktally.scheduling import _board
+from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _orders
+from skylarktally.scheduling import _signals
+from skylarktally.scheduling import _work
+
+_LOG = logging.getLogger(__name__)
+
+# Leases outlive the failure of an owner and its replacement.
+LEASE = datetime.timedelta(seconds=6)
+# The clock of a worker may be this share slow.
+_CLOCK_DRIFT = 0.02
+_LAPSE_MARGIN = datetime.timedelta(seconds=0.5)
+# How long a worker may keep a report back while nothing ends.
+_REPORT_WAIT = datetime.timedelta(seconds=1)
+_IDLE_WAIT = datetime.timedelta(seconds=5)
+_RETRY_DELAY = datetime.timedelta(seconds=0.2)
+_AVOID = datetime.timedelta(seconds=1)
+_LONGEST_AVOID = datetime.timedelta(seconds=8)
+
+
+def find_lapse(sent_at: datetime.timedelta) -> datetime.timedelta:
+    """Return when a lease given at that time has ended for certain."""
+    return sent_at + LEASE / (1 - _CLOCK_DRIFT) + _LAPSE_MARGIN
+
+
+class Host(Protocol):
+    """The owner that the session belongs to."""
+
+    board: _board.Board
+    ledger: _ledger.Ledger
+
+    def note_report(self) -> None:
+        """Plan again, since runs have ended or a worker is known."""
+
+    def lose_term(self, reason: str) -> None:
+        """Give up the shard, since another entry owns it."""
+
+
+class Session:
+    """Leases, orders and reports of one worker."""
+
+    def __init__(
+        self,
+        host: Host,
+        seat: _board.Seat,
+        calls: _orders.Workers,
+        clock: _clock.Clock,
+    ) -> None:
+        self.seat = seat
+        self.is_over = False
+        self.is_silent = False
+        # When the last lease that was sent has ended for certain.
+        self.lapse_at = clock.monotonic()
+        self._host = host
+        self._calls = calls
+        self._clock = clock
+        self._seen = 0
+        # Clock of the worker, and when its answer arrived.
+        self._reading: tuple[datetime.timedelta, datetime.timedelta] | None = (
+            None
+        )
+        self._signal = _signals.Signal()
+
+    @property
+    def _token(self) -> int:
+        return self._host.ledger.token
+
+    def wake(self) -> None:
+        """Ask for a report if none is being awaited."""
+        self._signal.set()
+
+    def end(self) -> None:
+        """Stop the session."""
+        self.is_over = True
+        self._signal.set()
+
+    def run(self) -> None:
+        """Renew leases and read reports until the session ends."""
+        while not self.is_over and not self._host.ledger.is_over:
+            if not self._host.ledger.may_order():
+                self._clock.sleep(_RETRY_DELAY)
+            elif self.seat.is_known and not self.seat.runs:
+                self._signal.wait(_IDLE_WAIT)
+            elif not self._exchange():
+                self._clock.sleep(_RETRY_DELAY)
+
+    def _find_until(self) -> datetime.timedelta | None:
+        """Return the end of a new lease on the clock of the worker."""
+        if self._reading is None:
+            return None
+        clock, at = self._reading
+        now = self._clock.monotonic()
+        self.lapse_at = max(self.lapse_at, find_lapse(now))
+        return clock + (now - at) + LEASE
+
+    def _exchange(self) -> bool:
+        """Hold the leases once; False if there was no report."""
+        sent_at = self._clock.monotonic()
+        wait = _REPORT_WAIT if self.seat.is_known else datetime.timedelta()
+        order = _orders.HoldOrder(self._find_until(), self._seen, wait)
+        outcome = self._calls.hold(self.seat.record, self._token, order)
+        if self.is_over or self._host.ledger.is_over:
+            return True
+        if not isinstance(outcome, result.Success):
+            self._note_silence(outcome.failure())
+            return False
+        answer = outcome.unwrap()
+        if isinstance(answer, _work.WorkerReport):
+            self._note_answer()
+            self._read_report(answer, sent_at)
+            return True
+        self._read_rejection(answer)
+        return False
+
+    def _note_silence(self, failure: _errors.Failure) -> None:
+        now = self._clock.monotonic()
+        self.seat.avoided_until = now + _AVOID
+        if self.is_silent:
+            return
+        self.is_silent = True
+        _LOG.info(
+            'worker does not answer',
+            extra={
+                'worker': self.seat.record.id,
+                'failure': failure.kind.value,
+                'runs': len(self.seat.runs),
+            },
+        )
+
+    def _note_answer(self) -> None:
+        if self.is_silent:
+            _LOG.info(
+                'worker answers again',
+                extra={'worker': self.seat.record.id},
+            )
+        self.is_silent = False
+
+    def _read_rejection(self, answer: _orders.OrderResult) -> None:
+        if answer.rejection is _orders.Rejection.FENCED:
+            self._host.lose_term('worker has seen a higher token')
+            return
+        self.seat.avoided_until = self._clock.monotonic() + _AVOID
+
+    def _read_report(
+        self, report: _work.WorkerReport, sent_at: datetime.timedelta
+    ) -> None:
+        now = self._clock.monotonic()
+        self._reading = report.clock, now
+        ended = [end for end in report.ended if end.sequence > self._seen]
+        for end in ended:
+            self._note_health(end, now)
+            self._host.board.note_end(self.seat.record.id, end)
+        self._compare(report, sent_at, now)
+        is_new = not self.seat.is_known
+        self.seat.is_known = True
+        if ended or is_new:
+            self._host.note_report()
+        if ended:
+            self._acknowledge(ended)
+
+    def _acknowledge(self, ended: list[_work.EndedRun]) -> None:
+        """Let the worker forget ends once their effect is stored."""
+        board = self._host.board
+        is_urgent = any(job.is_final for job in board.changed.values())
+        if board.changed and not self._host.ledger.flush(is_urgent):
+            return
+        self._seen = max(end.sequence for end in ended)
+
+    def _note_health(
+        self, end: _work.EndedRun, now: datetime.timedelta
+    ) -> None:
+        if end.kind is _work.EndKind.DONE:
+            self.seat.failures = 0
+        elif end.kind is _work.EndKind.FAILED:
+            self._avoid(now)
+
+    def _avoid(self, now: datetime.timedelta) -> None:
+        """Send no new work for a time that doubles with each failure."""
+        self.seat.failures += 1
+        if self.seat.failures < 2:
+            return
+        delay = min(_AVOID * 2 ** (self.seat.failures - 2), _LONGEST_AVOID)
+        self.seat.avoided_until = now + delay
+
+    def _compare(
+        self,
+        report: _work.WorkerReport,
+        sent_at: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        present = {active.task: active for active in report.active}
+        for run in list(self.seat.runs.values()):
+            active = present.get(run.task.id)
+            if active is not None and active.number == run.number:
+                _update_run(run, active, now)
+                del present[run.task.id]
+            elif run.answered_at is not None and run.answered_at < sent_at:
+                self._host.board.remove_run(run)
+        for active in present.values():
+            self._take_unknown(active, now)
+
+    def _take_unknown(
+        self, active: _work.ActiveRun, now: datetime.timedelta
+    ) -> None:
+        """Adopt a run that the board does not know, or stop it."""
+        board = self._host.board
+        task = board.find_task(active.task)
+        is_wanted = (
+            task is not None
+            and not task.is_done
+            and not task.group.job.is_final
+            and task.run is None
+        )
+        if is_wanted and task is not None:
+            board.adopt_run(task, self.seat, active, now)
+            return
+        _loop.spawn(self._stop, active.task, active.number)
+
+    def start(self, run: _board.Run) -> None:
+        """Send the start of a run and note what came of it."""
+        until = self._find_until()
+        if until is None or not self._host.ledger.may_order():
+            self._host.board.remove_run(run)
+            return
+        task = run.task
+        order = _orders.StartOrder(
+            task.id,
+            run.number,
+            task.group.job.spec.task_spec,
+            until,
+            task.checkpoint,
+        )
+        outcome = self._calls.start(self.seat.record, self._token, order)
+        if run.task.run is not run:
+            return
+        if isinstance(outcome, result.Success):
+            self._note_started(run, outcome.unwrap())
+        elif outcome.failure().kind is _errors.ErrorKind.OUTCOME_UNKNOWN:
+            run.state = _board.RunState.DOUBTFUL
+            self.seat.avoided_until = self._clock.monotonic() + _AVOID
+            self.stop(run)
+        else:
+            self._host.board.remove_run(run)
+            self.seat.avoided_until = self._clock.monotonic() + _AVOID
+            self._host.note_report()
+
+    def _note_started(
+        self, run: _board.Run, answer: _orders.OrderResult
+    ) -> None:
+        now = self._clock.monotonic()
+        if answer.rejection is None:
+            run.answered_at = now
+            if run.state is _board.RunState.SENT:
+                run.state = _board.RunState.ACTIVE
+            self.wake()
+            return
+        if answer.rejection is _orders.Rejection.FENCED:
+            self._host.lose_term('worker has seen a higher token')
+            return
+        _LOG.info(
+            'start rejected',
+            extra={
+                'task': run.task.id,
+                'run': run.number,
+                'worker': run.worker,
+                'rejection': answer.rejection.value,
+            },
+        )
+        self._host.board.remove_run(run)
+        if answer.rejection is not _orders.Rejection.OLD:
+            self.seat.avoided_until = now + _AVOID
+        if answer.clock is not None:
+            self._reading = answer.clock, now
+        self._host.note_report()
+
+    def stop(self, run: _board.Run) -> None:
+        """Stop a run; the next report tells when it has ended."""
+        run.state = _board.RunState.STOPPING
+        run.answered_at = None
+        if self._stop(run.task.id, run.number):
+            run.answered_at = self._clock.monotonic()
+            self.wake()
+
+    def _stop(self, task: _work.TaskId, number: int) -> bool:
+        """Send a stop until it is answered."""
+        while not self.is_over and not self._host.ledger.is_over:
+            outcome = self._calls.stop(
+                self.seat.record, self._token, task, number
+            )
+            if isinstance(outcome, result.Success):
+                rejection = outcome.unwrap().rejection
+                if rejection is _orders.Rejection.FENCED:
+                    self._host.lose_term('worker has seen a higher token')
+                    return False
+                if rejection is not _orders.Rejection.UNHEALTHY:
+                    return True
+            self._clock.sleep(_RETRY_DELAY)
+        return False
+
+
+def _update_run(
+    run: _board.Run, active: _work.ActiveRun, now: datetime.timedelta
+) -> None:
+    run.percent = active.percent
+    run.load = active.load
+    if active.checkpoint:
+        run.task.checkpoint = active.checkpoint
+    if run.state is _board.RunState.SENT:
+        run.state = _board.RunState.ACTIVE
+        run.answered_at = now
