Translate the platform's protocols in one folder

The table service, workers, instances, the operator's rows and the requests of callers are decoded once into the types of the scheduler. The folder is a subpackage, since a top-level package named platform would hide the module of the standard library that several libraries import.

--- /dev/null
+++ b/skylarktally/platform/__init__.py
@@ -0,0 +1,19 @@
+"""Adapter of the platform: translates its names and protocols."""
+
+from skylarktally.platform._decoding import decode_job
+from skylarktally.platform._ingress import answer_readiness
+from skylarktally.platform._ingress import Ingress
+from skylarktally.platform._layout import PlatformLayout
+from skylarktally.platform._store import TableStore
+from skylarktally.platform._workers import InstanceCalls
+from skylarktally.platform._workers import WorkerCalls
+
+__all__ = [
+    'Ingress',
+    'InstanceCalls',
+    'PlatformLayout',
+    'TableStore',
+    'WorkerCalls',
+    'answer_readiness',
+    'decode_job',
+]
--- /dev/null
+++ b/skylarktally/platform/_ingress.py
@@ -0,0 +1,216 @@
+"""Requests of callers: WSGI applications of the entry.
+
+A queue is named by the host and the longest prefix of the path; what
+follows the prefix is the id of a job.
+"""
+
+from collections.abc import Callable, Iterable
+import datetime
+import logging
+import re
+from typing import Any, Protocol
+
+from returns import result
+
+from skylarktally import _errors
+from skylarktally import _replies
+from skylarktally.scheduling import _work
+
+_LOG = logging.getLogger(__name__)
+
+ErrorKind = _errors.ErrorKind
+Failure = _errors.Failure
+
+_JOB = re.compile('[0-9a-f]{16}')
+_DEADLINE = 'HTTP_X_SKYLARKTALLY_DEADLINE_MS'
+_DEFAULT_DEADLINE = datetime.timedelta(seconds=3)
+# The answer has to reach the caller before its deadline.
+_RETURN_TIME = datetime.timedelta(seconds=0.15)
+# A caller that asks for a job that does not exist.
+_GONE = 410
+
+Environment = dict[str, Any]
+StartResponse = Callable[..., Any]
+
+
+class Desk(Protocol):
+    """Where jobs are handed in and asked for."""
+
+    def submit(
+        self,
+        queue: _work.Queue,
+        job: str,
+        body: bytes,
+        timeout: datetime.timedelta,
+    ) -> result.Result[None, Failure]:
+        """Hand in a job; on success it is stored."""
+
+    def show(
+        self, queue: _work.Queue, job: str, timeout: datetime.timedelta
+    ) -> result.Result[_work.JobState, Failure]:
+        """Return the state of a job."""
+
+    def cancel(
+        self, queue: _work.Queue, job: str, timeout: datetime.timedelta
+    ) -> result.Result[_work.JobState, Failure]:
+        """Cancel a job; on success that is stored."""
+
+    def count(
+        self, queue: _work.Queue, timeout: datetime.timedelta
+    ) -> result.Result[int, Failure]:
+        """Return the number of jobs that have not started."""
+
+
+class Ingress:
+    """Application that callers reach."""
+
+    def __init__(
+        self,
+        desk: Desk,
+        get_configuration: Callable[[], _work.Configuration | None],
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self.in_progress = 0
+        self._desk = desk
+        self._get_configuration = get_configuration
+        self._is_stopping = is_stopping
+
+    def __call__(
+        self, environment: Environment, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        self.in_progress += 1
+        try:
+            reply = self._answer(environment)
+        finally:
+            self.in_progress -= 1
+        if self._is_stopping():
+            reply.headers.append(('Connection', 'close'))
+        start_response(reply.status, reply.headers)
+        return reply.body
+
+    def _answer(self, environment: Environment) -> _replies.Reply:
+        configuration = self._get_configuration()
+        if configuration is None:
+            message = 'no configuration has been read yet'
+            return _refuse(Failure(ErrorKind.SHUTTING_DOWN, message), '')
+        host = environment.get('HTTP_HOST', '')
+        path = environment.get('PATH_INFO', '')
+        queue = find_queue(configuration, host, path)
+        if queue is None:
+            message = f'no queue for {host}{path}'
+            return _refuse(Failure(ErrorKind.NOT_FOUND, message), '')
+        job = path.removeprefix(queue.prefix)
+        timeout = _read_timeout(environment)
+        if not job:
+            return self._count(environment, queue, timeout)
+        if not _JOB.fullmatch(job):
+            message = 'the id of a job is 16 hexadecimal digits'
+            return _refuse(Failure(ErrorKind.INVALID_REQUEST, message), job)
+        method = environment['REQUEST_METHOD']
+        if method == 'POST':
+            body_limit = configuration.body_limit_bytes
+            return self._submit(environment, queue, job, timeout, body_limit)
+        if method == 'GET':
+            return _answer_state(self._desk.show(queue, job, timeout), job)
+        if method == 'DELETE':
+            cancelled = self._desk.cancel(queue, job, timeout)
+            return _answer_state(cancelled, job)
+        message = f'method {method} is not supported'
+        return _refuse(Failure(ErrorKind.INVALID_REQUEST, message), job)
+
+    def _count(
+        self,
+        environment: Environment,
+        queue: _work.Queue,
+        timeout: datetime.timedelta,
+    ) -> _replies.Reply:
+        if environment['REQUEST_METHOD'] != 'GET':
+            message = 'a queue can only be read'
+            return _refuse(Failure(ErrorKind.INVALID_REQUEST, message), '')
+        counted = self._desk.count(queue, timeout)
+        if isinstance(counted, result.Success):
+            return _replies.create_json(
+                200, {'queued_count': counted.unwrap()}
+            )
+        return _refuse(counted.failure(), '')
+
+    def _submit(
+        self,
+        environment: Environment,
+        queue: _work.Queue,
+        job: str,
+        timeout: datetime.timedelta,
+        body_limit: int,
+    ) -> _replies.Reply:
+        length = environment.get('CONTENT_LENGTH') or '0'
+        if not length.isdigit():
+            message = f'bad length {length!r}'
+            return _refuse(Failure(ErrorKind.INVALID_REQUEST, message), job)
+        if int(length) > body_limit:
+            message = f'the body is above {body_limit} bytes'
+            return _refuse(Failure(ErrorKind.BODY_TOO_LARGE, message), job)
+        body = environment['wsgi.input'].read()
+        accepted = self._desk.submit(queue, job, body, timeout)
+        if isinstance(accepted, result.Success):
+            return _replies.create_json(200, {})
+        return _refuse(accepted.failure(), job)
+
+
+def find_queue(
+    configuration: _work.Configuration, host: str, path: str
+) -> _work.Queue | None:
+    """Return the queue with the host and the longest matching prefix."""
+    matches = [
+        queue
+        for queue in configuration.queues
+        if queue.host == host and path.startswith(queue.prefix)
+    ]
+    return max(matches, key=lambda queue: len(queue.prefix), default=None)
+
+
+def _read_timeout(environment: Environment) -> datetime.timedelta:
+    text = environment.get(_DEADLINE, '')
+    deadline = _DEFAULT_DEADLINE
+    if text.isdigit():
+        deadline = datetime.timedelta(milliseconds=int(text))
+    return max(deadline - _RETURN_TIME, _RETURN_TIME)
+
+
+def _answer_state(
+    shown: result.Result[_work.JobState, Failure], job: str
+) -> _replies.Reply:
+    if isinstance(shown, result.Success):
+        return _replies.create_json(200, {'state': shown.unwrap().value})
+    failure = shown.failure()
+    if failure.kind is ErrorKind.NOT_FOUND:
+        return _replies.create_json(_GONE, {'error': failure.message})
+    return _refuse(failure, job)
+
+
+def _refuse(failure: Failure, job: str) -> _replies.Reply:
+    _LOG.info(
+        'request refused',
+        extra={
+            'job': job,
+            'error': failure.kind.value,
+            'reason': failure.message,
+        },
+    )
+    return _replies.create_error(failure, job)
+
+
+def answer_readiness(
+    is_ready: Callable[[], bool],
+) -> Callable[[Environment, StartResponse], Iterable[bytes]]:
+    """Return the application that the platform asks for readiness."""
+
+    def answer(
+        environment: Environment, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        del environment
+        reply = _replies.create_json(200 if is_ready() else 503, {})
+        start_response(reply.status, reply.headers)
+        return reply.body
+
+    return answer
--- /dev/null
+++ b/skylarktally/platform/_workers.py
@@ -0,0 +1,226 @@
+"""Calls to workers and to the platform's interface for instances."""
+
+import datetime
+from typing import Any
+
+from returns import result
+
+from skylarktally import _errors
+from skylarktally.platform import _decoding
+from skylarktally.platform import _http
+from skylarktally.scheduling import _orders
+from skylarktally.scheduling import _work
+
+ErrorKind = _errors.ErrorKind
+Rejection = _orders.Rejection
+
+# Workers answer in about 1 ms.
+_ORDER_TIMEOUT = datetime.timedelta(seconds=0.4)
+_LIST_TIMEOUT = datetime.timedelta(seconds=1.5)
+_EXPECTED_LIFE = 'X-Skylarktally-Expect-Instance'
+_HOLDER = 'X-Skylarktally-Duty-Holder'
+_TOKEN = 'X-Skylarktally-Fencing-Token'
+
+_REASONS = {
+    'fence': Rejection.FENCED,
+    'old': Rejection.OLD,
+    'late': Rejection.LATE,
+    'room': Rejection.ROOM,
+    'ticket': Rejection.TICKET,
+    'busy': Rejection.BUSY,
+    'wave': Rejection.WAVE,
+}
+_STATUSES = {
+    400: Rejection.INVALID,
+    421: Rejection.OTHER_LIFE,
+    429: Rejection.UNHEALTHY,
+    503: Rejection.UNHEALTHY,
+}
+
+
+def _to_milliseconds(value: datetime.timedelta) -> int:
+    return int(value.total_seconds() * 1000)
+
+
+class WorkerCalls:
+    """Client of the workers."""
+
+    def __init__(self) -> None:
+        self._caller = _http.Caller(ErrorKind.WORKER_UNREACHABLE)
+
+    def start(
+        self,
+        worker: _work.WorkerRecord,
+        token: int,
+        order: _orders.StartOrder,
+    ) -> _orders.OrderOutcome:
+        """Start a run."""
+        body = {
+            'task': _decoding.format_task(order.task),
+            'run_id': order.number,
+            'task_spec': order.task_spec,
+            'until_ms': _to_milliseconds(order.until),
+            'fencing_token': token,
+        }
+        if order.checkpoint:
+            body['checkpoint'] = order.checkpoint
+        return self._order(worker, '/-/run-start', body)
+
+    def stop(
+        self,
+        worker: _work.WorkerRecord,
+        token: int,
+        task: _work.TaskId,
+        number: int,
+    ) -> _orders.OrderOutcome:
+        """Stop a run, and bar it if it has not arrived yet."""
+        body = {
+            'task': _decoding.format_task(task),
+            'run_id': number,
+            'fencing_token': token,
+        }
+        return self._order(worker, '/-/run-stop', body)
+
+    def pace(
+        self,
+        worker: _work.WorkerRecord,
+        token: int,
+        task: _work.TaskId,
+        number: int,
+        percent: int,
+    ) -> _orders.OrderOutcome:
+        """Let a run work at a share of its full speed."""
+        body = {
+            'task': _decoding.format_task(task),
+            'run_id': number,
+            'percent': percent,
+            'fencing_token': token,
+        }
+        return self._order(worker, '/-/pace', body)
+
+    def hold(
+        self,
+        worker: _work.WorkerRecord,
+        token: int,
+        order: _orders.HoldOrder,
+    ) -> result.Result[
+        _work.WorkerReport | _orders.OrderResult, _errors.Failure
+    ]:
+        """Extend the leases and return the report, or a rejection."""
+        body = {
+            'fencing_token': token,
+            'last_seen': order.seen,
+            'wait_ms': _to_milliseconds(order.wait),
+        }
+        if order.until is not None:
+            body['until_ms'] = _to_milliseconds(order.until)
+        timeout = order.wait + _ORDER_TIMEOUT
+        outcome = self._call(worker, '/-/hold', body, timeout)
+        return outcome.bind(_read_report)
+
+    def _order(
+        self, worker: _work.WorkerRecord, path: str, body: dict[str, Any]
+    ) -> _orders.OrderOutcome:
+        outcome = self._call(worker, path, body, _ORDER_TIMEOUT)
+        return outcome.bind(_read_order)
+
+    def _call(
+        self,
+        worker: _work.WorkerRecord,
+        path: str,
+        body: dict[str, Any],
+        timeout: datetime.timedelta,
+    ) -> _http.CallOutcome:
+        headers = {_EXPECTED_LIFE: worker.id}
+        return self._caller.call(
+            'POST', worker.address, path, timeout, body, headers
+        )
+
+
+class InstanceCalls:
+    """Client of the platform's interface for instances."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._caller = _http.Caller(ErrorKind.PLATFORM_UNAVAILABLE)
+
+    def list_instances(
+        self,
+    ) -> result.Result[tuple[_work.InstanceRecord, ...], _errors.Failure]:
+        """Return all instances."""
+        found: list[_work.InstanceRecord] = []
+        query: dict[str, str] = {}
+        while True:
+            outcome = self._caller.call(
+                'GET',
+                self._address,
+                '/-/machines',
+                _LIST_TIMEOUT,
+                query=query,
+            )
+            if not isinstance(outcome, result.Success):
+                return result.Failure(outcome.failure())
+            status, body = outcome.unwrap()
+            if status != 200:
+                message = f'list of instances answered {status}'
+                kind = ErrorKind.PLATFORM_UNAVAILABLE
+                return result.Failure(_errors.Failure(kind, message))
+            found.extend(
+                _decoding.decode_instance(item) for item in body['machines']
+            )
+            if not body.get('next_token'):
+                return result.Success(tuple(found))
+            query['page_token'] = body['next_token']
+
+    def maintain(
+        self, instance: str, wave: int, holder: str, token: int
+    ) -> _orders.OrderOutcome:
+        """Take an instance down for maintenance."""
+        body = {'machine': instance, 'wave_id': wave}
+        return self._order('/-/machine-upkeep', body, holder, token)
+
+    def move(
+        self, instance: str, pool: str, holder: str, token: int
+    ) -> _orders.OrderOutcome:
+        """Move an instance to another pool."""
+        body = {'machine': instance, 'node_pool': pool}
+        return self._order('/-/machine-move', body, holder, token)
+
+    def _order(
+        self, path: str, body: dict[str, Any], holder: str, token: int
+    ) -> _orders.OrderOutcome:
+        headers = {_HOLDER: holder, _TOKEN: str(token)}
+        outcome = self._caller.call(
+            'POST', self._address, path, _LIST_TIMEOUT, body, headers
+        )
+        return outcome.bind(_read_order)
+
+
+def _read_order(answer: _http.Answer) -> _orders.OrderOutcome:
+    clock = answer.body.get('clock_ms')
+    read = None if clock is None else datetime.timedelta(milliseconds=clock)
+    if answer.status == 200:
+        return result.Success(_orders.OrderResult(None, read))
+    if answer.status == 409:
+        reason = _REASONS.get(answer.body.get('reason', ''))
+        if reason is not None:
+            return result.Success(_orders.OrderResult(reason, read))
+    rejection = _STATUSES.get(answer.status)
+    if rejection is not None:
+        return result.Success(_orders.OrderResult(rejection, read))
+    message = f'order answered {answer.status}: {answer.body}'
+    kind = ErrorKind.OUTCOME_UNKNOWN
+    return result.Failure(_errors.Failure(kind, message))
+
+
+def _read_report(
+    answer: _http.Answer,
+) -> result.Result[_work.WorkerReport | _orders.OrderResult, _errors.Failure]:
+    if answer.status == 200:
+        try:
+            return result.Success(_decoding.decode_report(answer.body))
+        except (KeyError, ValueError, TypeError) as error:
+            message = f'unreadable report: {error!r}'
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            return result.Failure(_errors.Failure(kind, message))
+    return _read_order(answer)
