Run entries that claim pools and serve callers

Each entry reads the configuration, workers and terms from the table service, claims shards without a live holder, and sends each call to the owner of its pool over thrift. One shard carries out maintenance waves.

--- a/skylarktally/_launch.py
+++ b/skylarktally/_launch.py
@@ -1,19 +1,39 @@
 """What all binaries do first: read settings and configure logs."""
 
+import os
 import sys
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 from absl import flags
 
 from skylarktally import _logs
 from skylarktally import _settings
 
+# Where the platform puts the settings file of a process.
+_VARIABLE = 'SKYLARKTALLY_NODE_FILE'
 _SETTINGS = flags.DEFINE_string(
-    'settings', None, 'Settings file in JSON with comments.', required=True
+    'settings',
+    os.environ.get(_VARIABLE),
+    f'Settings file in JSON with comments; by default the one that the '
+    f'variable {_VARIABLE} names.',
+    required=_VARIABLE not in os.environ,
 )
 _CHECK = flags.DEFINE_bool('check', False, 'Check the settings and exit.')
 
-S = TypeVar('S', bound=_settings.Settings)
+
+class Basics(Protocol):
+    """What the settings of every binary have."""
+
+    @property
+    def name(self) -> str:
+        """Name of the process in its logs."""
+
+    @property
+    def log_level(self) -> str:
+        """Least level of the lines that are logged."""
+
+
+S = TypeVar('S', bound=Basics)
 
 
 def load(kind: type[S]) -> S:
--- a/skylarktally/_logs.py
+++ b/skylarktally/_logs.py
@@ -13,9 +13,9 @@
     """Send all log records to the stream, one JSON object a line.
 
     :param process: name of the process, added to every line
-    :param stream: standard error unless given
+    :param stream: standard output unless given
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stdout)
     handler.setFormatter(
         json_logger.JsonFormatter(
             ['asctime', 'levelname', 'name', 'message'],
--- a/skylarktally/_settings.py
+++ b/skylarktally/_settings.py
@@ -244,7 +244,7 @@
         )
 
 
-S = TypeVar('S', bound=Settings)
+S = TypeVar('S')
 
 
 class Issue(NamedTuple):
@@ -294,7 +294,8 @@
     if issues:
         return Checked(None, issues)
     settings = kind(**values)
-    for severity, path, message in _check_rules(settings):
+    rules = _check_rules(settings) if isinstance(settings, Settings) else ()
+    for severity, path, message in rules:
         issues.append(Issue(severity, file, path, message))
     if any(issue.severity == 'error' for issue in issues):
         return Checked(None, issues)
@@ -325,7 +326,7 @@
             continue
         name, field = known[key]
         values[name] = field.parse(value, _fields.prefix(report, key))
-    for item in dataclasses.fields(kind):
+    for item in dataclasses.fields(kind):  # type: ignore[arg-type]
         if (
             item.default is dataclasses.MISSING
             and item.default_factory is dataclasses.MISSING
--- /dev/null
+++ b/skylarktally/entries/__init__.py
@@ -0,0 +1,1 @@
+"""The processes of the entry instances that share the pools."""
--- /dev/null
+++ b/skylarktally/entries/_calls.py
@@ -0,0 +1,156 @@
+"""Calls between entries over thrift."""
+
+import collections
+from collections.abc import Callable
+import datetime
+import logging
+import socket
+from typing import Any, Protocol
+
+from returns import result
+from thrift.protocol import TBinaryProtocol
+from thrift import Thrift
+from thrift.transport import TSocket
+from thrift.transport import TTransport
+
+from skylarktally import _errors
+from skylarktally._gen.entry import Entry
+from skylarktally._gen.entry import ttypes
+from skylarktally import _loop
+
+_LOG = logging.getLogger(__name__)
+
+ErrorKind = _errors.ErrorKind
+JobCall = ttypes.JobCall
+JobReply = ttypes.JobReply
+
+_CONNECT_TIMEOUT = datetime.timedelta(seconds=0.5)
+# Idle connections that are kept to one entry.
+_IDLE_CONNECTIONS = 8
+_TRANSPORT_ERRORS = (
+    TTransport.TTransportException,
+    Thrift.TException,
+    OSError,
+    EOFError,
+)
+
+
+class Handler(Protocol):
+    """What an entry does for others."""
+
+    def handle(self, call: ttypes.JobCall) -> ttypes.JobReply:
+        """Carry out a call on a job."""
+
+    def vacate(self, pool: str, worker: str) -> bool:
+        """Empty a worker; tell whether its instance can go now."""
+
+
+class EntryCalls:
+    """Client of other entries."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[_Connection]] = collections.defaultdict(
+            list
+        )
+
+    def handle(
+        self, address: str, call: ttypes.JobCall
+    ) -> result.Result[ttypes.JobReply, _errors.Failure]:
+        """Have the owner of a pool carry out a call."""
+        timeout = datetime.timedelta(milliseconds=call.timeout_ms)
+        return self._call(address, timeout, lambda client: client.handle(call))
+
+    def vacate(
+        self,
+        address: str,
+        pool: str,
+        worker: str,
+        timeout: datetime.timedelta,
+    ) -> result.Result[bool, _errors.Failure]:
+        """Have the owner of a pool empty a worker."""
+        return self._call(
+            address, timeout, lambda client: client.vacate(pool, worker)
+        )
+
+    def _call(
+        self,
+        address: str,
+        timeout: datetime.timedelta,
+        function: Callable[[Any], Any],
+    ) -> result.Result[Any, _errors.Failure]:
+        idle = self._idle[address]
+        try:
+            connection = idle.pop() if idle else _Connection(address)
+        except _TRANSPORT_ERRORS as error:
+            return _fail(ErrorKind.PEER_UNREACHABLE, address, error)
+        try:
+            connection.set_timeout(timeout)
+            answer = function(connection.client)
+        except _TRANSPORT_ERRORS as error:
+            connection.close()
+            # The others may be as dead as this one.
+            for other in idle:
+                other.close()
+            idle.clear()
+            return _fail(ErrorKind.OUTCOME_UNKNOWN, address, error)
+        if len(idle) < _IDLE_CONNECTIONS:
+            idle.append(connection)
+        else:
+            connection.close()
+        return result.Success(answer)
+
+
+class _Connection:
+    """One connection to another entry."""
+
+    def __init__(self, address: str) -> None:
+        host, port = address.rsplit(':', 1)
+        self._socket = TSocket.TSocket(host, int(port))
+        self.set_timeout(_CONNECT_TIMEOUT)
+        transport = TTransport.TBufferedTransport(self._socket)
+        protocol = TBinaryProtocol.TBinaryProtocolAccelerated(transport)
+        self.client = Entry.Client(protocol)
+        transport.open()
+        self._socket.handle.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+        )
+
+    def set_timeout(self, timeout: datetime.timedelta) -> None:
+        self._socket.setTimeout(int(timeout.total_seconds() * 1000))
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+class EntryServer:
+    """Serves calls of other entries."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._processor = Entry.Processor(handler)
+
+    def serve(self, listener: socket.socket) -> None:
+        """Accept connections for good."""
+        while True:
+            connection, _ = listener.accept()
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            _loop.spawn(self._serve_connection, connection)
+
+    def _serve_connection(self, connection: socket.socket) -> None:
+        stream = TSocket.TSocket()
+        stream.setHandle(connection)
+        transport = TTransport.TBufferedTransport(stream)
+        protocol = TBinaryProtocol.TBinaryProtocolAccelerated(transport)
+        try:
+            while True:
+                self._processor.process(protocol, protocol)
+        except _TRANSPORT_ERRORS as error:
+            # The usual end is that the other side closes.
+            _LOG.debug('connection ended', extra={'reason': str(error)})
+        finally:
+            transport.close()
+
+
+def _fail(
+    kind: ErrorKind, address: str, error: Exception
+) -> result.Result[Any, _errors.Failure]:
+    return result.Failure(_errors.Failure(kind, f'{address}: {error}'))
--- /dev/null
+++ b/skylarktally/entries/_claims.py
@@ -0,0 +1,66 @@
+"""When an entry claims a shard that has no live owner."""
+
+import datetime
+from typing import NamedTuple
+
+import xxhash
+
+from skylarktally.entries import _directory
+from skylarktally.scheduling import _ledger
+
+# An entry waits this long for each shard that it owns already, so that
+# the shards spread over the entries.
+_DELAY_PER_SHARD = datetime.timedelta(seconds=0.9)
+# Entries that own the same number of shards try in turn.
+_TURN = datetime.timedelta(seconds=0.3)
+
+
+class Claimant(NamedTuple):
+    """The entry that may claim, and its process."""
+
+    name: str
+    incarnation: str
+    owned: int
+
+
+class Vacancy(NamedTuple):
+    """A shard that may be claimed, and since when."""
+
+    since: datetime.timedelta
+    version: int
+    generation: int
+
+
+def find_vacancy(
+    tenure: _directory.Tenure | None,
+    claimant: Claimant,
+    started_at: datetime.timedelta,
+    read_at: datetime.timedelta,
+) -> Vacancy | None:
+    """Return since when the shard has no owner; None if it has one.
+
+    :param started_at: when the claimant began to read the terms
+    :param read_at: when it last read them
+    """
+    if tenure is None:
+        return Vacancy(started_at, 0, 0)
+    term = tenure.term
+    vacancy = Vacancy(tenure.seen_at, tenure.version, term.generation)
+    if term.is_released:
+        return vacancy
+    if term.holder == claimant.name:
+        # Of an earlier process of this instance, which has ended.
+        if term.incarnation != claimant.incarnation:
+            return vacancy
+        return None
+    expired_at = tenure.seen_at + _ledger.EXPIRY
+    if read_at < expired_at:
+        return None
+    return vacancy._replace(since=expired_at)
+
+
+def find_delay(claimant: Claimant, shard: str) -> datetime.timedelta:
+    """Return how long the claimant leaves a vacancy to others."""
+    text = f'{claimant.name} {shard}'
+    draw = xxhash.xxh32_intdigest(text.encode()) / 2**32
+    return claimant.owned * _DELAY_PER_SHARD + draw * _TURN
--- /dev/null
+++ b/skylarktally/entries/_directory.py
@@ -0,0 +1,272 @@
+"""What an entry knows of the configuration, workers, waves and owners.
+
+All of it is read from the platform's table service. Entries that cannot be
+read are counted as absent and logged once for each version.
+"""
+
+from collections.abc import Callable
+import datetime
+import logging
+from typing import NamedTuple, Protocol
+
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _loop
+from skylarktally.scheduling import _records
+from skylarktally.scheduling import _rows
+from skylarktally.scheduling import _work
+
+_LOG = logging.getLogger(__name__)
+
+# How long the store may hold a read back while nothing changes. A silent
+# connection is noticed after this and the timeout of a read.
+_CONFIGURATION_WAIT = datetime.timedelta(seconds=1)
+# The rows of workers change with each heartbeat, so that waiting for the
+# next change would return at once.
+_WORKERS_INTERVAL = datetime.timedelta(seconds=0.4)
+_TERMS_INTERVAL = datetime.timedelta(seconds=0.7)
+_RETRY_DELAY = datetime.timedelta(seconds=0.15)
+_NO_WAIT = datetime.timedelta()
+
+
+class Layout(Protocol):
+    """Where the operator and the workers write, and how to read it."""
+
+    operator_table: str
+    workers_table: str
+
+    def is_configuration(self, key: str) -> bool:
+        """Tell whether the key is that of the configuration."""
+
+    def is_wave(self, key: str) -> bool:
+        """Tell whether the key is that of a wave."""
+
+    def decode_configuration(self, value: bytes) -> _work.Configuration:
+        """Decode the configuration; ValueError or KeyError if damaged."""
+
+    def decode_worker(self, id_: str, value: bytes) -> _work.WorkerRecord:
+        """Decode a worker's entry; ValueError or KeyError if damaged."""
+
+    def decode_wave(self, value: bytes) -> _work.Wave:
+        """Decode a wave; ValueError or KeyError if damaged."""
+
+
+class Tenure(NamedTuple):
+    """The term of a shard as it was last read."""
+
+    term: _records.Term
+    version: int
+    # When this version was first seen here.
+    seen_at: datetime.timedelta
+
+
+class Directory:
+    """Copy of what the platform's tables say."""
+
+    def __init__(
+        self, store: _rows.Store, layout: Layout, clock: _clock.Clock
+    ) -> None:
+        self.configuration: _work.Configuration | None = None
+        self.workers: dict[str, _work.WorkerRecord] = {}
+        self.waves: dict[int, _work.Wave] = {}
+        self.tenures: dict[str, Tenure] = {}
+        # When the terms were last read with success.
+        self.terms_read_at: datetime.timedelta | None = None
+        # Since when the workers have been followed.
+        self.workers_known_since: datetime.timedelta | None = None
+        self._store = store
+        self._layout = layout
+        self._clock = clock
+        self._refreshing = False
+        self._terms_version: int | None = None
+
+    def start(self) -> None:
+        """Follow the tables for good."""
+        layout = self._layout
+        _loop.spawn(
+            self._follow,
+            layout.operator_table,
+            _CONFIGURATION_WAIT,
+            _NO_WAIT,
+            self._reset_operator,
+            self._apply_operator,
+        )
+        _loop.spawn(
+            self._follow,
+            layout.workers_table,
+            _NO_WAIT,
+            _WORKERS_INTERVAL,
+            self._reset_workers,
+            self._apply_worker,
+        )
+        _loop.spawn(self._poll_terms)
+
+    def list_workers(self, pool: str) -> dict[str, _work.WorkerRecord]:
+        """Return the workers of a pool by id."""
+        return {
+            id_: record
+            for id_, record in self.workers.items()
+            if record.pool == pool
+        }
+
+    def find_address(self, shard: str) -> str | None:
+        """Return where the owner of a shard is reached, if it has one."""
+        tenure = self.tenures.get(shard)
+        if tenure is None or tenure.term.is_released:
+            return None
+        return tenure.term.address
+
+    def _follow(
+        self,
+        table: str,
+        wait: datetime.timedelta,
+        interval: datetime.timedelta,
+        reset: Callable[[], None],
+        apply: Callable[[_rows.Row], None],
+    ) -> None:
+        version: int | None = None
+        is_failing = False
+        while True:
+            if version is None:
+                outcome = self._store.read(table, '')
+            else:
+                outcome = self._store.follow(table, version, wait)
+            is_success = isinstance(outcome, result.Success)
+            if is_success == is_failing:
+                is_failing = not is_success
+                _LOG.info(
+                    'reading of a table fails'
+                    if is_failing
+                    else 'a table is read again',
+                    extra={'table': table},
+                )
+            if not is_success:
+                self._clock.sleep(_RETRY_DELAY)
+                continue
+            changes = outcome.unwrap()
+            if changes.is_truncated:
+                version = None
+                continue
+            if version is None:
+                reset()
+            for row in changes.rows:
+                apply(row)
+            version = changes.version
+            if interval:
+                self._clock.sleep(interval)
+
+    def _reset_operator(self) -> None:
+        self.waves = {}
+
+    def _apply_operator(self, row: _rows.Row) -> None:
+        key = row.place.key
+        if self._layout.is_configuration(key) and not row.is_deleted:
+            self._take_configuration(row)
+        elif self._layout.is_wave(key):
+            self._take_wave(row)
+
+    def _take_configuration(self, row: _rows.Row) -> None:
+        try:
+            found = self._layout.decode_configuration(row.value)
+        except (ValueError, KeyError, TypeError) as error:
+            _log_unreadable(row, error)
+            return
+        known = self.configuration
+        if known is not None and known.version >= found.version:
+            return
+        self.configuration = found
+        _LOG.info(
+            'configuration in force',
+            extra={'version': found.version, 'queues': len(found.queues)},
+        )
+
+    def _take_wave(self, row: _rows.Row) -> None:
+        if row.is_deleted:
+            return
+        try:
+            wave = self._layout.decode_wave(row.value)
+        except (ValueError, KeyError, TypeError) as error:
+            _log_unreadable(row, error)
+            return
+        self.waves[wave.id] = wave
+
+    def _reset_workers(self) -> None:
+        self.workers = {}
+        if self.workers_known_since is None:
+            self.workers_known_since = self._clock.monotonic()
+
+    def _apply_worker(self, row: _rows.Row) -> None:
+        id_ = row.place.key
+        self.workers.pop(id_, None)
+        if row.is_deleted:
+            return
+        try:
+            record = self._layout.decode_worker(id_, row.value)
+        except (ValueError, KeyError, TypeError) as error:
+            _log_unreadable(row, error)
+            return
+        self.workers[id_] = record
+
+    def _poll_terms(self) -> None:
+        while True:
+            self.refresh_terms()
+            self._clock.sleep(_TERMS_INTERVAL)
+
+    def refresh_terms(self) -> bool:
+        """Read the changes of all terms; False without an answer."""
+        if self._refreshing:
+            return False
+        self._refreshing = True
+        try:
+            return self._read_terms()
+        finally:
+            self._refreshing = False
+
+    def _read_terms(self) -> bool:
+        if self._terms_version is None:
+            outcome = _rows.read_table(self._store, _records.TERMS)
+        else:
+            outcome = self._store.follow(
+                _records.TERMS, self._terms_version, _NO_WAIT
+            )
+        if not isinstance(outcome, result.Success):
+            return False
+        changes = outcome.unwrap()
+        if changes.is_truncated:
+            self._terms_version = None
+            return False
+        for row in changes.rows:
+            self._apply_term(row)
+        self._terms_version = changes.version
+        self.terms_read_at = self._clock.monotonic()
+        return True
+
+    def _apply_term(self, row: _rows.Row) -> None:
+        shard = row.place.partition
+        known = self.tenures.get(shard)
+        if known is not None and known.version >= row.version:
+            return
+        try:
+            term = _records.decode_term(row.value)
+        except (ValueError, TypeError) as error:
+            _log_unreadable(row, error)
+            return
+        now = self._clock.monotonic()
+        self.tenures[shard] = Tenure(term, row.version, now)
+
+    def note_term(self, shard: str, term: _records.Term, version: int) -> None:
+        """Take a term that this entry has claimed."""
+        now = self._clock.monotonic()
+        self.tenures[shard] = Tenure(term, version, now)
+
+
+def _log_unreadable(row: _rows.Row, error: Exception) -> None:
+    _LOG.error(
+        'unreadable row',
+        extra={
+            'row': row.place,
+            'version': row.version,
+            'reason': repr(error),
+        },
+    )
--- /dev/null
+++ b/skylarktally/entries/_process.py
@@ -0,0 +1,309 @@
+"""The process of an entry: claims shards and serves callers and entries."""
+
+import datetime
+import logging
+import secrets
+import signal
+
+import prometheus_client
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _errors
+from skylarktally import _listeners
+from skylarktally import _loop
+from skylarktally import _metrics
+from skylarktally.entries import _calls
+from skylarktally.entries import _claims
+from skylarktally.entries import _desk
+from skylarktally.entries import _directory
+from skylarktally.entries import _settings
+from skylarktally import platform
+from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _maintenance
+from skylarktally.scheduling import _owner
+from skylarktally.scheduling import _records
+from skylarktally.scheduling import _sessions
+
+_LOG = logging.getLogger(__name__)
+
+_CLAIM_INTERVAL = datetime.timedelta(seconds=0.1)
+_VACATE_TIMEOUT = datetime.timedelta(seconds=0.5)
+# The balancer takes up to two seconds to notice; callers with open
+# connections are served meanwhile.
+_STOP_NOTICE = datetime.timedelta(seconds=2.5)
+_STOP_POLL = datetime.timedelta(seconds=0.05)
+# Time that is left for the end of the process itself.
+_STOP_MARGIN = datetime.timedelta(seconds=1)
+_CLIENT_CONNECTIONS = 1024
+_IDLE_SECONDS = 60
+
+
+class EntryProcess:
+    """One entry of a deployment."""
+
+    def __init__(
+        self, settings: _settings.EntrySettings, clock: _clock.Clock
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._incarnation = secrets.token_hex(8)
+        self._store = platform.TableStore(settings.store_address)
+        self._layout = platform.PlatformLayout()
+        self._directory = _directory.Directory(
+            self._store, self._layout, clock
+        )
+        self._workers = platform.WorkerCalls()
+        self._instances = platform.InstanceCalls(settings.instances_address)
+        self._calls = _calls.EntryCalls()
+        self._desk = _desk.Desk(self, self._directory, self._calls, clock)
+        self._ingress = platform.Ingress(
+            self._desk,
+            lambda: self._directory.configuration,
+            lambda: self._is_stopping,
+        )
+        self._owners: dict[str, _owner.PoolOwner] = {}
+        self._maintenance: _maintenance.Maintenance | None = None
+        self._started_at = clock.monotonic()
+        self._is_stopping = False
+
+    def run(self) -> None:
+        """Serve until a signal asks to stop."""
+        settings = self._settings
+        signal.signal(signal.SIGTERM, self._note_stop)
+        signal.signal(signal.SIGINT, self._note_stop)
+        # The settings name addresses only, which need a new process.
+        signal.signal(signal.SIGHUP, self._note_reload)
+        _LOG.info(
+            'entry started',
+            extra={'entry': settings.name, 'incarnation': self._incarnation},
+        )
+        self._directory.start()
+        self._serve()
+        while not self._is_stopping:
+            self._clock.sleep(_CLAIM_INTERVAL)
+            self._claim_vacant()
+        self._stop()
+
+    def _serve(self) -> None:
+        settings = self._settings
+        _loop.spawn(
+            _calls.EntryServer(self).serve,
+            _listeners.open_listener(settings.peer_address),
+        )
+        _listeners.serve_wsgi(
+            settings.readiness_address,
+            platform.answer_readiness(self._is_ready),
+            None,
+        )
+        registry = _metrics.create_registry()
+        _listeners.serve_wsgi(
+            settings.metrics_address,
+            prometheus_client.make_wsgi_app(registry),
+            None,
+        )
+        _listeners.serve_wsgi(
+            settings.serving_address,
+            self._ingress,
+            None,
+            max_size=_CLIENT_CONNECTIONS,
+            keepalive=_IDLE_SECONDS,
+        )
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._is_stopping and self._directory.configuration is not None
+        )
+
+    def _note_stop(self, number: int, frame: object) -> None:
+        del number, frame
+        self._is_stopping = True
+
+    def _note_reload(self, number: int, frame: object) -> None:
+        del number, frame
+        _LOG.info('settings may have changed; they are read at the start')
+
+    def _stop(self) -> None:
+        """Hand over the shards and finish what is in progress."""
+        begin = self._clock.monotonic()
+        _LOG.info('stopping', extra={'shards': sorted(self._owners)})
+        for ledger in self._list_ledgers():
+            ledger.release()
+        end = begin + self._settings.stop_limit - _STOP_MARGIN
+        while self._clock.monotonic() < end:
+            spent = self._clock.monotonic() - begin
+            if spent >= _STOP_NOTICE and not self._ingress.in_progress:
+                break
+            self._clock.sleep(_STOP_POLL)
+        _LOG.info('stopped', extra={'in_progress': self._ingress.in_progress})
+
+    def _list_ledgers(self) -> list[_ledger.Ledger]:
+        ledgers = [owner.ledger for owner in self._owners.values()]
+        if self._maintenance is not None:
+            ledgers.append(self._maintenance.ledger)
+        return ledgers
+
+    # Claims.
+
+    def _claim_vacant(self) -> None:
+        """Claim shards that have been without an owner for long enough."""
+        directory = self._directory
+        configuration = directory.configuration
+        read_at = directory.terms_read_at
+        if configuration is None or read_at is None:
+            return
+        if directory.workers_known_since is None:
+            return
+        self._drop_ended()
+        now = self._clock.monotonic()
+        shards = [pool.name for pool in configuration.pools]
+        for shard in (*shards, _maintenance.SHARD):
+            if self._owns(shard):
+                continue
+            claimant = _claims.Claimant(
+                self._settings.name,
+                self._incarnation,
+                len(self._list_ledgers()),
+            )
+            vacancy = _claims.find_vacancy(
+                directory.tenures.get(shard),
+                claimant,
+                self._started_at,
+                read_at,
+            )
+            if vacancy is None:
+                continue
+            delay = _claims.find_delay(claimant, shard)
+            # The vacancy must show in a read after the delay.
+            if vacancy.since + delay <= min(now, read_at):
+                self._claim(shard, vacancy)
+
+    def _owns(self, shard: str) -> bool:
+        if shard == _maintenance.SHARD:
+            return self._maintenance is not None
+        return shard in self._owners
+
+    def _drop_ended(self) -> None:
+        for shard, owner in list(self._owners.items()):
+            if owner.ledger.is_over:
+                del self._owners[shard]
+        maintenance = self._maintenance
+        if maintenance is not None and maintenance.ledger.is_over:
+            self._maintenance = None
+
+    def _claim(self, shard: str, vacancy: _claims.Vacancy) -> None:
+        former = self._directory.tenures.get(shard)
+        term = _records.Term(
+            self._settings.name,
+            self._settings.peer_address,
+            self._incarnation,
+            vacancy.generation + 1,
+            0,
+        )
+        outcome = _ledger.claim(
+            self._store, self._clock, shard, term, vacancy.version
+        )
+        if not isinstance(outcome, result.Success):
+            _LOG.info(
+                'claim without answer',
+                extra={
+                    'shard': shard,
+                    'failure': outcome.failure().kind.value,
+                },
+            )
+            self._directory.refresh_terms()
+            return
+        ledger = outcome.unwrap()
+        if ledger is None:
+            self._directory.refresh_terms()
+            return
+        _LOG.info(
+            'shard claimed',
+            extra={
+                'shard': shard,
+                'token': ledger.token,
+                'generation': term.generation,
+                'former': former.term.holder if former else None,
+            },
+        )
+        self._directory.note_term(shard, term, ledger.token)
+        suspects = former.term.suspects if former is not None else ()
+        self._begin(shard, ledger, suspects)
+
+    def _begin(
+        self, shard: str, ledger: _ledger.Ledger, suspects: tuple[str, ...]
+    ) -> None:
+        if shard == _maintenance.SHARD:
+            self._maintenance = _maintenance.Maintenance(
+                ledger,
+                self._store,
+                self._instances,
+                self._layout,
+                self._clock,
+                self._settings.name,
+            )
+            _loop.spawn(
+                self._maintenance.run,
+                lambda: self._directory.waves,
+                self._request_vacancy,
+            )
+            return
+        owner = _owner.PoolOwner(
+            ledger,
+            self._store,
+            self._workers,
+            self._clock,
+            platform.decode_job,
+        )
+        self._owners[shard] = owner
+        configuration = self._directory.configuration
+        queues = configuration.queues if configuration is not None else ()
+        _loop.spawn(
+            owner.run,
+            {queue.name: queue for queue in queues},
+            lambda: self._directory.list_workers(shard),
+            suspects,
+            self._is_informed(),
+        )
+
+    def _is_informed(self) -> bool:
+        since = self._directory.workers_known_since
+        if since is None:
+            return False
+        now = self._clock.monotonic()
+        return now >= _sessions.find_lapse(since)
+
+    def find_owner(self, pool: str) -> _owner.PoolOwner | None:
+        """Return the owner of a pool if it is in this process."""
+        owner = self._owners.get(pool)
+        if owner is None or owner.ledger.is_over:
+            return None
+        return owner
+
+    # Calls of other entries.
+
+    def handle(self, call: _calls.JobCall) -> _calls.JobReply:
+        """Carry out a call on a job."""
+        return self._desk.handle(call)
+
+    def vacate(self, pool: str, worker: str) -> bool:
+        """Empty a worker; tell whether its instance can go now."""
+        owner = self.find_owner(pool)
+        return owner is not None and owner.vacate(worker)
+
+    def _request_vacancy(self, pool: str, worker: str) -> bool:
+        """Have a worker emptied by the owner of its pool."""
+        if self.find_owner(pool) is not None:
+            return self.vacate(pool, worker)
+        address = self._directory.find_address(pool)
+        if address is None:
+            return False
+        outcome = self._calls.vacate(address, pool, worker, _VACATE_TIMEOUT)
+        if isinstance(outcome, result.Success):
+            return bool(outcome.unwrap())
+        kind = outcome.failure().kind
+        if kind is not _errors.ErrorKind.OUTCOME_UNKNOWN:
+            _LOG.info(
+                'owner not reached', extra={'pool': pool, 'kind': kind.value}
+            )
+        return False
