--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -61,6 +61,13 @@
     seen_at: datetime.timedelta
 
 
+class Departure(NamedTuple):
+    """A worker whose entry has vanished, and when."""
+
+    record: _work.WorkerRecord
+    at: datetime.timedelta
+
+
 class Directory:
     """Copy of what the platform's tables say."""
 
@@ -69,6 +76,7 @@
     ) -> None:
         self.configuration: _work.Configuration | None = None
         self.workers: dict[str, _work.WorkerRecord] = {}
+        self._departed: dict[str, Departure] = {}
         self.waves: dict[int, _work.Wave] = {}
         self.tenures: dict[str, Tenure] = {}
         # When the terms were last read with success.
@@ -110,6 +118,19 @@
             if record.pool == pool
         }
 
+    def list_departed(
+        self, pool: str, since: datetime.timedelta
+    ) -> dict[str, _work.WorkerRecord]:
+        """Return the workers of a pool that have vanished since then."""
+        for id_, departure in list(self._departed.items()):
+            if departure.at < since or id_ in self.workers:
+                del self._departed[id_]
+        return {
+            id_: departure.record
+            for id_, departure in self._departed.items()
+            if departure.record.pool == pool
+        }
+
     def find_address(self, shard: str) -> str | None:
         """Return where the owner of a shard is reached, if it has one."""
         tenure = self.tenures.get(shard)
@@ -192,13 +213,20 @@
         self.waves[wave.id] = wave
 
     def _reset_workers(self) -> None:
-        self.workers = {}
+        for id_ in list(self.workers):
+            self._remove_worker(id_)
         if self.workers_known_since is None:
             self.workers_known_since = self._clock.monotonic()
 
+    def _remove_worker(self, id_: str) -> None:
+        record = self.workers.pop(id_, None)
+        if record is not None:
+            now = self._clock.monotonic()
+            self._departed[id_] = Departure(record, now)
+
     def _apply_worker(self, row: _rows.Row) -> None:
         id_ = row.place.key
-        self.workers.pop(id_, None)
+        self._remove_worker(id_)
         if row.is_deleted:
             return
         try:
--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -227,11 +227,13 @@
             },
         )
         self._directory.note_term(shard, term, ledger.token)
-        suspects = former.term.suspects if former is not None else ()
-        self._begin(shard, ledger, suspects)
+        self._begin(shard, ledger, former)
 
     def _begin(
-        self, shard: str, ledger: _ledger.Ledger, suspects: tuple[str, ...]
+        self,
+        shard: str,
+        ledger: _ledger.Ledger,
+        former: _directory.Tenure | None,
     ) -> None:
         if shard == _maintenance.SHARD:
             self._maintenance = _maintenance.Maintenance(
@@ -262,16 +264,24 @@
             owner.run,
             {queue.name: queue for queue in queues},
             lambda: self._directory.list_workers(shard),
-            suspects,
-            self._is_informed(),
+            self._describe_succession(shard, former),
         )
 
-    def _is_informed(self) -> bool:
-        since = self._directory.workers_known_since
-        if since is None:
-            return False
+    def _describe_succession(
+        self, shard: str, former: _directory.Tenure | None
+    ) -> _owner.Succession:
         now = self._clock.monotonic()
-        return now >= _sessions.find_lapse(since)
+        last_order_at = now
+        if former is not None:
+            last_order_at = min(now, former.seen_at + _ledger.HOLD_LIMIT)
+        horizon = _sessions.find_lapse(_ledger.HOLD_LIMIT)
+        since = self._directory.workers_known_since
+        return _owner.Succession(
+            former.term.suspects if former is not None else (),
+            self._directory.list_departed(shard, now - horizon),
+            since is not None and now - since >= horizon,
+            last_order_at,
+        )
 
     def find_owner(self, pool: str) -> _owner.PoolOwner | None:
         """Return the owner of a pool if it is in this process."""
--- a/skylarktally/scheduling/_board.py
+++ b/skylarktally/scheduling/_board.py
@@ -262,6 +262,8 @@
         task.last_number = max(task.last_number, active.number)
         run = Run(task, active.number, '', now, RunState.ACTIVE)
         run.answered_at = now
+        run.percent, run.load = active.percent, active.load
+        task.checkpoint = active.checkpoint or task.checkpoint
         return self._attach(run, seat)
 
     def _attach(self, run: Run, seat: Seat) -> Run:
--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -109,7 +109,11 @@
         self._version = version
         self._renewed_at = renewed_at
         self._writes: collections.deque[_Write] = collections.deque()
+        # Events of those who wait for the next transaction, and for the
+        # one on its way.
         self._flushes: list[_loop.Event] = []
+        self._sending_flushes: list[_loop.Event] = []
+        self._is_sending = False
         self._signal = _signals.Signal()
         self._due: datetime.timedelta | None = None
         self._source: Source | None = None
@@ -162,13 +166,22 @@
         self._writes.remove(write)
         return Fate.DROPPED
 
-    def flush(self, is_urgent: bool = False) -> bool:
-        """Wait until all present changes are written; False if not."""
+    def flush(self, has_changes: bool, is_urgent: bool = False) -> bool:
+        """Wait until all present changes are written; False if not.
+
+        :param has_changes: whether the source has changes to take; those
+            that it has given already are in the transaction on its way
+        """
         if self.is_over:
             return False
+        if not has_changes and not self._is_sending:
+            return True
         done = _loop.Event()
-        self._flushes.append(done)
-        self.note_changes(is_urgent)
+        if has_changes:
+            self._flushes.append(done)
+            self.note_changes(is_urgent)
+        else:
+            self._sending_flushes.append(done)
         return bool(done.wait())
 
     def release(self) -> None:
@@ -207,7 +220,7 @@
             write = self._writes.popleft()
             writes.append(write)
             puts.extend(write.puts)
-        flushes, self._flushes = self._flushes, []
+        self._sending_flushes, self._flushes = self._flushes, []
         changes = self._take_changes(_BATCH_ROWS - len(puts))
         term = self._term._replace(
             sequence=self._term.sequence + 1,
@@ -224,12 +237,14 @@
             ),
             removals=tuple(changes.removals),
         )
+        self._is_sending = True
         is_applied = self._send(transaction, term)
+        self._is_sending = False
         if is_applied:
             changes.note_applied()
         for write in writes:
             write.resolve(Fate.APPLIED if is_applied else Fate.UNKNOWN)
-        for done in flushes:
+        for done in self._sending_flushes:
             done.send(is_applied)
         if is_applied and self._is_released:
             self.is_over = True
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -52,6 +52,19 @@
     timeout: datetime.timedelta
 
 
+class Succession(NamedTuple):
+    """What a new owner knows of the time of the former one."""
+
+    # Lost workers that the former owner knew of.
+    suspects: tuple[str, ...]
+    # Workers that have vanished while a lease may last.
+    departed: Mapping[str, _work.WorkerRecord]
+    # Whether this entry has followed the workers for longer than that.
+    is_informed: bool
+    # The former owner has given no order after this.
+    last_order_at: datetime.timedelta
+
+
 class _Settled(NamedTuple):
     """Final state of a job, and since when it is shown."""
 
@@ -97,21 +110,15 @@
         self,
         queues: Mapping[str, _work.Queue],
         workers: Callable[[], Mapping[str, _work.WorkerRecord]],
-        suspects: tuple[str, ...],
-        is_informed: bool,
+        succession: Succession,
     ) -> None:
-        """Load the pool, learn what runs, and schedule until the end.
-
-        :param suspects: lost workers that the former owner knew of
-        :param is_informed: whether this entry has followed the workers for
-            longer than a lease lasts
-        """
+        """Load the pool, learn what runs, and schedule until the end."""
         _loop.spawn(self.ledger.run)
         if not self._load(queues):
             return
-        self.sync_workers(workers())
+        self.sync_workers({**succession.departed, **workers()})
         self._await_reports()
-        self._bar_unknown(suspects, is_informed)
+        self._bar_unknown(succession)
         self.is_ready = True
         _LOG.info(
             'owner ready',
@@ -207,10 +214,9 @@
                 return
             self._clock.sleep(_REPORT_POLL)
 
-    def _bar_unknown(
-        self, suspects: tuple[str, ...], is_informed: bool
-    ) -> None:
+    def _bar_unknown(self, succession: Succession) -> None:
         """Bar tasks that may run on workers that have not reported."""
+        suspects, is_informed = succession.suspects, succession.is_informed
         silent = [
             worker
             for worker, seat in self.board.seats.items()
@@ -219,8 +225,7 @@
         silent.extend(item for item in suspects if item not in silent)
         if not self.board.jobs or (is_informed and not silent):
             return
-        now = self._clock.monotonic()
-        until = _sessions.find_lapse(now)
+        until = _sessions.find_lapse(succession.last_order_at)
         for worker in silent:
             self._suspects[worker] = until
         for job in self.board.jobs.values():
@@ -484,7 +489,8 @@
         if not job.is_final:
             self.board.finish_job(job, _work.JobState.CANCELLED)
             self._signal.set()
-        if not self.ledger.flush(is_urgent=True):
+        has_changes = id_ in self.board.changed
+        if not self.ledger.flush(has_changes, is_urgent=True):
             return _fail(ErrorKind.OUTCOME_UNKNOWN, 'the owner has changed')
         return result.Success(job.state)
 
--- a/skylarktally/scheduling/_planning.py
+++ b/skylarktally/scheduling/_planning.py
@@ -103,8 +103,6 @@
     group = task.group
     if not group.step.is_long_running or not group.step.unavailable_limit:
         return True
-    if not task.is_working:
-        return True
     away = others_stopped + sum(
         not other.is_working for other in group.tasks if other is not task
     )
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -178,7 +178,8 @@
         """Let the worker forget ends once their effect is stored."""
         board = self._host.board
         is_urgent = any(job.is_final for job in board.changed.values())
-        if board.changed and not self._host.ledger.flush(is_urgent):
+        has_changes = bool(board.changed)
+        if not self._host.ledger.flush(has_changes, is_urgent):
             return
         self._seen = max(end.sequence for end in ended)
 
