--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -199,7 +199,7 @@
         while not self.is_over:
             self._wait()
             if not self.is_over:
-                self._commit_batch()
+                self.commit()
         self._abandon()
 
     def _wait(self) -> None:
@@ -212,7 +212,8 @@
                 return
             self._signal.wait(due - now)
 
-    def _commit_batch(self) -> None:
+    def commit(self) -> None:
+        """Commit what waits in one transaction, and renew the term."""
         self._due = None
         writes: list[_Write] = []
         puts: list[Put] = []
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -97,7 +97,7 @@
                 self._clock.sleep(_RETRY_DELAY)
             elif self.seat.is_known and not self.seat.runs:
                 self._signal.wait(_IDLE_WAIT)
-            elif not self._exchange():
+            elif not self.exchange():
                 self._clock.sleep(_RETRY_DELAY)
 
     def _find_until(self) -> datetime.timedelta | None:
@@ -109,7 +109,7 @@
         self.lapse_at = max(self.lapse_at, find_lapse(now))
         return clock + (now - at) + LEASE
 
-    def _exchange(self) -> bool:
+    def exchange(self) -> bool:
         """Hold the leases once; False if there was no report."""
         sent_at = self._clock.monotonic()
         wait = _REPORT_WAIT if self.seat.is_known else datetime.timedelta()
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,245 @@
+"""Guards writes under the condition of a term, with lost answers."""
+
+import pytest
+from returns import result
+
+from skylarktally import _loop
+from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _records
+from skylarktally.scheduling import _rows
+from standins import rows as standin
+from tests import pools
+
+Fate = _ledger.Fate
+Fault = standin.Fault
+
+SHARD = 'pool'
+TERM = _records.Term('a', 'a:1', 'life', 1, 0)
+
+
+class Source:
+    """Changes that wait to be written."""
+
+    def __init__(self):
+        self.puts = []
+        self.applied = 0
+        self.suspects = ()
+
+    def take_changes(self, limit):
+        taken, self.puts = self.puts[:limit], self.puts[limit:]
+        return _ledger.Changes(taken, [], self.note_applied)
+
+    def note_applied(self):
+        self.applied += 1
+
+    def list_suspects(self):
+        return self.suspects
+
+
+class Shard:
+    """A shard that has been claimed once."""
+
+    def __init__(self):
+        self.clock = pools.ManualClock()
+        self.table = standin.RowTable()
+        self.source = Source()
+        self.ledger = self.claim(TERM, 0)
+        self.ledger.attach(self.source)
+
+    def claim(self, term, version):
+        claimed = _ledger.claim(self.table, self.clock, SHARD, term, version)
+        assert isinstance(claimed, result.Success)
+        return claimed.unwrap()
+
+    def find_version(self):
+        return self.table.rows[_records.place_term(SHARD)].version
+
+    def write(self, key, value=b'1', fates=None):
+        """Begin a write, to be committed by ``ledger.commit``."""
+        put = place(key), value
+        thread = _loop.spawn(
+            self.ledger.write,
+            [put],
+            pools.seconds(60),
+            (fates if fates is not None else []).append,
+        )
+        _loop.sleep(0)
+        return thread
+
+
+def place(key):
+    return _rows.RowKey('jobs', SHARD, key)
+
+
+@pytest.fixture
+def shard():
+    return Shard()
+
+
+def test_writes_and_progress_share_one_transaction(shard):
+    shard.source.puts = [(place('p'), b'progress')]
+    threads = [shard.write(key) for key in 'ab']
+    before = shard.table.commits
+    shard.ledger.commit()
+    assert [thread.wait() for thread in threads] == [Fate.APPLIED] * 2
+    assert shard.table.commits == before + 1
+    assert {'a', 'b', 'p'} <= {key.key for key in shard.table.rows}
+    assert shard.source.applied == 1
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [
+        [Fault.LOSE],
+        [Fault.DROP],
+        [Fault.REFUSE],
+        [Fault.LOSE, Fault.DROP, Fault.REFUSE],
+        [Fault.DELAY, Fault.LOSE],
+    ],
+)
+def test_a_write_is_applied_once_whatever_answers_are_lost(shard, faults):
+    shard.table.faults = list(faults)
+    thread = shard.write('a')
+    shard.ledger.commit()
+    assert thread.wait() is Fate.APPLIED
+    written = [
+        row for row in shard.table.follow('jobs', 0, None).unwrap().rows
+    ]
+    assert [row.place.key for row in written] == ['a']
+    assert not shard.ledger.is_over
+
+
+def test_a_copy_that_is_carried_out_later_changes_nothing(shard):
+    """Guards against an old value that overwrites a newer one."""
+    shard.table.faults = [Fault.DELAY]
+    thread = shard.write('a', b'old')
+    shard.ledger.commit()
+    assert thread.wait() is Fate.APPLIED
+    newer = shard.write('a', b'new')
+    shard.ledger.commit()
+    assert newer.wait() is Fate.APPLIED
+    assert not shard.table.deliver().is_applied
+    assert shard.table.rows[place('a')].value == b'new'
+
+
+def test_a_former_holder_writes_nothing(shard):
+    successor = shard.claim(
+        TERM._replace(holder='b', generation=2), shard.find_version()
+    )
+    assert successor.token > shard.ledger.token
+    thread = shard.write('a')
+    shard.ledger.commit()
+    assert thread.wait() is Fate.UNKNOWN
+    assert shard.ledger.is_over
+    assert place('a') not in shard.table.rows
+
+
+def test_only_one_of_two_claims_succeeds(shard):
+    version = shard.find_version()
+    first = shard.claim(TERM._replace(holder='b', generation=2), version)
+    second = shard.claim(TERM._replace(holder='c', generation=2), version)
+    assert first is not None
+    assert second is None
+
+
+def test_orders_end_before_others_may_claim(shard):
+    """Guards against two holders that give orders at the same time."""
+    assert _ledger.HOLD_LIMIT < _ledger.EXPIRY
+    shard.clock.advance(_ledger.HOLD_LIMIT.total_seconds() - 0.1)
+    assert shard.ledger.may_order()
+    shard.clock.advance(0.1)
+    assert not shard.ledger.may_order()
+    shard.ledger.commit()
+    assert shard.ledger.may_order()
+
+
+def test_a_slow_transaction_renews_from_its_start(shard):
+    commit = shard.table.commit
+
+    def commit_slowly(transaction):
+        outcome = commit(transaction)
+        shard.clock.advance(2)
+        return outcome
+
+    shard.table.commit = commit_slowly
+    shard.ledger.commit()
+    shard.clock.advance(0.6)
+    assert not shard.ledger.may_order()
+
+
+def test_a_released_term_is_over_and_marked(shard):
+    shard.ledger.release()
+    assert not shard.ledger.may_order()
+    shard.ledger.commit()
+    row = shard.table.rows[_records.place_term(SHARD)]
+    assert _records.decode_term(row.value).is_released
+    assert shard.ledger.is_over
+    thread = shard.write('a')
+    assert thread.wait() is Fate.DROPPED
+
+
+def test_a_write_that_waits_in_vain_is_dropped(shard):
+    """Guards the truth of a refusal: the job must never be stored."""
+    fate = shard.ledger.write(
+        [(place('a'), b'1')], pools.seconds(0.01), lambda fate: None
+    )
+    assert fate is Fate.DROPPED
+    shard.ledger.commit()
+    assert place('a') not in shard.table.rows
+
+
+def test_a_write_on_its_way_has_an_unknown_fate_until_it_is_known(shard):
+    fates = []
+    commit = shard.table.commit
+
+    def commit_slowly(transaction):
+        _loop.sleep(0.05)
+        return commit(transaction)
+
+    shard.table.commit = commit_slowly
+    thread = _loop.spawn(
+        shard.ledger.write,
+        [(place('a'), b'1')],
+        pools.seconds(0.02),
+        fates.append,
+    )
+    _loop.sleep(0)
+    shard.ledger.commit()
+    assert thread.wait() is Fate.UNKNOWN
+    assert fates == [Fate.APPLIED]
+
+
+def test_a_flush_waits_for_changes_that_are_on_their_way(shard):
+    """Guards against an end that is acknowledged before it is stored."""
+    order = []
+    commit = shard.table.commit
+
+    def commit_slowly(transaction):
+        _loop.sleep(0.02)
+        order.append('stored')
+        return commit(transaction)
+
+    shard.table.commit = commit_slowly
+    shard.source.puts = [(place('p'), b'progress')]
+    sending = _loop.spawn(shard.ledger.commit)
+    _loop.sleep(0)
+    assert not shard.source.puts
+    assert shard.ledger.flush(has_changes=False)
+    order.append('flushed')
+    sending.wait()
+    assert order == ['stored', 'flushed']
+
+
+def test_lost_workers_are_named_in_the_term(shard):
+    shard.source.suspects = ('w1', 'w2')
+    shard.ledger.commit()
+    row = shard.table.rows[_records.place_term(SHARD)]
+    assert _records.decode_term(row.value).suspects == ('w1', 'w2')
+
+
+@pytest.mark.parametrize(
+    'value', [b'', b'{}', b'[]', b'["a"]', b'[1, 2, 3, 4, 5, 6, 7, 8]']
+)
+def test_a_damaged_term_is_an_error(value):
+    with pytest.raises((ValueError, TypeError)):
+        _records.decode_term(value)
--- /dev/null
+++ b/tests/test_scheduling_plans.py
@@ -0,0 +1,247 @@
+"""Guards what is started, stopped and refused, without any connection."""
+
+import pytest
+
+from skylarktally.scheduling import _admission
+from skylarktally.scheduling import _board
+from skylarktally.scheduling import _planning
+from skylarktally.scheduling import _work
+from tests import pools
+
+
+def plan(board, now=0.0):
+    return _planning.plan_starts(board, pools.seconds(now))
+
+
+def test_no_worker_is_planned_beyond_its_capacity():
+    """Guards workers that check no capacity themselves (LIMIT)."""
+    job = pools.make_job('a', pools.make_step(50, cpu=3000))
+    workers = [pools.make_worker(name) for name in 'wxy']
+    board = pools.make_board(*workers, jobs=[job])
+    for task, seat in plan(board):
+        board.add_run(task, seat, pools.seconds(0))
+    assert all(
+        seat.used.cpu_millicores == 30000 for seat in board.seats.values()
+    )
+    assert plan(board) == []
+
+
+def test_a_stopping_run_still_counts():
+    job = pools.make_job('a', pools.make_step(1, cpu=32000))
+    other = pools.make_job('b', pools.make_step(1, cpu=32000))
+    board = pools.make_board(pools.make_worker('w'), jobs=[job, other])
+    run = pools.run_task(board, job.groups[0, 0].tasks[0], 'w')
+    board.finish_job(job, _work.JobState.CANCELLED)
+    run.state = _board.RunState.STOPPING
+    assert plan(board) == []
+
+
+@pytest.mark.parametrize(
+    'fields, expected',
+    [
+        ({}, 6),
+        ({'tasks_per_worker': 1}, 2),
+        ({'tasks_per_worker': 2}, 4),
+        ({'required_label': 'fast'}, 6),
+        ({'required_label': 'absent'}, 0),
+    ],
+)
+def test_constraints_of_a_step_hold(fields, expected):
+    job = pools.make_job('a', pools.make_step(6, **fields))
+    board = pools.make_board(
+        pools.make_worker('w', labels=frozenset({'fast'})),
+        pools.make_worker('x'),
+        jobs=[job],
+    )
+    placed = plan(board)
+    assert len(placed) == expected
+    if fields.get('required_label'):
+        assert {seat.record.id for _, seat in placed} <= {'w'}
+
+
+def test_a_gang_starts_as_a_whole_or_not_at_all():
+    job = pools.make_job('a', pools.make_step(3, cpu=20000, is_gang=True))
+    board = pools.make_board(
+        pools.make_worker('w'), pools.make_worker('x'), jobs=[job]
+    )
+    assert plan(board) == []
+    board.seats['y'] = _board.Seat(pools.make_worker('y'), is_known=True)
+    assert len(plan(board)) == 3
+
+
+def test_data_is_near_where_there_is_room():
+    job = pools.make_job('a', pools.make_step(1, data_rack='r1'))
+    board = pools.make_board(
+        pools.make_worker('w', rack='r0'),
+        pools.make_worker('x', rack='r1'),
+        jobs=[job],
+    )
+    other = pools.make_job('other', pools.make_step(1, cpu=5000))
+    board.add_job(other, pools.seconds(0), pools.WALL)
+    pools.run_task(board, other.groups[0, 0].tasks[0], 'x')
+    assert [seat.record.id for _, seat in plan(board)] == ['x']
+
+
+def test_work_that_can_be_on_time_goes_before_work_that_cannot():
+    """Replays a surge: a backlog of late jobs, then one that is in time."""
+    late = [
+        pools.make_job(f'late{number}', pools.make_step(1, cpu=32000))
+        for number in range(5)
+    ]
+    fresh = pools.make_job('fresh', pools.make_step(1, cpu=32000), accepted=4)
+    board = pools.make_board(pools.make_worker('w'), jobs=[*late, fresh])
+    assert [task.id.job for task, _ in plan(board, 4.0)] == ['fresh']
+
+
+def test_long_running_tasks_go_first():
+    short = pools.make_job('a', pools.make_step(1, cpu=32000))
+    lasting = pools.make_job(
+        'b', pools.make_step(1, cpu=32000, is_long_running=True)
+    )
+    board = pools.make_board(pools.make_worker('w'), jobs=[short, lasting])
+    assert [task.id.job for task, _ in plan(board)] == ['b']
+
+
+@pytest.mark.parametrize(
+    'state', ['is_known', 'is_draining', 'is_vacating', 'avoided']
+)
+def test_no_run_is_sent_to_a_worker_that_is_not_open(state):
+    """Guards against new work on a leaving worker (DRAIN)."""
+    job = pools.make_job('a', pools.make_step(1))
+    draining = state == 'is_draining'
+    board = pools.make_board(
+        pools.make_worker('w', is_draining=draining), jobs=[job]
+    )
+    seat = board.seats['w']
+    seat.is_known = state != 'is_known'
+    seat.is_vacating = state == 'is_vacating'
+    if state == 'avoided':
+        seat.avoided_until = pools.seconds(1)
+    assert plan(board) == []
+
+
+class Lasting:
+    """Three long-running tasks of a step, each on a worker of its own."""
+
+    def __init__(self, limit=1, workers='wxyz'):
+        step = pools.make_step(
+            3,
+            cpu=1000,
+            is_long_running=True,
+            unavailable_limit=limit,
+            tasks_per_worker=1,
+        )
+        self.job = pools.make_job('a', step)
+        records = [pools.make_worker(name) for name in workers]
+        self.board = pools.make_board(*records, jobs=[self.job])
+        self.tasks = self.job.groups[0, 0].tasks
+        for task, worker in zip(self.tasks, workers, strict=False):
+            pools.run_task(self.board, task, worker)
+
+    def vacate(self, *names):
+        for name in names:
+            self.board.seats[name].is_vacating = True
+
+    def list_stops(self):
+        return [
+            run.worker
+            for run in _planning.plan_stops(self.board, pools.seconds(5))
+        ]
+
+
+def test_an_evacuation_keeps_within_the_budget_of_a_step():
+    """Guards against two stops of one pass on two workers (AVAIL)."""
+    lasting = Lasting(limit=1, workers='wxyzv')
+    lasting.vacate('w', 'x')
+    assert lasting.list_stops() == ['w']
+
+
+@pytest.mark.parametrize('percent', [0, 50])
+def test_a_task_that_is_not_at_work_uses_up_the_budget(percent):
+    """Guards against a stop while another is starting (AVAIL)."""
+    lasting = Lasting(limit=1, workers='wxyzv')
+    lasting.tasks[2].run.percent = percent
+    lasting.vacate('w')
+    assert lasting.list_stops() == []
+
+
+def test_a_starting_task_is_stopped_within_the_budget_only():
+    """Guards a task that has begun to work since its last report."""
+    lasting = Lasting(limit=1, workers='wxyzv')
+    for task in lasting.tasks[:2]:
+        task.run.percent = 0
+    lasting.vacate('w')
+    assert lasting.list_stops() == []
+
+
+def test_an_adopted_task_is_as_far_as_its_worker_reports():
+    """Guards against an evacuation that takes it for one at rest."""
+    lasting = Lasting(limit=1, workers='wxyzv')
+    task = lasting.tasks[0]
+    seat = lasting.board.seats['w']
+    lasting.board.remove_run(task.run)
+    active = _work.ActiveRun(task.id, 7, 'saved', 100, 3)
+    run = lasting.board.adopt_run(task, seat, active, pools.seconds(1))
+    assert (run.percent, run.load, task.checkpoint) == (100, 3, 'saved')
+    assert task.is_working
+
+
+def test_nothing_is_stopped_that_could_not_go_elsewhere():
+    lasting = Lasting(limit=1, workers='wxy')
+    lasting.vacate('w')
+    assert lasting.list_stops() == []
+
+
+def test_a_started_task_is_not_at_work_before_its_worker_says_so():
+    job = pools.make_job('a', pools.make_step(1, is_long_running=True))
+    board = pools.make_board(pools.make_worker('w'), jobs=[job])
+    task = job.groups[0, 0].tasks[0]
+    run = board.add_run(task, board.seats['w'], pools.seconds(0))
+    run.state = _board.RunState.ACTIVE
+    assert not task.is_working
+
+
+def test_a_task_that_stands_still_is_stopped():
+    job = pools.make_job('a', pools.make_step(1, estimate=1))
+    board = pools.make_board(pools.make_worker('w'), jobs=[job])
+    run = pools.run_task(board, job.groups[0, 0].tasks[0], 'w')
+    assert _planning.plan_stops(board, pools.seconds(5)) == []
+    assert _planning.plan_stops(board, pools.seconds(7)) == [run]
+
+
+@pytest.mark.parametrize(
+    'jobs, is_refused', [(0, False), (8, False), (60, True)]
+)
+def test_a_job_that_could_not_even_be_late_is_refused_at_once(
+    jobs, is_refused
+):
+    """Replays a surge of several times what the pool holds."""
+    backlog = [
+        pools.make_job(f'b{number}', pools.make_step(8, cpu=4000))
+        for number in range(jobs)
+    ]
+    board = pools.make_board(
+        pools.make_worker('w'), pools.make_worker('x'), jobs=backlog
+    )
+    spec = _work.JobSpec('spec', (pools.make_step(1),))
+    refusal = _admission.review(board, pools.make_queue(), spec)
+    assert (refusal is not None) == is_refused
+    if refusal is not None:
+        # The backlog is 60 x 8 x 4 core-seconds on 64 cores.
+        assert not refusal.is_permanent
+        assert refusal.retry_after == pools.seconds(30 + 1 - 2.2)
+
+
+@pytest.mark.parametrize(
+    'step',
+    [
+        pools.make_step(1, cpu=40000),
+        pools.make_step(1, required_label='absent'),
+    ],
+)
+def test_a_job_that_no_worker_could_run_is_refused(step):
+    board = pools.make_board(pools.make_worker('w'))
+    spec = _work.JobSpec('spec', (pools.make_step(1), step))
+    refusal = _admission.review(board, pools.make_queue(), spec)
+    assert refusal is not None
+    assert refusal.is_permanent
--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,237 @@
+"""Guards the contact with a worker: leases, lost orders, successors."""
+
+import pytest
+
+from skylarktally import _loop
+from skylarktally.scheduling import _board
+from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _planning
+from skylarktally.scheduling import _records
+from skylarktally.scheduling import _sessions
+from skylarktally.scheduling import _work
+from standins import leased_workers
+from standins import rows
+from tests import pools
+
+EndKind = _work.EndKind
+Fault = leased_workers.Fault
+RunState = _board.RunState
+
+
+class Pool:
+    """An owner with workers that are stand-ins, without green threads."""
+
+    def __init__(self, fleet, clock, token=1, names='w'):
+        self.clock = clock
+        self.fleet = fleet
+        self.lost = []
+        table = rows.RowTable()
+        table.version = token - 1
+        term = _records.Term('a', 'a:1', 'life', 1, 0)
+        self.ledger = _ledger.claim(table, clock, 'pool', term, 0).unwrap()
+        self.board = pools.make_board()
+        self.sessions = {}
+        for name in names:
+            seat = _board.Seat(fleet.workers[name].record)
+            self.board.seats[name] = seat
+            self.sessions[name] = _sessions.Session(self, seat, fleet, clock)
+
+    def note_report(self):
+        pass
+
+    def lose_term(self, reason):
+        self.lost.append(reason)
+        self.ledger.end()
+
+    def add(self, id_, *steps):
+        job = pools.make_job(id_, *steps)
+        self.board.add_job(job, self.clock.monotonic(), pools.WALL)
+        return job.groups[0, 0].tasks
+
+    def look(self, *names):
+        """Have the workers report, and write what that changes."""
+        for name in names or self.sessions:
+            thread = _loop.spawn(self.sessions[name].exchange)
+            _loop.sleep(0)
+            if not self.ledger.is_over:
+                self.ledger.commit()
+            thread.wait()
+
+    def start(self):
+        """Start what the plan says and return the runs."""
+        now = self.clock.monotonic()
+        runs = []
+        for task, seat in _planning.plan_starts(self.board, now):
+            run = self.board.add_run(task, seat, now)
+            self.sessions[seat.record.id].start(run)
+            runs.append(run)
+        return runs
+
+
+@pytest.fixture
+def clock():
+    return pools.ManualClock()
+
+
+@pytest.fixture
+def fleet(clock):
+    fleet = leased_workers.WorkerFleet(clock)
+    for name in 'wx':
+        fleet.add(pools.make_worker(name))
+    return fleet
+
+
+@pytest.fixture
+def pool(fleet, clock):
+    pool = Pool(fleet, clock)
+    pool.look()
+    return pool
+
+
+def test_a_run_is_started_held_and_ended(pool, fleet, clock):
+    (task,) = pool.add('a', pools.make_step(1))
+    (run,) = pool.start()
+    assert run.state is RunState.ACTIVE
+    for _ in range(10):
+        clock.advance(3)
+        pool.ledger.commit()
+        pool.look()
+    assert fleet.workers['w'].active
+    fleet.workers['w'].end(task.id, EndKind.DONE)
+    pool.look()
+    assert task.is_done
+    assert pool.board.seats['w'].used == _work.Resources()
+
+
+def test_a_lease_has_ended_when_the_session_says_so(pool, fleet, clock):
+    """Guards the time for which a task of a silent worker is barred."""
+    pool.add('a', pools.make_step(1))
+    pool.start()
+    lapse_at = pool.sessions['w'].lapse_at
+    clock.advance((lapse_at - clock.monotonic()).total_seconds())
+    fleet.workers['w'].lapse()
+    assert not fleet.workers['w'].active
+
+
+def test_a_start_without_an_answer_is_stopped_before_it_is_repeated(
+    pool, fleet, clock
+):
+    """Guards against a start that is carried out seconds later (TWICE)."""
+    (task,) = pool.add('a', pools.make_step(1))
+    fleet.faults = [Fault.DELAY]
+    (run,) = pool.start()
+    assert task.run is run
+    # The stop was answered, so that the next report settles the matter.
+    clock.advance(1)
+    pool.look()
+    assert task.run is None
+    clock.advance(1)
+    (again,) = pool.start()
+    fleet.deliver()
+    assert again.number == 2
+    assert fleet.workers['w'].starts == [(task.id, 2)]
+
+
+@pytest.mark.parametrize('fault', [Fault.LOSE, Fault.DROP])
+def test_a_start_whose_answer_is_lost_runs_once(pool, fleet, clock, fault):
+    (task,) = pool.add('a', pools.make_step(1))
+    fleet.faults = [fault]
+    pool.start()
+    for _ in range(3):
+        clock.advance(1)
+        pool.look()
+        pool.start()
+    worker = fleet.workers['w']
+    assert list(worker.active) == [task.id]
+    assert task.run is not None
+    assert worker.active[task.id].number == task.run.number
+
+
+def test_an_answer_that_is_late_on_the_worker_does_not_start(pool, fleet):
+    """Guards against a start that arrives after its lease."""
+    pool.add('a', pools.make_step(1))
+    fleet.faults = [Fault.DELAY]
+    pool.start()
+    pool.clock.advance(30)
+    fleet.deliver()
+    assert not fleet.workers['w'].starts
+
+
+def test_a_successor_adopts_what_runs(pool, fleet, clock):
+    (task,) = pool.add('a', pools.make_step(1))
+    pool.start()
+    later = Pool(fleet, clock, token=9)
+    (again,) = later.add('a', pools.make_step(1))
+    later.look()
+    assert again.run is not None
+    assert later.start() == []
+    assert fleet.workers['w'].starts == [(task.id, 1)]
+
+
+def test_a_successor_takes_ends_that_were_not_acknowledged(pool, fleet, clock):
+    (task,) = pool.add('a', pools.make_step(1))
+    pool.start()
+    fleet.workers['w'].end(task.id, EndKind.DONE)
+    later = Pool(fleet, clock, token=9)
+    (again,) = later.add('a', pools.make_step(1))
+    later.look()
+    assert again.is_done
+    # Lists of a later report leave it out.
+    later.look()
+    assert fleet.workers['w'].ended == []
+
+
+def test_a_former_holder_is_stopped_by_the_first_worker(pool, fleet, clock):
+    """Guards against two owners that take turns (ONE)."""
+    pool.add('a', pools.make_step(1))
+    later = Pool(fleet, clock, token=9)
+    later.look()
+    pool.start()
+    assert pool.lost
+    assert not fleet.workers['w'].starts
+    assert pool.ledger.is_over
+
+
+def test_a_run_that_nobody_wants_is_stopped(pool, fleet, clock):
+    """Guards against a task of a job that is gone (UNASKED)."""
+    (task,) = pool.add('a', pools.make_step(1))
+    pool.start()
+    later = Pool(fleet, clock, token=9)
+    later.look()
+    _loop.sleep(0)
+    assert not fleet.workers['w'].active
+
+
+def test_ends_are_acknowledged_once(pool, fleet):
+    tasks = pool.add('a', pools.make_step(2))
+    pool.start()
+    worker = fleet.workers['w']
+    worker.end(tasks[0].id, EndKind.LAPSED)
+    pool.look()
+    pool.look()
+    assert worker.ended == []
+
+
+def test_a_worker_that_fails_what_it_runs_is_avoided(pool, fleet, clock):
+    tasks = pool.add('a', pools.make_step(3))
+    pool.start()
+    for task in tasks[:2]:
+        fleet.workers['w'].end(task.id, EndKind.FAILED)
+    pool.look()
+    seat = pool.board.seats['w']
+    assert seat.avoided_until > clock.monotonic()
+
+
+def test_a_silent_worker_gets_no_new_work(pool, fleet, clock):
+    pool.add('a', pools.make_step(1))
+    fleet.silent.add('w')
+    pool.look()
+    assert pool.start() == []
+
+
+def test_a_holder_that_was_paused_gives_no_orders(pool, fleet, clock):
+    """Guards against an order under a term that others may have."""
+    pool.add('a', pools.make_step(1))
+    clock.advance(_ledger.HOLD_LIMIT.total_seconds())
+    pool.start()
+    assert not fleet.workers['w'].starts
