Move instances to pools that lack room, and park those nobody needs

The rate of arrivals tells a surge before its work is ready (Little's law). Tasks are packed so that workers become empty.

--- a/skylarktally/_gen/entry/Entry.py
+++ b/skylarktally/_gen/entry/Entry.py
@@ -38,6 +38,17 @@
         """
         pass
 
+    def measure(self, pool, lendable_millicores):
+        """
+        Tells what the pool would use at once, and what its workers run.
+
+        Parameters:
+         - pool
+         - lendable_millicores
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -114,6 +125,42 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "vacate failed: unknown result")
 
+    def measure(self, pool, lendable_millicores):
+        """
+        Tells what the pool would use at once, and what its workers run.
+
+        Parameters:
+         - pool
+         - lendable_millicores
+
+        """
+        self.send_measure(pool, lendable_millicores)
+        return self.recv_measure()
+
+    def send_measure(self, pool, lendable_millicores):
+        self._oprot.writeMessageBegin('measure', TMessageType.CALL, self._seqid)
+        args = measure_args()
+        args.pool = pool
+        args.lendable_millicores = lendable_millicores
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_measure(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = measure_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "measure failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -121,6 +168,7 @@
         self._processMap = {}
         self._processMap["handle"] = Processor.process_handle
         self._processMap["vacate"] = Processor.process_vacate
+        self._processMap["measure"] = Processor.process_measure
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -189,6 +237,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_measure(self, seqid, iprot, oprot):
+        args = measure_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = measure_result()
+        try:
+            result.success = self._handler.measure(args.pool, args.lendable_millicores)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("measure", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -450,5 +521,141 @@
 vacate_result.thrift_spec = (
     (0, TType.BOOL, 'success', None, None, ),  # 0
 )
+
+
+class measure_args(object):
+    """
+    Attributes:
+     - pool
+     - lendable_millicores
+
+    """
+
+
+    def __init__(self, pool=None, lendable_millicores=None,):
+        self.pool = pool
+        self.lendable_millicores = lendable_millicores
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.lendable_millicores = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('measure_args')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.lendable_millicores is not None:
+            oprot.writeFieldBegin('lendable_millicores', TType.I32, 2)
+            oprot.writeI32(self.lendable_millicores)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(measure_args)
+measure_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'lendable_millicores', None, None, ),  # 2
+)
+
+
+class measure_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = PoolLoad()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('measure_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(measure_result)
+measure_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [PoolLoad, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/skylarktally/_gen/entry/ttypes.py
+++ b/skylarktally/_gen/entry/ttypes.py
@@ -227,6 +227,195 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class WorkerLoad(object):
+    """
+    Attributes:
+     - worker
+     - runs
+     - long_runs
+
+    """
+
+
+    def __init__(self, worker=None, runs=None, long_runs=None,):
+        self.worker = worker
+        self.runs = runs
+        self.long_runs = long_runs
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.worker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.runs = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.long_runs = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkerLoad')
+        if self.worker is not None:
+            oprot.writeFieldBegin('worker', TType.STRING, 1)
+            oprot.writeString(self.worker.encode('utf-8') if sys.version_info[0] == 2 else self.worker)
+            oprot.writeFieldEnd()
+        if self.runs is not None:
+            oprot.writeFieldBegin('runs', TType.I32, 2)
+            oprot.writeI32(self.runs)
+            oprot.writeFieldEnd()
+        if self.long_runs is not None:
+            oprot.writeFieldBegin('long_runs', TType.I32, 3)
+            oprot.writeI32(self.long_runs)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PoolLoad(object):
+    """
+    Attributes:
+     - needed_millicores
+     - reserve_millicores
+     - fewest_workers
+     - workers
+     - is_owned: False when the pool is not owned by the entry that was asked.
+
+    """
+
+
+    def __init__(self, needed_millicores=None, reserve_millicores=None, fewest_workers=None, workers=None, is_owned=None,):
+        self.needed_millicores = needed_millicores
+        self.reserve_millicores = reserve_millicores
+        self.fewest_workers = fewest_workers
+        self.workers = workers
+        self.is_owned = is_owned
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.needed_millicores = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.reserve_millicores = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.fewest_workers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.workers = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = WorkerLoad()
+                        _elem5.read(iprot)
+                        self.workers.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_owned = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PoolLoad')
+        if self.needed_millicores is not None:
+            oprot.writeFieldBegin('needed_millicores', TType.I32, 1)
+            oprot.writeI32(self.needed_millicores)
+            oprot.writeFieldEnd()
+        if self.reserve_millicores is not None:
+            oprot.writeFieldBegin('reserve_millicores', TType.I32, 2)
+            oprot.writeI32(self.reserve_millicores)
+            oprot.writeFieldEnd()
+        if self.fewest_workers is not None:
+            oprot.writeFieldBegin('fewest_workers', TType.I32, 3)
+            oprot.writeI32(self.fewest_workers)
+            oprot.writeFieldEnd()
+        if self.workers is not None:
+            oprot.writeFieldBegin('workers', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.workers))
+            for iter6 in self.workers:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.is_owned is not None:
+            oprot.writeFieldBegin('is_owned', TType.BOOL, 5)
+            oprot.writeBool(self.is_owned)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(JobCall)
 JobCall.thrift_spec = (
     None,  # 0
@@ -246,5 +435,21 @@
     (4, TType.STRING, 'state', 'UTF8', None, ),  # 4
     (5, TType.I32, 'queued', None, None, ),  # 5
 )
+all_structs.append(WorkerLoad)
+WorkerLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'runs', None, None, ),  # 2
+    (3, TType.I32, 'long_runs', None, None, ),  # 3
+)
+all_structs.append(PoolLoad)
+PoolLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'needed_millicores', None, None, ),  # 1
+    (2, TType.I32, 'reserve_millicores', None, None, ),  # 2
+    (3, TType.I32, 'fewest_workers', None, None, ),  # 3
+    (4, TType.LIST, 'workers', (TType.STRUCT, [WorkerLoad, None], False), None, ),  # 4
+    (5, TType.BOOL, 'is_owned', None, None, ),  # 5
+)
 fix_spec(all_structs)
 del all_structs
--- a/skylarktally/entries/_calls.py
+++ b/skylarktally/entries/_calls.py
@@ -23,6 +23,8 @@
 ErrorKind = _errors.ErrorKind
 JobCall = ttypes.JobCall
 JobReply = ttypes.JobReply
+PoolLoad = ttypes.PoolLoad
+WorkerLoad = ttypes.WorkerLoad
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=0.5)
 # Idle connections that are kept to one entry.
@@ -44,6 +46,9 @@
     def vacate(self, pool: str, worker: str) -> bool:
         """Empty a worker; tell whether its instance can go now."""
 
+    def measure(self, pool: str, lendable_millicores: int) -> ttypes.PoolLoad:
+        """Tell what the pool would use at once."""
+
 
 class EntryCalls:
     """Client of other entries."""
@@ -72,6 +77,20 @@
             address, timeout, lambda client: client.vacate(pool, worker)
         )
 
+    def measure(
+        self,
+        address: str,
+        pool: str,
+        lendable_millicores: int,
+        timeout: datetime.timedelta,
+    ) -> result.Result[ttypes.PoolLoad, _errors.Failure]:
+        """Have the owner of a pool tell what it would use at once."""
+        return self._call(
+            address,
+            timeout,
+            lambda client: client.measure(pool, lendable_millicores),
+        )
+
     def _call(
         self,
         address: str,
--- a/skylarktally/entries/_claims.py
+++ b/skylarktally/entries/_claims.py
@@ -10,7 +10,7 @@
 
 # An entry waits this long for each shard that it owns already, so that
 # the shards spread over the entries.
-_DELAY_PER_SHARD = datetime.timedelta(seconds=0.9)
+_DELAY_PER_SHARD = datetime.timedelta(seconds=0.3)
 # Entries that own the same number of shards try in turn.
 _TURN = datetime.timedelta(seconds=0.3)
 
--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -25,8 +25,10 @@
 # The rows of workers change with each heartbeat, so that waiting for the
 # next change would return at once.
 _WORKERS_INTERVAL = datetime.timedelta(seconds=0.4)
-_TERMS_INTERVAL = datetime.timedelta(seconds=0.7)
+_TERMS_INTERVAL = datetime.timedelta(seconds=0.5)
 _RETRY_DELAY = datetime.timedelta(seconds=0.15)
+# No lease lasts longer.
+_DEPARTURE_RETENTION = datetime.timedelta(seconds=20)
 _NO_WAIT = datetime.timedelta()
 
 
@@ -122,13 +124,14 @@
         self, pool: str, since: datetime.timedelta
     ) -> dict[str, _work.WorkerRecord]:
         """Return the workers of a pool that have vanished since then."""
-        for id_, departure in list(self._departed.items()):
-            if departure.at < since or id_ in self.workers:
-                del self._departed[id_]
+        # A later life of the instance shows that the former has ended.
+        alive = {record.instance for record in self.workers.values()}
         return {
             id_: departure.record
             for id_, departure in self._departed.items()
             if departure.record.pool == pool
+            and departure.at >= since
+            and (departure.record.instance or None) not in alive
         }
 
     def find_address(self, shard: str) -> str | None:
@@ -220,9 +223,13 @@
 
     def _remove_worker(self, id_: str) -> None:
         record = self.workers.pop(id_, None)
-        if record is not None:
-            now = self._clock.monotonic()
-            self._departed[id_] = Departure(record, now)
+        if record is None:
+            return
+        now = self._clock.monotonic()
+        self._departed[id_] = Departure(record, now)
+        for known, departure in list(self._departed.items()):
+            if now - departure.at > _DEPARTURE_RETENTION:
+                del self._departed[known]
 
     def _apply_worker(self, row: _rows.Row) -> None:
         id_ = row.place.key
@@ -235,6 +242,7 @@
             _log_unreadable(row, error)
             return
         self.workers[id_] = record
+        self._departed.pop(id_, None)
 
     def _poll_terms(self) -> None:
         while True:
--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -20,15 +20,18 @@
 from skylarktally.entries import _settings
 from skylarktally import platform
 from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _lending
 from skylarktally.scheduling import _maintenance
 from skylarktally.scheduling import _owner
 from skylarktally.scheduling import _records
-from skylarktally.scheduling import _sessions
 
 _LOG = logging.getLogger(__name__)
 
 _CLAIM_INTERVAL = datetime.timedelta(seconds=0.1)
 _VACATE_TIMEOUT = datetime.timedelta(seconds=0.5)
+# An owner notices that a worker has vanished, and writes that down, within
+# this time.
+_NAMING_LAG = datetime.timedelta(seconds=2)
 # The balancer takes up to two seconds to notice; callers with open
 # connections are served meanwhile.
 _STOP_NOTICE = datetime.timedelta(seconds=2.5)
@@ -246,8 +249,12 @@
             )
             _loop.spawn(
                 self._maintenance.run,
-                lambda: self._directory.waves,
-                self._request_vacancy,
+                _maintenance.Surroundings(
+                    lambda: self._directory.waves,
+                    lambda: self._directory.configuration,
+                    self._request_vacancy,
+                    self._request_load,
+                ),
             )
             return
         owner = _owner.PoolOwner(
@@ -274,12 +281,13 @@
         last_order_at = now
         if former is not None:
             last_order_at = min(now, former.seen_at + _ledger.HOLD_LIMIT)
-        horizon = _sessions.find_lapse(_ledger.HOLD_LIMIT)
+        # The former owner has named those that had vanished before.
+        named_at = now if former is None else former.seen_at - _NAMING_LAG
         since = self._directory.workers_known_since
         return _owner.Succession(
             former.term.suspects if former is not None else (),
-            self._directory.list_departed(shard, now - horizon),
-            since is not None and now - since >= horizon,
+            self._directory.list_departed(shard, named_at),
+            since is not None and since <= named_at,
             last_order_at,
         )
 
@@ -301,6 +309,35 @@
         owner = self.find_owner(pool)
         return owner is not None and owner.vacate(worker)
 
+    def measure(self, pool: str, lendable_millicores: int) -> _calls.PoolLoad:
+        """Tell what the pool would use at once."""
+        owner = self.find_owner(pool)
+        if owner is None or not owner.is_ready:
+            return _calls.PoolLoad(0, 0, 0, [], False)
+        load = owner.measure(lendable_millicores)
+        workers = [_calls.WorkerLoad(*worker) for worker in load.workers]
+        return _calls.PoolLoad(
+            load.needed_millicores,
+            load.reserve_millicores,
+            load.fewest_workers,
+            workers,
+            True,
+        )
+
+    def _request_load(
+        self, pool: str, lendable: int
+    ) -> _lending.PoolLoad | None:
+        """Return the load of a pool; None if its owner does not answer."""
+        if self.find_owner(pool) is not None:
+            return _read_load(self.measure(pool, lendable))
+        address = self._directory.find_address(pool)
+        if address is None:
+            return None
+        outcome = self._calls.measure(address, pool, lendable, _VACATE_TIMEOUT)
+        if isinstance(outcome, result.Success):
+            return _read_load(outcome.unwrap())
+        return None
+
     def _request_vacancy(self, pool: str, worker: str) -> bool:
         """Have a worker emptied by the owner of its pool."""
         if self.find_owner(pool) is not None:
@@ -317,3 +354,17 @@
                 'owner not reached', extra={'pool': pool, 'kind': kind.value}
             )
         return False
+
+
+def _read_load(load: _calls.PoolLoad) -> _lending.PoolLoad | None:
+    if not load.is_owned:
+        return None
+    return _lending.PoolLoad(
+        load.needed_millicores,
+        load.reserve_millicores,
+        load.fewest_workers,
+        tuple(
+            _lending.WorkerLoad(item.worker, item.runs, item.long_runs)
+            for item in load.workers
+        ),
+    )
--- a/skylarktally/entry.thrift
+++ b/skylarktally/entry.thrift
@@ -24,8 +24,25 @@
   5: i32 queued,
 }
 
+struct WorkerLoad {
+  1: string worker,
+  2: i32 runs,
+  3: i32 long_runs,
+}
+
+struct PoolLoad {
+  1: i32 needed_millicores,
+  2: i32 reserve_millicores,
+  3: i32 fewest_workers,
+  4: list<WorkerLoad> workers,
+  /** False when the pool is not owned by the entry that was asked. */
+  5: bool is_owned,
+}
+
 service Entry {
   JobReply handle(1: JobCall call),
   /** Empties a worker; tells whether its instance can go now. */
   bool vacate(1: string pool, 2: string worker),
+  /** Tells what the pool would use at once, and what its workers run. */
+  PoolLoad measure(1: string pool, 2: i32 lendable_millicores),
 }
--- a/skylarktally/platform/_decoding.py
+++ b/skylarktally/platform/_decoding.py
@@ -163,6 +163,7 @@
         rack=next((item for item in labels if _RACK.fullmatch(item)), ''),
         born_ms=_whole(data.get('born', 0)),
         remaining=None if remaining is None else _milliseconds(remaining),
+        instance=_text(data.get('machine', '')),
     )
 
 
@@ -191,6 +192,9 @@
         state=_text(data['state']),
         zone=_text(data.get('zone', '')),
         worker=data.get('id') or '',
+        cpu_millicores=_decode_resources(
+            data.get('capacity') or {}
+        ).cpu_millicores,
     )
 
 
--- a/skylarktally/scheduling/_admission.py
+++ b/skylarktally/scheduling/_admission.py
@@ -50,7 +50,7 @@
 
 def estimate_delay(board: _board.Board) -> datetime.timedelta:
     """Return how long the pool works on what it has accepted."""
-    capacity = 0
+    capacity = board.lendable_millicores
     for seat in board.seats.values():
         capacity += seat.record.capacity.cpu_millicores if seat.is_open else 0
         for run in seat.runs.values():
@@ -60,11 +60,11 @@
     work = datetime.timedelta()
     for job in board.jobs.values():
         if not job.is_final:
-            work += _measure_work(job)
+            work += _measure_rest(job)
     return work / max(capacity, 1)
 
 
-def _measure_work(job: _board.Job) -> datetime.timedelta:
+def _measure_rest(job: _board.Job) -> datetime.timedelta:
     """Return the work that is left, in time of one millicore."""
     work = datetime.timedelta()
     for group in job.groups.values():
--- a/skylarktally/scheduling/_board.py
+++ b/skylarktally/scheduling/_board.py
@@ -4,15 +4,19 @@
 since a fixed point. What must be stored is collected in ``changed``.
 """
 
+import collections
 from collections.abc import Iterator
 import dataclasses
 import datetime
 import enum
 
+from skylarktally.scheduling import _forecasts
 from skylarktally.scheduling import _work
 
 _NONE = datetime.timedelta()
 FULL_SPEED = 100
+# Jobs from which a usual one is told.
+_USUAL_JOBS = 21
 
 
 class RunState(enum.Enum):
@@ -177,16 +181,41 @@
         # Jobs whose progress has not been stored.
         self.changed: dict[str, Job] = {}
         self._first_number = first_number
+        # Processor capacity that the pool could be lent, in millicores.
+        self.lendable_millicores = 0
+        self.arrivals = _forecasts.Arrivals()
+        # What the widest steps of the last jobs need, in millicores.
+        self._widths: collections.deque[int] = collections.deque(
+            maxlen=_USUAL_JOBS
+        )
 
     def add_job(
         self, job: Job, now: datetime.timedelta, wall: datetime.datetime
     ) -> None:
         """Take a job that is stored."""
         job.chain = find_chain(job.spec)
+        self._note_width(job.spec)
+        if job.restored is None and job.spec.first_run is None:
+            self.arrivals.note(now, measure_work(job.spec))
         self.jobs[job.id] = job
         if not job.is_final:
             self.release(job, wall)
 
+    def _note_width(self, spec: _work.JobSpec) -> None:
+        widths = [
+            step.task_count * step.resources.cpu_millicores
+            for step in spec.steps
+            if not step.is_long_running
+        ]
+        if widths:
+            self._widths.append(max(widths))
+
+    def find_usual_need(self) -> int:
+        """Return what a usual job needs at once, in millicores."""
+        if not self._widths:
+            return 0
+        return sorted(self._widths)[len(self._widths) // 2]
+
     def release(self, job: Job, wall: datetime.datetime) -> None:
         """Make the occurrences that are due ready to start."""
         while job.released < job.spec.occurrences:
@@ -392,6 +421,16 @@
                     yield run
 
 
+def measure_work(spec: _work.JobSpec) -> datetime.timedelta:
+    """Return the estimated work of a job, in time of one millicore."""
+    work = _NONE
+    for step in spec.steps:
+        if not step.is_long_running:
+            cost = step.resources.cpu_millicores * step.task_count
+            work += step.estimate * cost
+    return work
+
+
 def occupy(step: _work.Step) -> _work.Resources:
     """Return what a task of the step occupies of the capacity."""
     if step.is_filler:
--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -26,12 +26,12 @@
 _LOG = logging.getLogger(__name__)
 
 # A term is renewed this long after its last transaction.
-RENEWAL_INTERVAL = datetime.timedelta(seconds=0.8)
+RENEWAL_INTERVAL = datetime.timedelta(seconds=0.5)
 # The holder gives no orders this long after the start of its last
 # transaction that was applied.
-HOLD_LIMIT = datetime.timedelta(seconds=2.5)
+HOLD_LIMIT = datetime.timedelta(seconds=1.8)
 # Others may claim a term that has not changed for this long.
-EXPIRY = datetime.timedelta(seconds=3)
+EXPIRY = datetime.timedelta(seconds=2.2)
 # Progress waits this long for more to be written with it.
 _BATCH_DELAY = datetime.timedelta(seconds=0.06)
 _RETRY_DELAY = datetime.timedelta(seconds=0.1)
--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -1,4 +1,4 @@
-"""Maintenance waves: takes instances down, each once, within a limit.
+"""Orders on instances: maintenance waves and moves between pools.
 
 One entry does this for all pools. It has the owner of each pool empty a
 worker before it takes the instance down, and it takes an instance for down
@@ -17,6 +17,7 @@
 from skylarktally import _errors
 from skylarktally import _loop
 from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _lending
 from skylarktally.scheduling import _orders
 from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _work
@@ -26,9 +27,10 @@
 # The shard of this duty; the rows of the operator have no partition either.
 SHARD = ''
 _TABLE = 'maintenance'
-_INTERVAL = datetime.timedelta(seconds=0.3)
-_IDLE_INTERVAL = datetime.timedelta(seconds=1)
+_INTERVAL = datetime.timedelta(seconds=0.2)
 _WRITE_TIMEOUT = datetime.timedelta(seconds=3)
+# A move that is not listed as made after this has not been made.
+_MOVE_LIMIT = datetime.timedelta(seconds=5)
 # The platform may list an instance as up for this long after the order.
 _LIST_LAG = datetime.timedelta(seconds=1)
 # Instances that are emptied ahead of time, beside those that are down.
@@ -46,6 +48,25 @@
         """Return the value of the row."""
 
 
+class Surroundings(NamedTuple):
+    """What the duty asks of the other parts of the system."""
+
+    get_waves: Callable[[], Mapping[int, _work.Wave]]
+    get_configuration: Callable[[], _work.Configuration | None]
+    # Empties a worker of a pool; tells whether it is empty.
+    vacate: Callable[[str, str], bool]
+    # Returns the load of a pool, given what it could be lent in millicores;
+    # None if its owner does not answer.
+    measure: Callable[[str, int], _lending.PoolLoad | None]
+
+
+class _Motion(NamedTuple):
+    """Where an instance goes, and when that was ordered."""
+
+    pool: str
+    at: datetime.timedelta
+
+
 class Turn(NamedTuple):
     """What to do next for a wave."""
 
@@ -114,26 +135,24 @@
         self._holder = holder
         self._done: dict[int, dict[str, datetime.timedelta]] = {}
         self._statuses: dict[int, bool] = {}
+        self._lender = _lending.Lender()
+        # Pool that each instance goes to, and when that was ordered.
+        self._moving: dict[str, _Motion] = {}
 
-    def run(
-        self,
-        get_waves: Callable[[], Mapping[int, _work.Wave]],
-        vacate: Callable[[str, str], bool],
-    ) -> None:
-        """Carry out waves until the term ends.
-
-        :param vacate: empties a worker of a pool; tells whether it is empty
-        """
+    def run(self, surroundings: Surroundings) -> None:
+        """Carry out waves and moves until the term ends."""
         _loop.spawn(self.ledger.run)
         if not self._load():
             return
         while not self.ledger.is_over:
-            is_busy = False
-            for wave in list(get_waves().values()):
-                if not self._statuses.get(wave.id, False):
-                    is_busy = True
-                    self._advance(wave, vacate)
-            self._clock.sleep(_INTERVAL if is_busy else _IDLE_INTERVAL)
+            outcome = self._instances.list_instances()
+            if isinstance(outcome, result.Success):
+                listed = {record.id: record for record in outcome.unwrap()}
+                for wave in list(surroundings.get_waves().values()):
+                    if not self._statuses.get(wave.id, False):
+                        self._advance(wave, listed, surroundings.vacate)
+                self._lend(listed, surroundings)
+            self._clock.sleep(_INTERVAL)
 
     def _load(self) -> bool:
         while not self.ledger.is_over:
@@ -148,14 +167,89 @@
             self._clock.sleep(_INTERVAL)
         return False
 
+    def _lend(
+        self,
+        listed: Mapping[str, _work.InstanceRecord],
+        surroundings: Surroundings,
+    ) -> None:
+        """Move instances to where the demand is."""
+        configuration = surroundings.get_configuration()
+        if configuration is None or not self.ledger.may_order():
+            return
+        self._settle_moves(listed)
+        standby = frozenset(
+            pool.name for pool in configuration.pools if pool.is_standby
+        )
+        lendable = _lending.count_lendable(listed.values(), standby)
+        loads = {}
+        for pool in configuration.pools:
+            if pool.is_standby:
+                continue
+            load = surroundings.measure(pool.name, lendable)
+            if load is not None:
+                loads[pool.name] = load
+        targets = {id_: item.pool for id_, item in self._moving.items()}
+        now = self._clock.monotonic()
+        moves = self._lender.plan(
+            loads, listed.values(), standby, targets, now
+        )
+        for instance, target in moves:
+            is_empty = not instance.worker or surroundings.vacate(
+                instance.pool, instance.worker
+            )
+            if is_empty and not self._move(instance, target):
+                return
+
+    def _settle_moves(
+        self, listed: Mapping[str, _work.InstanceRecord]
+    ) -> None:
+        """Forget moves that the platform lists as made, or that failed."""
+        now = self._clock.monotonic()
+        for id_, motion in list(self._moving.items()):
+            record = listed.get(id_)
+            is_there = (
+                record is not None
+                and record.pool == motion.pool
+                and record.state == _UP
+            )
+            if is_there or now - motion.at >= _MOVE_LIMIT:
+                del self._moving[id_]
+
+    def _move(self, instance: _work.InstanceRecord, pool: str) -> bool:
+        """Order a move; False if no more orders may be given."""
+        if not self.ledger.may_order():
+            return False
+        outcome = self._instances.move(
+            instance.id, pool, self._holder, self.ledger.token
+        )
+        now = self._clock.monotonic()
+        rejection = None
+        if isinstance(outcome, result.Success):
+            rejection = outcome.unwrap().rejection
+        _LOG.info(
+            'move ordered',
+            extra={
+                'instance': instance.id,
+                'from': instance.pool,
+                'to': pool,
+                'rejection': rejection and rejection.value,
+                'is_known': isinstance(outcome, result.Success),
+            },
+        )
+        if rejection is _orders.Rejection.FENCED:
+            self.ledger.end()
+            return False
+        if rejection is None:
+            self._moving[instance.id] = _Motion(pool, now)
+        return True
+
     def _advance(
-        self, wave: _work.Wave, vacate: Callable[[str, str], bool]
+        self,
+        wave: _work.Wave,
+        listed: Mapping[str, _work.InstanceRecord],
+        vacate: Callable[[str, str], bool],
     ) -> None:
         done = self._done.setdefault(wave.id, {})
-        outcome = self._instances.list_instances()
-        if not isinstance(outcome, result.Success):
-            return
-        listed = {record.id: record for record in outcome.unwrap()}
         turn = plan_turn(wave, listed, done, self._clock.monotonic())
         self._report(wave.id, turn.is_completed)
         allowance = turn.allowance
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -14,6 +14,7 @@
 from skylarktally.scheduling import _admission
 from skylarktally.scheduling import _board
 from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _lending
 from skylarktally.scheduling import _orders
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _records
@@ -315,6 +316,14 @@
             self._signal.set()
         return _planning.is_vacant(seat)
 
+    def measure(self, lendable_millicores: int) -> _lending.PoolLoad:
+        """Return what the pool would use at once.
+
+        :param lendable_millicores: capacity that it could be lent
+        """
+        self.board.lendable_millicores = lendable_millicores
+        return _planning.measure_load(self.board, self._clock.monotonic())
+
     # Planning.
 
     def note_report(self) -> None:
@@ -348,7 +357,7 @@
         for id_, until in list(self._suspects.items()):
             if until <= now:
                 del self._suspects[id_]
-        return tuple(self._suspects)
+        return (*self._suspects, *self._missing)
 
     def take_changes(self, limit: int) -> _ledger.Changes:
         """Return the progress of jobs that have changed."""
--- a/skylarktally/scheduling/_placing.py
+++ b/skylarktally/scheduling/_placing.py
@@ -65,9 +65,10 @@
         capacity = seat.record.capacity.cpu_millicores
         near = bool(step.data_rack) and step.data_rack == seat.record.rack
         together = step.is_tightly_coupled and self._is_near(group, seat)
-        # Of sound workers the one with the most room.
+        # Of sound workers the one with the least room, so that others
+        # become empty and can be lent, maintained or turned off.
         free = room.cpu_millicores / max(capacity, 1)
-        return near, together, -seat.failures, free
+        return near, together, -seat.failures, -free
 
     def _is_near(self, group: _board.Group, seat: _board.Seat) -> bool:
         taken = {id_ for placed, id_ in self._spread if placed is group}
--- a/skylarktally/scheduling/_planning.py
+++ b/skylarktally/scheduling/_planning.py
@@ -3,8 +3,10 @@
 import datetime
 
 from skylarktally.scheduling import _board
+from skylarktally.scheduling import _lending
 from skylarktally.scheduling import _ordering
 from skylarktally.scheduling import _placing
+from skylarktally.scheduling import _work
 
 # A task that takes this much longer than its estimate stands still.
 _STUCK_FACTOR = 4
@@ -109,6 +111,54 @@
     return away < group.step.unavailable_limit
 
 
+def measure_load(
+    board: _board.Board, now: datetime.timedelta
+) -> _lending.PoolLoad:
+    """Return what the pool would use at once, and what its workers run."""
+    lasting = 0
+    batch = 0
+    fewest = 0
+    leaving = 0
+    for seat in board.seats.values():
+        for run in seat.runs.values():
+            step = run.task.group.step
+            cost = _board.occupy(step).cpu_millicores
+            if step.is_long_running:
+                lasting += cost
+            else:
+                batch += cost
+        if seat.is_vacating or seat.record.is_draining:
+            # Its room is needed elsewhere meanwhile.
+            leaving += 1
+            lasting += max(seat.room.cpu_millicores, 0)
+    for group in board.open_groups:
+        waiting = sum(
+            task.run is None and not task.is_done for task in group.tasks
+        )
+        batch += waiting * _board.occupy(group.step).cpu_millicores
+        fewest = max(fewest, _count_spread(group.step))
+    return _lending.PoolLoad(
+        lasting + max(batch, board.arrivals.forecast(now)),
+        board.find_usual_need(),
+        fewest + leaving,
+        tuple(_measure_worker(seat) for seat in board.seats.values()),
+    )
+
+
+def _count_spread(step: _work.Step) -> int:
+    """Return how many workers a long-running step has to have."""
+    if not step.is_long_running or not step.tasks_per_worker:
+        return 0
+    return -(-step.task_count // step.tasks_per_worker)
+
+
+def _measure_worker(seat: _board.Seat) -> _lending.WorkerLoad:
+    long_runs = sum(
+        run.task.group.step.is_long_running for run in seat.runs.values()
+    )
+    return _lending.WorkerLoad(seat.record.id, len(seat.runs), long_runs)
+
+
 def is_vacant(seat: _board.Seat) -> bool:
     """Tell whether an instance can go without ending a run."""
     return seat.is_vacating and not seat.runs
--- a/skylarktally/scheduling/_work.py
+++ b/skylarktally/scheduling/_work.py
@@ -130,6 +130,8 @@
     born_ms: int
     # Least time that is left to a draining worker.
     remaining: datetime.timedelta | None
+    # The instance that this is a life of.
+    instance: str = ''
 
 
 class TaskId(NamedTuple):
@@ -216,4 +218,6 @@
     # up, moving, upkeep or down.
     state: str
     zone: str
+    # Empty when the instance is off.
     worker: str
+    cpu_millicores: int = 0
