Name all workers that may hold leases in the term

Workers that had moved away counted as silent.

A worker gets runs only once the stored term names it. A successor asks exactly these and bars tasks only while one of them is silent. An entry that is cut off from the store, and whose peers are too, reports not ready. Green threads that end by an error are logged, and their term ends.

Ruled out: barring by how long the successor had followed the workers (the commit before); a time stamp of the last write (the store has no wall clock in its rows).

--- a/skylarktally/_gen/entry/Entry.py
+++ b/skylarktally/_gen/entry/Entry.py
@@ -38,10 +38,15 @@
         """
         pass
 
-    def measure(self, pool, lendable_millicores):
+    def reaches_store(self):
         """
-        Tells what the pool would use at once, and what its workers run.
+        Tells whether the store answers the entry that is asked.
 
+        """
+        pass
+
+    def measure(self, pool, lendable_millicores):
+        """
         Parameters:
          - pool
          - lendable_millicores
@@ -125,10 +130,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "vacate failed: unknown result")
 
-    def measure(self, pool, lendable_millicores):
+    def reaches_store(self):
+        """
+        Tells whether the store answers the entry that is asked.
+
         """
-        Tells what the pool would use at once, and what its workers run.
+        self.send_reaches_store()
+        return self.recv_reaches_store()
+
+    def send_reaches_store(self):
+        self._oprot.writeMessageBegin('reaches_store', TMessageType.CALL, self._seqid)
+        args = reaches_store_args()
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_reaches_store(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = reaches_store_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "reaches_store failed: unknown result")
 
+    def measure(self, pool, lendable_millicores):
+        """
         Parameters:
          - pool
          - lendable_millicores
@@ -168,6 +201,7 @@
         self._processMap = {}
         self._processMap["handle"] = Processor.process_handle
         self._processMap["vacate"] = Processor.process_vacate
+        self._processMap["reaches_store"] = Processor.process_reaches_store
         self._processMap["measure"] = Processor.process_measure
         self._on_message_begin = None
 
@@ -237,6 +271,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_reaches_store(self, seqid, iprot, oprot):
+        args = reaches_store_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = reaches_store_result()
+        try:
+            result.success = self._handler.reaches_store()
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("reaches_store", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_measure(self, seqid, iprot, oprot):
         args = measure_args()
         args.read(iprot)
@@ -523,6 +580,110 @@
 )
 
 
+class reaches_store_args(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('reaches_store_args')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(reaches_store_args)
+reaches_store_args.thrift_spec = (
+)
+
+
+class reaches_store_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.BOOL:
+                    self.success = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('reaches_store_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.BOOL, 0)
+            oprot.writeBool(self.success)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(reaches_store_result)
+reaches_store_result.thrift_spec = (
+    (0, TType.BOOL, 'success', None, None, ),  # 0
+)
+
+
 class measure_args(object):
     """
     Attributes:
--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import datetime
 import errno
+import logging
 import os
 import socket
 import ssl
@@ -33,6 +34,8 @@
 import eventlet.semaphore  # noqa: E402
 from eventlet import wsgi  # noqa: E402
 
+_LOG = logging.getLogger(__name__)
+
 # Patching removes poll() from the module select.
 _SELECT = patcher.original('select')
 # The longest TLS record.
@@ -64,6 +67,18 @@
     eventlet.monkey_patch()
 
 
+def spawn_guarded(function: Callable[..., Any], *arguments: Any) -> Any:
+    """Run a function in a green thread and log an error that ends it."""
+
+    def run() -> None:
+        try:
+            function(*arguments)
+        except Exception:
+            _LOG.exception('green thread ended by an error')
+
+    return spawn(run)
+
+
 def monotonic() -> datetime.timedelta:
     """Return the time that the loop's own timeouts are measured in."""
     return datetime.timedelta(seconds=time.monotonic())
--- a/skylarktally/entries/_calls.py
+++ b/skylarktally/entries/_calls.py
@@ -77,6 +77,14 @@
             address, timeout, lambda client: client.vacate(pool, worker)
         )
 
+    def reaches_store(
+        self, address: str, timeout: datetime.timedelta
+    ) -> result.Result[bool, _errors.Failure]:
+        """Have an entry tell whether the store answers it."""
+        return self._call(
+            address, timeout, lambda client: client.reaches_store()
+        )
+
     def measure(
         self,
         address: str,
--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -94,7 +94,7 @@
     def start(self) -> None:
         """Follow the tables for good."""
         layout = self._layout
-        _loop.spawn(
+        _loop.spawn_guarded(
             self._follow,
             layout.operator_table,
             _CONFIGURATION_WAIT,
@@ -102,7 +102,7 @@
             self._reset_operator,
             self._apply_operator,
         )
-        _loop.spawn(
+        _loop.spawn_guarded(
             self._follow,
             layout.workers_table,
             _NO_WAIT,
@@ -110,7 +110,7 @@
             self._reset_workers,
             self._apply_worker,
         )
-        _loop.spawn(self._poll_terms)
+        _loop.spawn_guarded(self._poll_terms)
 
     def list_workers(self, pool: str) -> dict[str, _work.WorkerRecord]:
         """Return the workers of a pool by id."""
@@ -120,17 +120,14 @@
             if record.pool == pool
         }
 
-    def list_departed(
-        self, pool: str, since: datetime.timedelta
-    ) -> dict[str, _work.WorkerRecord]:
-        """Return the workers of a pool that have vanished since then."""
+    def list_departed(self, pool: str) -> dict[str, _work.WorkerRecord]:
+        """Return the workers of a pool that have vanished lately."""
         # A later life of the instance shows that the former has ended.
         alive = {record.instance for record in self.workers.values()}
         return {
             id_: departure.record
             for id_, departure in self._departed.items()
             if departure.record.pool == pool
-            and departure.at >= since
             and (departure.record.instance or None) not in alive
         }
 
--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -17,6 +17,7 @@
 from skylarktally.entries import _claims
 from skylarktally.entries import _desk
 from skylarktally.entries import _directory
+from skylarktally.entries import _isolation
 from skylarktally.entries import _settings
 from skylarktally import platform
 from skylarktally.scheduling import _ledger
@@ -28,10 +29,9 @@
 _LOG = logging.getLogger(__name__)
 
 _CLAIM_INTERVAL = datetime.timedelta(seconds=0.1)
+_CONTACT_INTERVAL = datetime.timedelta(seconds=0.25)
+_CONTACT_TIMEOUT = datetime.timedelta(seconds=0.3)
 _VACATE_TIMEOUT = datetime.timedelta(seconds=0.5)
-# An owner notices that a worker has vanished, and writes that down, within
-# this time.
-_NAMING_LAG = datetime.timedelta(seconds=2)
 # The balancer takes up to two seconds to notice; callers with open
 # connections are served meanwhile.
 _STOP_NOTICE = datetime.timedelta(seconds=2.5)
@@ -68,6 +68,7 @@
         self._owners: dict[str, _owner.PoolOwner] = {}
         self._maintenance: _maintenance.Maintenance | None = None
         self._started_at = clock.monotonic()
+        self._contacts = _isolation.Contacts(self._started_at)
         self._is_stopping = False
 
     def run(self) -> None:
@@ -83,6 +84,7 @@
         )
         self._directory.start()
         self._serve()
+        _loop.spawn_guarded(self._watch_contacts)
         while not self._is_stopping:
             self._clock.sleep(_CLAIM_INTERVAL)
             self._claim_vacant()
@@ -115,9 +117,43 @@
 
     def _is_ready(self) -> bool:
         return (
-            not self._is_stopping and self._directory.configuration is not None
+            not self._is_stopping
+            and self._directory.configuration is not None
+            and not self._contacts.is_cut_off(self._clock.monotonic())
         )
 
+    def _watch_contacts(self) -> None:
+        """Ask other entries for a sign of life while the store is away."""
+        was_cut_off = False
+        while True:
+            self._clock.sleep(_CONTACT_INTERVAL)
+            now = self._clock.monotonic()
+            read_at = self._directory.terms_read_at
+            if read_at is not None:
+                self._contacts.note_store(read_at)
+            if self._contacts.lacks_store(now):
+                self._ask_peers()
+            is_cut_off = self._contacts.is_cut_off(self._clock.monotonic())
+            if is_cut_off != was_cut_off:
+                was_cut_off = is_cut_off
+                _LOG.info(
+                    'cut off from the store and other entries'
+                    if is_cut_off
+                    else 'no longer cut off'
+                )
+
+    def _ask_peers(self) -> None:
+        own = self._settings.peer_address
+        addresses = {
+            tenure.term.address for tenure in self._directory.tenures.values()
+        } - {own}
+        for address in sorted(addresses):
+            outcome = self._calls.reaches_store(address, _CONTACT_TIMEOUT)
+            reaches_store = outcome.value_or(False)
+            self._contacts.note_peer(reaches_store)
+            if reaches_store:
+                return
+
     def _note_stop(self, number: int, frame: object) -> None:
         del number, frame
         self._is_stopping = True
@@ -202,6 +238,7 @@
             self._incarnation,
             vacancy.generation + 1,
             0,
+            workers=former.term.workers if former is not None else (),
         )
         outcome = _ledger.claim(
             self._store, self._clock, shard, term, vacancy.version
@@ -247,7 +284,7 @@
                 self._clock,
                 self._settings.name,
             )
-            _loop.spawn(
+            _loop.spawn_guarded(
                 self._maintenance.run,
                 _maintenance.Surroundings(
                     lambda: self._directory.waves,
@@ -267,7 +304,7 @@
         self._owners[shard] = owner
         configuration = self._directory.configuration
         queues = configuration.queues if configuration is not None else ()
-        _loop.spawn(
+        _loop.spawn_guarded(
             owner.run,
             {queue.name: queue for queue in queues},
             lambda: self._directory.list_workers(shard),
@@ -281,13 +318,9 @@
         last_order_at = now
         if former is not None:
             last_order_at = min(now, former.seen_at + _ledger.HOLD_LIMIT)
-        # The former owner has named those that had vanished before.
-        named_at = now if former is None else former.seen_at - _NAMING_LAG
-        since = self._directory.workers_known_since
         return _owner.Succession(
-            former.term.suspects if former is not None else (),
-            self._directory.list_departed(shard, named_at),
-            since is not None and since <= named_at,
+            former.term.workers if former is not None else (),
+            self._directory.list_departed(shard),
             last_order_at,
         )
 
@@ -324,6 +357,10 @@
             True,
         )
 
+    def reaches_store(self) -> bool:
+        """Tell whether the store answers this entry."""
+        return not self._contacts.lacks_store(self._clock.monotonic())
+
     def _request_load(
         self, pool: str, lendable: int
     ) -> _lending.PoolLoad | None:
--- a/skylarktally/entry.thrift
+++ b/skylarktally/entry.thrift
@@ -44,5 +44,7 @@
   /** Empties a worker; tells whether its instance can go now. */
   bool vacate(1: string pool, 2: string worker),
   /** Tells what the pool would use at once, and what its workers run. */
+  /** Tells whether the store answers the entry that is asked. */
+  bool reaches_store(),
   PoolLoad measure(1: string pool, 2: i32 lendable_millicores),
 }
--- a/skylarktally/scheduling/_board.py
+++ b/skylarktally/scheduling/_board.py
@@ -149,6 +149,8 @@
     is_vacating: bool = False
     # Whether its report has been read under the present term.
     is_known: bool = False
+    # Whether the stored term names it, so that a successor asks it.
+    is_recorded: bool = False
 
     @property
     def room(self) -> _work.Resources:
@@ -160,6 +162,7 @@
         """Whether new runs may be sent to the worker."""
         return (
             self.is_known
+            and self.is_recorded
             and not self.record.is_draining
             and not self.is_vacating
         )
--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -64,8 +64,11 @@
     def take_changes(self, limit: int) -> Changes:
         """Return changes of at most so many rows."""
 
-    def list_suspects(self) -> tuple[str, ...]:
-        """Return lost workers whose leases may not have ended."""
+    def list_holders(self) -> tuple[str, ...]:
+        """Return the workers that may hold a lease."""
+
+    def note_recorded(self, workers: tuple[str, ...]) -> None:
+        """Note that a successor will know of these workers."""
 
 
 class _Write:
@@ -226,7 +229,7 @@
         term = self._term._replace(
             sequence=self._term.sequence + 1,
             is_released=self._is_released,
-            suspects=self._source.list_suspects() if self._source else (),
+            workers=self._list_holders(),
         )
         place = _records.place_term(self.shard)
         transaction = _rows.Transaction(
@@ -243,6 +246,8 @@
         self._is_sending = False
         if is_applied:
             changes.note_applied()
+            if self._source is not None:
+                self._source.note_recorded(term.workers)
         for write in writes:
             write.resolve(Fate.APPLIED if is_applied else Fate.UNKNOWN)
         for done in self._sending_flushes:
@@ -250,6 +255,11 @@
         if is_applied and self._is_released:
             self.is_over = True
 
+    def _list_holders(self) -> tuple[str, ...]:
+        if self._source is None:
+            return self._term.workers
+        return self._source.list_holders()
+
     def _take_changes(self, limit: int) -> Changes:
         if self._source is None:
             return Changes([], [], lambda: None)
--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -141,7 +141,14 @@
 
     def run(self, surroundings: Surroundings) -> None:
         """Carry out waves and moves until the term ends."""
-        _loop.spawn(self.ledger.run)
+        _loop.spawn_guarded(self.ledger.run)
+        try:
+            self._run(surroundings)
+        finally:
+            # After an error another entry, or a new term, takes over.
+            self.ledger.end()
+
+    def _run(self, surroundings: Surroundings) -> None:
         if not self._load():
             return
         while not self.ledger.is_over:
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -56,12 +56,10 @@
 class Succession(NamedTuple):
     """What a new owner knows of the time of the former one."""
 
-    # Lost workers that the former owner knew of.
-    suspects: tuple[str, ...]
-    # Workers that have vanished while a lease may last.
+    # Workers that may hold a lease, by the last term that was stored.
+    workers: tuple[str, ...]
+    # Workers that have vanished lately, with their addresses.
     departed: Mapping[str, _work.WorkerRecord]
-    # Whether this entry has followed the workers for longer than that.
-    is_informed: bool
     # The former owner has given no order after this.
     last_order_at: datetime.timedelta
 
@@ -114,12 +112,32 @@
         succession: Succession,
     ) -> None:
         """Load the pool, learn what runs, and schedule until the end."""
-        _loop.spawn(self.ledger.run)
+        _loop.spawn_guarded(self.ledger.run)
+        try:
+            self._run(queues, workers, succession)
+        finally:
+            # After an error another entry, or a new term, takes over.
+            self.ledger.end()
+            self._end()
+
+    def _run(
+        self,
+        queues: Mapping[str, _work.Queue],
+        workers: Callable[[], Mapping[str, _work.WorkerRecord]],
+        succession: Succession,
+    ) -> None:
         if not self._load(queues):
             return
-        self.sync_workers({**succession.departed, **workers()})
+        lapse_at = _sessions.find_lapse(succession.last_order_at)
+        self._suspects = dict.fromkeys(succession.workers, lapse_at)
+        departed = {
+            id_: record
+            for id_, record in succession.departed.items()
+            if id_ in self._suspects
+        }
+        self.sync_workers({**departed, **workers()})
         self._await_reports()
-        self._bar_unknown(succession)
+        self._bar_unknown(lapse_at)
         self.is_ready = True
         _LOG.info(
             'owner ready',
@@ -135,7 +153,6 @@
             self.sync_workers(workers())
             if self.ledger.may_order():
                 self._plan()
-        self._end()
 
     def _load(self, queues: Mapping[str, _work.Queue]) -> bool:
         """Read the jobs of the pool; False when the term ends first."""
@@ -215,32 +232,30 @@
                 return
             self._clock.sleep(_REPORT_POLL)
 
-    def _bar_unknown(self, succession: Succession) -> None:
+    def _bar_unknown(self, lapse_at: datetime.timedelta) -> None:
         """Bar tasks that may run on workers that have not reported."""
-        suspects, is_informed = succession.suspects, succession.is_informed
+        seats = self.board.seats
         silent = [
             worker
-            for worker, seat in self.board.seats.items()
-            if not seat.is_known
+            for worker in self._suspects
+            if worker not in seats or not seats[worker].is_known
         ]
-        silent.extend(item for item in suspects if item not in silent)
-        if not self.board.jobs or (is_informed and not silent):
+        if not self.board.jobs or not silent:
             return
-        until = _sessions.find_lapse(succession.last_order_at)
-        for worker in silent:
-            self._suspects[worker] = until
         for job in self.board.jobs.values():
-            job.barred_until = until
+            job.barred_until = lapse_at
             for group in job.groups.values():
                 for task in group.tasks:
                     if task.run is None:
-                        task.barred_until = until
+                        task.barred_until = lapse_at
         _LOG.info(
             'tasks barred',
             extra={
                 'shard': self.ledger.shard,
                 'silent': silent,
-                'informed': is_informed,
+                'seconds': (
+                    lapse_at - self._clock.monotonic()
+                ).total_seconds(),
             },
         )
 
@@ -288,7 +303,8 @@
         self.board.seats[record.id] = seat
         session = _sessions.Session(self, seat, self._calls, self._clock)
         self._sessions[record.id] = session
-        _loop.spawn(session.run)
+        self.ledger.note_changes(is_urgent=True)
+        _loop.spawn_guarded(session.run)
 
     def _note_missing(self, id_: str, now: datetime.timedelta) -> None:
         since = self._missing.setdefault(id_, now)
@@ -338,10 +354,10 @@
             if session is not None:
                 run.state = _board.RunState.STOPPING
                 run.answered_at = None
-                _loop.spawn(session.stop, run)
+                _loop.spawn_guarded(session.stop, run)
         for task, seat in _planning.plan_starts(self.board, now):
             run = self.board.add_run(task, seat, now)
-            _loop.spawn(self._sessions[seat.record.id].start, run)
+            _loop.spawn_guarded(self._sessions[seat.record.id].start, run)
         if self.board.changed:
             self._note_changes()
 
@@ -351,13 +367,21 @@
 
     # Source of the ledger.
 
-    def list_suspects(self) -> tuple[str, ...]:
-        """Return lost workers whose leases may not have ended."""
+    def list_holders(self) -> tuple[str, ...]:
+        """Return the workers that may hold a lease."""
         now = self._clock.monotonic()
         for id_, until in list(self._suspects.items()):
             if until <= now:
                 del self._suspects[id_]
-        return (*self._suspects, *self._missing)
+        return tuple(dict.fromkeys((*self.board.seats, *self._suspects)))
+
+    def note_recorded(self, workers: tuple[str, ...]) -> None:
+        """Open the workers that a successor will know of."""
+        for id_ in workers:
+            seat = self.board.seats.get(id_)
+            if seat is not None and not seat.is_recorded:
+                seat.is_recorded = True
+                self._signal.set()
 
     def take_changes(self, limit: int) -> _ledger.Changes:
         """Return the progress of jobs that have changed."""
--- a/skylarktally/scheduling/_records.py
+++ b/skylarktally/scheduling/_records.py
@@ -36,8 +36,8 @@
     # Grows with each transaction of the holder.
     sequence: int
     is_released: bool = False
-    # Workers that are lost and whose leases may not have ended.
-    suspects: tuple[str, ...] = ()
+    # Workers that may hold a lease of this term or of an earlier one.
+    workers: tuple[str, ...] = ()
 
 
 def encode_job(record: JobRecord) -> bytes:
@@ -58,7 +58,7 @@
 def decode_term(value: bytes) -> Term:
     """Return the term of a row; ValueError if it is damaged."""
     term = Term(*_load_list(value, len(Term._fields)))
-    return term._replace(suspects=tuple(term.suspects))
+    return term._replace(workers=tuple(term.workers))
 
 
 def _load_list(value: bytes, size: int) -> list[Any]:
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -231,7 +231,7 @@
         if is_wanted and task is not None:
             board.adopt_run(task, self.seat, active, now)
             return
-        _loop.spawn(self._stop, active.task, active.number)
+        _loop.spawn_guarded(self._stop, active.task, active.number)
 
     def start(self, run: _board.Run) -> None:
         """Send the start of a run and note what came of it."""
--- a/tests/pools.py
+++ b/tests/pools.py
@@ -59,10 +59,14 @@
     )
 
 
+def open_seat(record):
+    return _board.Seat(record, is_known=True, is_recorded=True)
+
+
 def make_board(*records, jobs=()):
     board = _board.Board()
     for record in records:
-        board.seats[record.id] = _board.Seat(record, is_known=True)
+        board.seats[record.id] = open_seat(record)
     for job in jobs:
         board.add_job(job, seconds(0), WALL)
     return board
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -23,7 +23,7 @@
     def __init__(self):
         self.puts = []
         self.applied = 0
-        self.suspects = ()
+        self.workers = ()
 
     def take_changes(self, limit):
         taken, self.puts = self.puts[:limit], self.puts[limit:]
@@ -32,8 +32,11 @@
     def note_applied(self):
         self.applied += 1
 
-    def list_suspects(self):
-        return self.suspects
+    def list_holders(self):
+        return self.workers
+
+    def note_recorded(self, workers):
+        self.recorded = workers
 
 
 class Shard:
@@ -230,11 +233,12 @@
     assert order == ['stored', 'flushed']
 
 
-def test_lost_workers_are_named_in_the_term(shard):
-    shard.source.suspects = ('w1', 'w2')
+def test_workers_are_named_in_the_term(shard):
+    shard.source.workers = ('w1', 'w2')
     shard.ledger.commit()
+    assert shard.source.recorded == ('w1', 'w2')
     row = shard.table.rows[_records.place_term(SHARD)]
-    assert _records.decode_term(row.value).suspects == ('w1', 'w2')
+    assert _records.decode_term(row.value).workers == ('w1', 'w2')
 
 
 @pytest.mark.parametrize(
--- a/tests/test_scheduling_plans.py
+++ b/tests/test_scheduling_plans.py
@@ -65,7 +65,7 @@
         pools.make_worker('w'), pools.make_worker('x'), jobs=[job]
     )
     assert plan(board) == []
-    board.seats['y'] = _board.Seat(pools.make_worker('y'), is_known=True)
+    board.seats['y'] = pools.open_seat(pools.make_worker('y'))
     assert len(plan(board)) == 3
 
 
@@ -103,7 +103,8 @@
 
 
 @pytest.mark.parametrize(
-    'state', ['is_known', 'is_draining', 'is_vacating', 'avoided']
+    'state',
+    ['is_known', 'is_recorded', 'is_draining', 'is_vacating', 'avoided'],
 )
 def test_no_run_is_sent_to_a_worker_that_is_not_open(state):
     """Guards against new work on a leaving worker (DRAIN)."""
@@ -114,6 +115,7 @@
     )
     seat = board.seats['w']
     seat.is_known = state != 'is_known'
+    seat.is_recorded = state != 'is_recorded'
     seat.is_vacating = state == 'is_vacating'
     if state == 'avoided':
         seat.avoided_until = pools.seconds(1)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -32,7 +32,7 @@
         self.board = pools.make_board()
         self.sessions = {}
         for name in names:
-            seat = _board.Seat(fleet.workers[name].record)
+            seat = _board.Seat(fleet.workers[name].record, is_recorded=True)
             self.board.seats[name] = seat
             self.sessions[name] = _sessions.Session(self, seat, fleet, clock)
 
