Watch terms without a gap before a claim, and take waves from pools in turn

Causes, each found by a test that failed first: instances were parked at the first look at a pool; the order of a wave's instances ignored the pools, since a list is empty while it is sorted; after an outage of the store every term looked expired at once.

--- a/skylarktally/entries/_claims.py
+++ b/skylarktally/entries/_claims.py
@@ -31,19 +31,23 @@
     generation: int
 
 
+class Reading(NamedTuple):
+    """When the claimant has read the terms."""
+
+    begun_at: datetime.timedelta
+    # Since then without a gap in which a renewal could have been missed.
+    steady_since: datetime.timedelta
+    last_at: datetime.timedelta
+
+
 def find_vacancy(
     tenure: _directory.Tenure | None,
     claimant: Claimant,
-    started_at: datetime.timedelta,
-    read_at: datetime.timedelta,
+    reading: Reading,
 ) -> Vacancy | None:
-    """Return since when the shard has no owner; None if it has one.
-
-    :param started_at: when the claimant began to read the terms
-    :param read_at: when it last read them
-    """
+    """Return since when the shard has no owner; None if it has one."""
     if tenure is None:
-        return Vacancy(started_at, 0, 0)
+        return Vacancy(reading.begun_at, 0, 0)
     term = tenure.term
     vacancy = Vacancy(tenure.seen_at, tenure.version, term.generation)
     if term.is_released:
@@ -53,8 +57,10 @@
         if term.incarnation != claimant.incarnation:
             return vacancy
         return None
-    expired_at = tenure.seen_at + _ledger.EXPIRY
-    if read_at < expired_at:
+    # While the store was away, the holder could not renew its term either.
+    watched_since = max(tenure.seen_at, reading.steady_since)
+    expired_at = watched_since + _ledger.EXPIRY
+    if reading.last_at < expired_at:
         return None
     return vacancy._replace(since=expired_at)
 
--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -26,6 +26,8 @@
 # next change would return at once.
 _WORKERS_INTERVAL = datetime.timedelta(seconds=0.4)
 _TERMS_INTERVAL = datetime.timedelta(seconds=0.5)
+# Reads of the terms that are further apart tell nothing of their holders.
+_LONGEST_GAP = datetime.timedelta(seconds=1.2)
 _RETRY_DELAY = datetime.timedelta(seconds=0.15)
 # No lease lasts longer.
 _DEPARTURE_RETENTION = datetime.timedelta(seconds=20)
@@ -81,8 +83,10 @@
         self._departed: dict[str, Departure] = {}
         self.waves: dict[int, _work.Wave] = {}
         self.tenures: dict[str, Tenure] = {}
-        # When the terms were last read with success.
+        # When the terms were last read with success, and since when without
+        # a gap in which a renewal could have been missed.
         self.terms_read_at: datetime.timedelta | None = None
+        self.terms_steady_since = clock.monotonic()
         # Since when the workers have been followed.
         self.workers_known_since: datetime.timedelta | None = None
         self._store = store
@@ -272,7 +276,11 @@
         for row in changes.rows:
             self._apply_term(row)
         self._terms_version = changes.version
-        self.terms_read_at = self._clock.monotonic()
+        now = self._clock.monotonic()
+        last = self.terms_read_at
+        if last is None or now - last > _LONGEST_GAP:
+            self.terms_steady_since = now
+        self.terms_read_at = now
         return True
 
     def _apply_term(self, row: _rows.Row) -> None:
--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -207,8 +207,9 @@
             vacancy = _claims.find_vacancy(
                 directory.tenures.get(shard),
                 claimant,
-                self._started_at,
-                read_at,
+                _claims.Reading(
+                    self._started_at, directory.terms_steady_since, read_at
+                ),
             )
             if vacancy is None:
                 continue
--- a/skylarktally/scheduling/_lending.py
+++ b/skylarktally/scheduling/_lending.py
@@ -123,12 +123,14 @@
         wants = self._wants.setdefault(pool, [])
         want = _count_wanted(load, size, now)
         wants.append(want)
-        while wants[0].at < now - PARK_DELAY:
+        # The first one left tells that the pool was known at the beginning.
+        while len(wants) > 1 and wants[1].at <= now - PARK_DELAY:
             del wants[0]
         recent = [item for item in wants if item.at >= now - _LEND_DELAY]
         parkable = max(item.most for item in wants)
-        if not load.reserve_millicores:
-            # Nothing is known of its demand yet.
+        is_known = wants[0].at <= now - PARK_DELAY
+        if not load.reserve_millicores or not is_known:
+            # Too little is known of its demand yet.
             parkable = max(parkable, present)
         return Balance(
             want.least,
--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -100,9 +100,9 @@
             is_open = True
             if record.state == _UP:
                 waiting.append(record)
-    waiting.sort(key=lambda record: _rank(record, waiting))
+    ranked = sorted(waiting, key=lambda record: _rank(record, waiting))
     allowance = max(wave.limit - down, 0)
-    return Turn(tuple(waiting[: allowance + _AHEAD]), allowance, not is_open)
+    return Turn(tuple(ranked[: allowance + _AHEAD]), allowance, not is_open)
 
 
 def _rank(
--- /dev/null
+++ b/tests/test_entries.py
@@ -0,0 +1,189 @@
+"""Guards claims of shards, isolation, waves and what entries know."""
+
+import json
+
+import pytest
+from returns import result
+
+from skylarktally.entries import _claims
+from skylarktally.entries import _directory
+from skylarktally.entries import _isolation
+from skylarktally import platform
+from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _maintenance
+from skylarktally.scheduling import _records
+from skylarktally.scheduling import _rows
+from skylarktally.scheduling import _work
+from standins import rows
+from tests import pools
+
+CLAIMANT = _claims.Claimant('me', 'life-2', 0)
+
+
+def make_tenure(holder='other', incarnation='x', released=False, seen=10.0):
+    term = _records.Term(holder, 'a:1', incarnation, 3, 7, released)
+    return _directory.Tenure(term, 42, pools.seconds(seen))
+
+
+def find_vacancy(tenure, read_at, steady_since=0.0):
+    times = (0.0, steady_since, read_at)
+    reading = _claims.Reading(*map(pools.seconds, times))
+    return _claims.find_vacancy(tenure, CLAIMANT, reading)
+
+
+@pytest.mark.parametrize(
+    'tenure, read_at, since',
+    [
+        (None, 1.0, 0.0),
+        (make_tenure(), 10.5, None),
+        (make_tenure(), 10 + 2.1, None),
+        (make_tenure(), 10 + 2.3, 12.2),
+        (make_tenure(released=True), 10.5, 10.0),
+        (make_tenure('me', 'life-1'), 10.5, 10.0),
+        (make_tenure('me', 'life-2'), 20.0, None),
+    ],
+)
+def test_a_shard_is_vacant_without_a_live_holder(tenure, read_at, since):
+    """Guards against a claim while the holder may still give orders."""
+    vacancy = find_vacancy(tenure, read_at)
+    found = None if vacancy is None else vacancy.since.total_seconds()
+    assert found == since
+
+
+def test_a_term_that_could_not_be_read_lately_is_not_taken_for_expired():
+    """Guards against claims after an outage that hid the renewals."""
+    tenure = make_tenure(seen=10)
+    assert find_vacancy(tenure, 20, steady_since=19) is None
+    vacancy = find_vacancy(tenure, 21.3, steady_since=19)
+    assert vacancy is not None
+    assert vacancy.since == pools.seconds(21.2)
+
+
+def test_a_gap_in_the_reads_begins_a_new_watch():
+    known = Known()
+    known.claim('a', 'one')
+    known.directory.refresh_terms()
+    for _ in range(3):
+        known.clock.advance(1)
+        known.directory.refresh_terms()
+    assert known.directory.terms_steady_since == pools.seconds(0)
+    known.table.is_down = True
+    known.clock.advance(1)
+    assert not known.directory.refresh_terms()
+    known.table.is_down = False
+    known.clock.advance(1)
+    known.directory.refresh_terms()
+    assert known.directory.terms_steady_since == pools.seconds(5)
+
+
+def test_entries_that_own_less_claim_first():
+    delays = [
+        _claims.find_delay(CLAIMANT._replace(owned=owned), 'pool')
+        for owned in range(4)
+    ]
+    assert delays == sorted(delays)
+    assert len(set(delays)) == 4
+
+
+def test_an_entry_is_cut_off_when_nobody_it_reaches_has_the_store():
+    contacts = _isolation.Contacts(pools.seconds(0))
+    now = pools.seconds(2)
+    contacts.note_peer(reaches_store=True)
+    assert contacts.lacks_store(now)
+    # The store is away for this entry, but not for others.
+    assert not contacts.is_cut_off(now)
+    contacts.note_peer(reaches_store=False)
+    assert contacts.is_cut_off(now)
+    contacts.note_store(now)
+    assert not contacts.is_cut_off(now)
+
+
+def make_instance(id_, pool='a', state='up', worker='w'):
+    return _work.InstanceRecord(id_, pool, state, 'z1', worker, 32000)
+
+
+def plan_turn(listed, done=None, now=100.0, limit=2):
+    wave = _work.Wave(1, tuple('abcd'), pools.seconds(20), limit)
+    found = {record.id: record for record in listed}
+    times = {id_: pools.seconds(at) for id_, at in (done or {}).items()}
+    return _maintenance.plan_turn(wave, found, times, pools.seconds(now))
+
+
+@pytest.mark.parametrize(
+    'states, done, allowance, is_completed',
+    [
+        ({}, {}, 2, False),
+        ({'a': 'upkeep'}, {'a': 90}, 1, False),
+        ({'a': 'upkeep', 'b': 'upkeep'}, {'a': 90, 'b': 90}, 0, False),
+        # The list may still show an instance as up after the order.
+        ({}, {'a': 99.5}, 1, False),
+        ({}, {'a': 90}, 2, False),
+        ({}, dict.fromkeys('abcd', 90), 2, True),
+        ({'d': 'down'}, dict.fromkeys('abc', 90), 2, False),
+    ],
+)
+def test_a_wave_keeps_within_its_limit(states, done, allowance, is_completed):
+    """Guards against too many instances down at once (LIMIT, MIXED)."""
+    listed = [
+        make_instance(id_, state=states.get(id_, 'up')) for id_ in 'abcd'
+    ]
+    turn = plan_turn(listed, done)
+    assert (turn.allowance, turn.is_completed) == (allowance, is_completed)
+    assert not {item.id for item in turn.instances} & set(done)
+
+
+def test_an_instance_that_is_gone_does_not_hold_up_a_wave():
+    listed = [make_instance(id_) for id_ in 'abc']
+    assert plan_turn(listed, dict.fromkeys('abc', 90)).is_completed
+
+
+def test_the_instances_of_a_wave_are_taken_from_the_pools_in_turn():
+    listed = [
+        make_instance(id_, pool)
+        for id_, pool in zip('abcd', 'xxyy', strict=True)
+    ]
+    turn = plan_turn(listed, limit=0)
+    assert [item.pool for item in turn.instances] == ['x', 'y']
+
+
+class Known:
+    """A directory over the stand-in of the table."""
+
+    def __init__(self):
+        self.clock = pools.ManualClock()
+        self.table = rows.RowTable()
+        self.directory = _directory.Directory(
+            self.table, platform.PlatformLayout(), self.clock
+        )
+
+    def put(self, table, key, value, partition=''):
+        data = (
+            value if isinstance(value, bytes) else json.dumps(value).encode()
+        )
+        self.table.put(_rows.RowKey(table, partition, key), data)
+
+    def claim(self, shard, holder):
+        term = _records.Term(holder, f'{holder}:1', 'life', 1, 0)
+        return _ledger.claim(self.table, self.clock, shard, term, 0)
+
+
+def test_terms_of_all_shards_are_followed():
+    known = Known()
+    assert isinstance(known.claim('a', 'one'), result.Success)
+    assert known.directory.refresh_terms()
+    known.claim('b', 'two')
+    known.clock.advance(1)
+    assert known.directory.refresh_terms()
+    addresses = [known.directory.find_address(shard) for shard in 'abc']
+    assert addresses == ['one:1', 'two:1', None]
+    assert known.directory.tenures['a'].seen_at == pools.seconds(0)
+    assert known.directory.tenures['b'].seen_at == pools.seconds(1)
+
+
+def test_a_damaged_term_leaves_the_others_alone():
+    known = Known()
+    known.claim('a', 'one')
+    known.put('terms', 'term', b'\xff', partition='b')
+    assert known.directory.refresh_terms()
+    assert known.directory.find_address('a') == 'one:1'
+    assert known.directory.find_address('b') is None
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,265 @@
+"""Guards the translation of the platform's wire, with bad input too."""
+
+import datetime
+import io
+import json
+
+import pytest
+from returns import result
+
+from skylarktally import _errors
+from skylarktally import platform
+from skylarktally.platform import _decoding
+from skylarktally.platform import _ingress
+from skylarktally.scheduling import _work
+from tests import pools
+
+ErrorKind = _errors.ErrorKind
+
+WORKER = {
+    'service': 'pool',
+    'address': '10.0.0.1:80',
+    'zone': 'z1',
+    'version': 'v1',
+    'slot_count': 8,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'capacity': {'cpu': 16000, 'mem_mb': 32768, 'gpu': 0},
+    'labels': ['a', 'r1-3'],
+    'clock_ms': 482113,
+    'sequence': 4,
+    'born': 1700000000000,
+    'machine': 'm-1',
+}
+ROUTE = {
+    'name': 'q',
+    'host': 'h.example',
+    'prefix': '/p/',
+    'kind': 'non_idempotent',
+    'timeout_ms': 3000,
+    'target_latency_ms': 600,
+    'priority': 1,
+    'service': 'pool',
+    'max_attempts': 2,
+    'deadline_stretch': 1.6,
+}
+LONGER = {**ROUTE, 'name': 'longer', 'prefix': '/p/more/'}
+CONFIGURATION = {
+    'version': 7,
+    'routes': [ROUTE, LONGER],
+    'services': [
+        {'name': 'pool', 'standby': False},
+        {'name': 'spare', 'standby': True},
+    ],
+    'limits': {'max_body_bytes': 1000},
+}
+
+
+def encode(data):
+    return json.dumps(data).encode()
+
+
+def test_a_worker_is_decoded_into_fields_that_say_what_they_hold():
+    record = _decoding.decode_worker('i-1', encode(WORKER))
+    assert record == _work.WorkerRecord(
+        'i-1',
+        'pool',
+        '10.0.0.1:80',
+        'z1',
+        False,
+        _work.Resources(16000, 32768, 0),
+        frozenset({'a', 'r1-3'}),
+        'r1-3',
+        1700000000000,
+        None,
+        'm-1',
+    )
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'other'},
+        {'service': None},
+        {'address': 'nowhere'},
+        {'address': 7},
+        {'capacity': {'cpu': '16'}},
+        {'capacity': {'cpu': -1}},
+        {'capacity': None},
+        {'labels': [1]},
+        {'born': 'x'},
+        {'zone': 3},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_worker(change):
+    with pytest.raises((ValueError, KeyError, TypeError, AttributeError)):
+        _decoding.decode_worker('i-1', encode({**WORKER, **change}))
+
+
+@pytest.mark.parametrize(
+    'value', [b'', b'\xff\xfe', b'[]', b'null', b'{', b'{}', b'[' * 100000]
+)
+@pytest.mark.parametrize(
+    'decode',
+    [
+        lambda value: _decoding.decode_worker('i-1', value),
+        _decoding.decode_configuration,
+        _decoding.decode_wave,
+        _decoding.decode_job,
+    ],
+)
+def test_what_cannot_be_read_is_one_kind_of_error(decode, value):
+    with pytest.raises((ValueError, KeyError)):
+        decode(value)
+
+
+@pytest.mark.parametrize(
+    'job',
+    [
+        {},
+        {'steps': []},
+        {'steps': [1]},
+        {'steps': [{'task_count': 0}]},
+        {'steps': [{'task_count': True}]},
+        {'steps': [{'task_count': 1, 'after': [0]}]},
+        {'steps': [{'task_count': 1, 'cpu': -5}]},
+        {'steps': [{'task_count': 1, 'estimate_ms': 'long'}]},
+        {'steps': [{'task_count': 100000}]},
+        {'task_spec': 'x' * 4001, 'steps': [{'task_count': 1}]},
+    ],
+)
+def test_a_malformed_job_is_refused(job):
+    with pytest.raises(ValueError):
+        platform.decode_job(encode(job))
+
+
+def test_a_job_with_occurrences_is_decoded():
+    job = {
+        'task_spec': 's',
+        'steps': [
+            {'task_count': 2, 'cpu': 500, 'estimate_ms': 900},
+            {'task_count': 1, 'after': [0], 'fill_count': 1, 'may_miss': 1},
+        ],
+        'repeat_count': 3,
+        'first_run_ms': 1000,
+        'interval_ms': 250,
+    }
+    spec = platform.decode_job(encode(job))
+    assert spec.occurrences == 3
+    assert spec.interval == datetime.timedelta(milliseconds=250)
+    assert spec.first_run == datetime.datetime.fromtimestamp(1, datetime.UTC)
+    assert spec.steps[0].estimate == pools.seconds(0.9)
+    assert spec.steps[1].is_filler
+    assert spec.steps[1].after == (0,)
+
+
+def test_a_report_of_a_worker_is_decoded():
+    report = _decoding.decode_report(
+        {
+            'clock_ms': 1500,
+            'born': 9,
+            'active_runs': [['ab.0.1.2', 3, 'c', 40, 12]],
+            'ended_runs': [[5, 'ab.0.1.3', 1, 'done', '']],
+        }
+    )
+    assert report.clock == pools.seconds(1.5)
+    assert report.active == (
+        _work.ActiveRun(_work.TaskId('ab', 0, 1, 2), 3, 'c', 40, 12),
+    )
+    assert report.ended[0].kind is _work.EndKind.DONE
+    assert _decoding.format_task(report.ended[0].task) == 'ab.0.1.3'
+
+
+class Desk:
+    """Answers what the test says and notes the calls."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+        self.calls = []
+
+    def __getattr__(self, name):
+        def call(queue, *arguments):
+            self.calls.append((name, queue.name, *arguments[:-1]))
+            return self.outcome
+
+        return call
+
+
+JOB = '5c0e7a21d94b36f8'
+
+
+def request(
+    outcome, method='GET', path=f'/p/{JOB}', body=b'', configured=True, **extra
+):
+    configuration = _decoding.decode_configuration(encode(CONFIGURATION))
+    desk = Desk(outcome)
+    application = _ingress.Ingress(
+        desk, lambda: configuration if configured else None, lambda: False
+    )
+    answers = []
+    environment = {
+        'HTTP_HOST': 'h.example',
+        'PATH_INFO': path,
+        'REQUEST_METHOD': method,
+        'CONTENT_LENGTH': str(len(body)),
+        'wsgi.input': io.BytesIO(body),
+        **extra,
+    }
+    content = b''.join(
+        application(environment, lambda *answer: answers.append(answer))
+    )
+    status = int(answers[0][0].split()[0])
+    return status, dict(answers[0][1]), json.loads(content), desk.calls
+
+
+def fail(kind, seconds=None):
+    delay = None if seconds is None else pools.seconds(seconds)
+    return result.Failure(_errors.Failure(kind, 'message', delay))
+
+
+@pytest.mark.parametrize(
+    'outcome, method, path, status',
+    [
+        (result.Success(None), 'POST', f'/p/{JOB}', 200),
+        (fail(ErrorKind.QUEUE_FULL, 4), 'POST', f'/p/{JOB}', 429),
+        (fail(ErrorKind.PLATFORM_UNAVAILABLE), 'POST', f'/p/{JOB}', 503),
+        (fail(ErrorKind.LEASE_LOST, 2), 'POST', f'/p/{JOB}', 503),
+        (fail(ErrorKind.OUTCOME_UNKNOWN), 'POST', f'/p/{JOB}', 502),
+        (fail(ErrorKind.INVALID_REQUEST), 'POST', f'/p/{JOB}', 400),
+        (fail(ErrorKind.NOT_FOUND), 'GET', f'/p/{JOB}', 410),
+        (fail(ErrorKind.NOT_FOUND), 'DELETE', f'/p/{JOB}', 410),
+        (result.Success(3), 'GET', '/p/', 200),
+        (result.Success(None), 'GET', '/other/', 404),
+        (result.Success(None), 'GET', '/p/short', 400),
+        (result.Success(None), 'PUT', f'/p/{JOB}', 400),
+    ],
+)
+def test_outcomes_have_the_statuses_that_callers_expect(
+    outcome, method, path, status
+):
+    assert request(outcome, method, path, b'{}')[0] == status
+
+
+def test_a_refusal_says_when_to_come_back():
+    refusal = fail(ErrorKind.QUEUE_FULL, 3.2)
+    _, headers, _, _ = request(refusal, 'POST', body=b'{}')
+    assert headers['Retry-After'] == '4'
+
+
+def test_the_longest_prefix_selects_the_queue():
+    shown = result.Success(_work.JobState.RUNNING)
+    _, _, body, calls = request(shown, path=f'/p/more/{JOB}')
+    assert calls == [('show', 'longer', JOB)]
+    assert body == {'state': 'running'}
+
+
+def test_nothing_is_served_before_there_is_a_configuration():
+    status, _, _, calls = request(result.Success(None), configured=False)
+    assert (status, calls) == (503, [])
+
+
+def test_a_body_above_the_limit_is_refused_unread():
+    status, _, _, calls = request(
+        result.Success(None), 'POST', body=b'x' * 1001
+    )
+    assert (status, calls) == (413, [])
