Write a release that is asked for during a commit, and shorten hand-overs

Terms expire after 1.8 s, are read every 0.35 s, and vacancies after the first are claimed within 0.1 s and 0.1 s for each shard owned.

--- a/skylarktally/entries/_claims.py
+++ b/skylarktally/entries/_claims.py
@@ -8,11 +8,24 @@
 from skylarktally.entries import _directory
 from skylarktally.scheduling import _ledger
 
-# An entry waits this long for each shard that it owns already, so that
-# the shards spread over the entries.
-_DELAY_PER_SHARD = datetime.timedelta(seconds=0.3)
-# Entries that own the same number of shards try in turn.
-_TURN = datetime.timedelta(seconds=0.3)
+
+class _Pace(NamedTuple):
+    """How long an entry leaves a vacancy to others."""
+
+    # For each shard that it owns already, so that the shards spread.
+    per_shard: datetime.timedelta
+    # At most, by lot, among entries that own the same number.
+    by_lot: datetime.timedelta
+
+
+# Entries start within 0.3 s of each other.
+_FIRST = _Pace(
+    datetime.timedelta(seconds=0.3), datetime.timedelta(seconds=0.3)
+)
+# Work stands still until a shard is owned again.
+_LATER = _Pace(
+    datetime.timedelta(seconds=0.1), datetime.timedelta(seconds=0.1)
+)
 
 
 class Claimant(NamedTuple):
@@ -65,8 +78,11 @@
     return vacancy._replace(since=expired_at)
 
 
-def find_delay(claimant: Claimant, shard: str) -> datetime.timedelta:
+def find_delay(
+    claimant: Claimant, shard: str, vacancy: Vacancy
+) -> datetime.timedelta:
     """Return how long the claimant leaves a vacancy to others."""
     text = f'{claimant.name} {shard}'
     draw = xxhash.xxh32_intdigest(text.encode()) / 2**32
-    return claimant.owned * _DELAY_PER_SHARD + draw * _TURN
+    pace = _LATER if vacancy.generation else _FIRST
+    return claimant.owned * pace.per_shard + draw * pace.by_lot
--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -25,7 +25,7 @@
 # The rows of workers change with each heartbeat, so that waiting for the
 # next change would return at once.
 _WORKERS_INTERVAL = datetime.timedelta(seconds=0.4)
-_TERMS_INTERVAL = datetime.timedelta(seconds=0.5)
+_TERMS_INTERVAL = datetime.timedelta(seconds=0.35)
 # Reads of the terms that are further apart tell nothing of their holders.
 _LONGEST_GAP = datetime.timedelta(seconds=1.2)
 _RETRY_DELAY = datetime.timedelta(seconds=0.15)
--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -213,7 +213,7 @@
             )
             if vacancy is None:
                 continue
-            delay = _claims.find_delay(claimant, shard)
+            delay = _claims.find_delay(claimant, shard, vacancy)
             # The vacancy must show in a read after the delay.
             if vacancy.since + delay <= min(now, read_at):
                 self._claim(shard, vacancy)
--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -26,12 +26,12 @@
 _LOG = logging.getLogger(__name__)
 
 # A term is renewed this long after its last transaction.
-RENEWAL_INTERVAL = datetime.timedelta(seconds=0.5)
+RENEWAL_INTERVAL = datetime.timedelta(seconds=0.4)
 # The holder gives no orders this long after the start of its last
 # transaction that was applied.
-HOLD_LIMIT = datetime.timedelta(seconds=1.8)
+HOLD_LIMIT = datetime.timedelta(seconds=1.5)
 # Others may claim a term that has not changed for this long.
-EXPIRY = datetime.timedelta(seconds=2.2)
+EXPIRY = datetime.timedelta(seconds=1.8)
 # Progress waits this long for more to be written with it.
 _BATCH_DELAY = datetime.timedelta(seconds=0.06)
 _RETRY_DELAY = datetime.timedelta(seconds=0.1)
@@ -252,7 +252,8 @@
             write.resolve(Fate.APPLIED if is_applied else Fate.UNKNOWN)
         for done in self._sending_flushes:
             done.send(is_applied)
-        if is_applied and self._is_released:
+        # A release that was asked for meanwhile goes with the next one.
+        if is_applied and term.is_released:
             self.is_over = True
 
     def _list_holders(self) -> tuple[str, ...]:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -36,8 +36,8 @@
     [
         (None, 1.0, 0.0),
         (make_tenure(), 10.5, None),
-        (make_tenure(), 10 + 2.1, None),
-        (make_tenure(), 10 + 2.3, 12.2),
+        (make_tenure(), 10 + 1.7, None),
+        (make_tenure(), 10 + 1.9, 11.8),
         (make_tenure(released=True), 10.5, 10.0),
         (make_tenure('me', 'life-1'), 10.5, 10.0),
         (make_tenure('me', 'life-2'), 20.0, None),
@@ -54,9 +54,9 @@
     """Guards against claims after an outage that hid the renewals."""
     tenure = make_tenure(seen=10)
     assert find_vacancy(tenure, 20, steady_since=19) is None
-    vacancy = find_vacancy(tenure, 21.3, steady_since=19)
+    vacancy = find_vacancy(tenure, 21, steady_since=19)
     assert vacancy is not None
-    assert vacancy.since == pools.seconds(21.2)
+    assert vacancy.since == pools.seconds(20.8)
 
 
 def test_a_gap_in_the_reads_begins_a_new_watch():
@@ -76,9 +76,11 @@
     assert known.directory.terms_steady_since == pools.seconds(5)
 
 
-def test_entries_that_own_less_claim_first():
+@pytest.mark.parametrize('generation', [0, 1])
+def test_entries_that_own_less_claim_first(generation):
+    vacancy = _claims.Vacancy(pools.seconds(0), 1, generation)
     delays = [
-        _claims.find_delay(CLAIMANT._replace(owned=owned), 'pool')
+        _claims.find_delay(CLAIMANT._replace(owned=owned), 'pool', vacancy)
         for owned in range(4)
     ]
     assert delays == sorted(delays)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -166,7 +166,6 @@
 
     shard.table.commit = commit_slowly
     shard.ledger.commit()
-    shard.clock.advance(0.6)
     assert not shard.ledger.may_order()
 
 
@@ -181,6 +180,26 @@
     assert thread.wait() is Fate.DROPPED
 
 
+def test_a_release_is_written_also_when_asked_for_during_a_commit(shard):
+    """Guards against a term that ends without telling the others."""
+    commit = shard.table.commit
+
+    def commit_slowly(transaction):
+        _loop.sleep(0.02)
+        return commit(transaction)
+
+    shard.table.commit = commit_slowly
+    sending = _loop.spawn(shard.ledger.commit)
+    _loop.sleep(0)
+    shard.ledger.release()
+    sending.wait()
+    assert not shard.ledger.is_over
+    shard.ledger.commit()
+    assert shard.ledger.is_over
+    row = shard.table.rows[_records.place_term(SHARD)]
+    assert _records.decode_term(row.value).is_released
+
+
 def test_a_write_that_waits_in_vain_is_dropped(shard):
     """Guards the truth of a refusal: the job must never be stored."""
     fate = shard.ledger.write(
