--- a/skylarktally/scheduling/_board.py
+++ b/skylarktally/scheduling/_board.py
@@ -15,6 +15,8 @@
 
 _NONE = datetime.timedelta()
 FULL_SPEED = 100
+# Workers report every second; one that has not for longer may be gone.
+_FRESH = datetime.timedelta(seconds=1.6)
 # Jobs from which a usual one is told.
 _USUAL_JOBS = 21
 
@@ -45,6 +47,8 @@
     load: int = 0
     # When the answer to the last order on this run arrived.
     answered_at: datetime.timedelta | None = None
+    # When the worker last reported the run.
+    reported_at: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -61,14 +65,15 @@
     # A run that nobody reports may be present until then.
     barred_until: datetime.timedelta = _NONE
 
-    @property
-    def is_working(self) -> bool:
-        """Whether the task is at work at full speed."""
+    def is_working(self, now: datetime.timedelta) -> bool:
+        """Tell whether the worker says that the task is at full speed."""
         run = self.run
         return (
             run is not None
             and run.state is RunState.ACTIVE
             and run.percent >= FULL_SPEED
+            and run.reported_at is not None
+            and now - run.reported_at <= _FRESH
         )
 
 
@@ -145,6 +150,9 @@
     # No new runs until then, since the worker fails or does not answer.
     avoided_until: datetime.timedelta = _NONE
     failures: int = 0
+    # Runs of the last report that have no use there; they take up room
+    # until they have ended.
+    unwanted: int = 0
     # The instance is to be maintained or moved.
     is_vacating: bool = False
     # Whether its report has been read under the present term.
@@ -163,6 +171,7 @@
         return (
             self.is_known
             and self.is_recorded
+            and not self.unwanted
             and not self.record.is_draining
             and not self.is_vacating
         )
@@ -293,7 +302,7 @@
         """Note a run that the worker reports and the board did not know."""
         task.last_number = max(task.last_number, active.number)
         run = Run(task, active.number, '', now, RunState.ACTIVE)
-        run.answered_at = now
+        run.answered_at = run.reported_at = now
         run.percent, run.load = active.percent, active.load
         task.checkpoint = active.checkpoint or task.checkpoint
         return self._attach(run, seat)
--- a/skylarktally/scheduling/_planning.py
+++ b/skylarktally/scheduling/_planning.py
@@ -75,7 +75,7 @@
         if group.job.is_final or not _leaves(run, seat, self._now):
             return False
         stopped = self._stopped.get(group, 0)
-        if not may_interrupt(run.task, stopped):
+        if not may_interrupt(run.task, self._now, stopped):
             return False
         if self._sketch.place(run.task) is None:
             return False
@@ -97,7 +97,9 @@
     return False
 
 
-def may_interrupt(task: _board.Task, others_stopped: int = 0) -> bool:
+def may_interrupt(
+    task: _board.Task, now: datetime.timedelta, others_stopped: int = 0
+) -> bool:
     """Tell whether a planned action may make the task unavailable.
 
     :param others_stopped: tasks of the group that the same plan stops
@@ -106,7 +108,7 @@
     if not group.step.is_long_running or not group.step.unavailable_limit:
         return True
     away = others_stopped + sum(
-        not other.is_working for other in group.tasks if other is not task
+        not other.is_working(now) for other in group.tasks if other is not task
     )
     return away < group.step.unavailable_limit
 
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -95,11 +95,15 @@
         while not self.is_over and not self._host.ledger.is_over:
             if not self._host.ledger.may_order():
                 self._clock.sleep(_RETRY_DELAY)
-            elif self.seat.is_known and not self.seat.runs:
+            elif self._is_idle():
                 self._signal.wait(_IDLE_WAIT)
             elif not self.exchange():
                 self._clock.sleep(_RETRY_DELAY)
 
+    def _is_idle(self) -> bool:
+        seat = self.seat
+        return seat.is_known and not seat.runs and not seat.unwanted
+
     def _find_until(self) -> datetime.timedelta | None:
         """Return the end of a new lease on the clock of the worker."""
         if self._reading is None:
@@ -213,13 +217,21 @@
                 del present[run.task.id]
             elif run.answered_at is not None and run.answered_at < sent_at:
                 self._host.board.remove_run(run)
-        for active in present.values():
-            self._take_unknown(active, now)
+        unwanted = [
+            active
+            for active in present.values()
+            if not self._adopt(active, now)
+        ]
+        self.seat.unwanted = len(unwanted)
+        for active in unwanted:
+            _loop.spawn_guarded(self._stop_unwanted, active)
+
+    def _stop_unwanted(self, active: _work.ActiveRun) -> None:
+        if self._stop(active.task, active.number):
+            self.wake()
 
-    def _take_unknown(
-        self, active: _work.ActiveRun, now: datetime.timedelta
-    ) -> None:
-        """Adopt a run that the board does not know, or stop it."""
+    def _adopt(self, active: _work.ActiveRun, now: datetime.timedelta) -> bool:
+        """Take a run that the board does not know; False if of no use."""
         board = self._host.board
         task = board.find_task(active.task)
         is_wanted = (
@@ -230,8 +242,8 @@
         )
         if is_wanted and task is not None:
             board.adopt_run(task, self.seat, active, now)
-            return
-        _loop.spawn_guarded(self._stop, active.task, active.number)
+            return True
+        return False
 
     def start(self, run: _board.Run) -> None:
         """Send the start of a run and note what came of it."""
@@ -320,6 +332,7 @@
 ) -> None:
     run.percent = active.percent
     run.load = active.load
+    run.reported_at = now
     if active.checkpoint:
         run.task.checkpoint = active.checkpoint
     if run.state is _board.RunState.SENT:
--- a/tests/pools.py
+++ b/tests/pools.py
@@ -76,7 +76,7 @@
     """Note a run that the worker has reported as at work."""
     run = board.add_run(task, board.seats[worker], seconds(now))
     run.state = _board.RunState.ACTIVE
-    run.answered_at = seconds(now)
+    run.answered_at = run.reported_at = seconds(now)
     run.percent = percent
     return run
 
--- a/tests/test_scheduling_plans.py
+++ b/tests/test_scheduling_plans.py
@@ -144,10 +144,10 @@
         for name in names:
             self.board.seats[name].is_vacating = True
 
-    def list_stops(self):
+    def list_stops(self, now=1.0):
         return [
             run.worker
-            for run in _planning.plan_stops(self.board, pools.seconds(5))
+            for run in _planning.plan_stops(self.board, pools.seconds(now))
         ]
 
 
@@ -185,7 +185,22 @@
     active = _work.ActiveRun(task.id, 7, 'saved', 100, 3)
     run = lasting.board.adopt_run(task, seat, active, pools.seconds(1))
     assert (run.percent, run.load, task.checkpoint) == (100, 3, 'saved')
-    assert task.is_working
+    assert task.is_working(pools.seconds(1))
+
+
+def test_a_task_of_a_silent_worker_uses_up_the_budget():
+    """Guards against a stop while a worker is dark (AVAIL).
+
+    lpi-sched, seed of fresh-1939: two tasks were on a dark worker at 2.5 s
+    and a third was stopped for a wave at 6.7 s.
+    """
+    lasting = Lasting(limit=1, workers='wxyzv')
+    lasting.vacate('w')
+    for task in lasting.tasks[:2]:
+        task.run.reported_at = pools.seconds(4)
+    assert lasting.list_stops(now=4.5) == []
+    lasting.tasks[2].run.reported_at = pools.seconds(4)
+    assert lasting.list_stops(now=4.5) == ['w']
 
 
 def test_nothing_is_stopped_that_could_not_go_elsewhere():
@@ -200,7 +215,7 @@
     task = job.groups[0, 0].tasks[0]
     run = board.add_run(task, board.seats['w'], pools.seconds(0))
     run.state = _board.RunState.ACTIVE
-    assert not task.is_working
+    assert not task.is_working(pools.seconds(0))
 
 
 def test_a_task_that_stands_still_is_stopped():
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -202,6 +202,25 @@
     assert not fleet.workers['w'].active
 
 
+def test_a_worker_with_unwanted_runs_gets_no_others_until_they_ended(
+    pool, fleet, clock
+):
+    """Guards against a worker above its capacity (LIMIT).
+
+    ghala-pamoja, seed of fresh-2e4b: a worker came back after a cut with
+    runs that had been started elsewhere, and got others at once.
+    """
+    pool.add('a', pools.make_step(1, cpu=30000))
+    pool.start()
+    later = Pool(fleet, clock, token=9)
+    later.add('b', pools.make_step(1, cpu=30000))
+    later.look()
+    assert later.start() == []
+    _loop.sleep(0)
+    later.look()
+    assert [run.task.id.job for run in later.start()] == ['b']
+
+
 def test_ends_are_acknowledged_once(pool, fleet):
     tasks = pool.add('a', pools.make_step(2))
     pool.start()
