--- a/skylarktally/scheduling/_admission.py
+++ b/skylarktally/scheduling/_admission.py
@@ -28,12 +28,13 @@
 ) -> Refusal | None:
     """Return why the job is refused; None if it is accepted."""
     seats = list(board.seats.values())
-    # With no worker in sight the pool may just not be known yet.
-    if seats:
-        for step in spec.steps:
-            if not _placing.can_run(step, seats):
-                reason = 'no worker of the pool could run a task of the job'
-                return Refusal(True, _SHORTEST_DELAY, reason)
+    if not seats:
+        # The pool may just not be known yet.
+        return None
+    for step in spec.steps:
+        if not _placing.can_run(step, seats):
+            reason = 'no worker of the pool could run a task of the job'
+            return Refusal(True, _SHORTEST_DELAY, reason)
     if spec.first_run is not None or any(
         step.is_long_running for step in spec.steps
     ):
@@ -52,7 +53,10 @@
     """Return how long the pool works on what it has accepted."""
     capacity = board.lendable_millicores
     for seat in board.seats.values():
-        capacity += seat.record.capacity.cpu_millicores if seat.is_open else 0
+        # One that is silent or in maintenance is back, or replaced, sooner
+        # than a backlog is worked off.
+        if not seat.record.is_draining:
+            capacity += seat.record.capacity.cpu_millicores
         for run in seat.runs.values():
             step = run.task.group.step
             if step.is_long_running:
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -32,7 +32,7 @@
 _PURGED_ROWS = 10
 _PLAN_INTERVAL = datetime.timedelta(seconds=0.25)
 # Workers get this long to report to a new owner before it plans.
-_REPORT_LIMIT = datetime.timedelta(seconds=1)
+_REPORT_LIMIT = datetime.timedelta(seconds=0.5)
 _REPORT_POLL = datetime.timedelta(seconds=0.02)
 # A worker that is missing in the table for this long is gone.
 _MISSING_LIMIT = datetime.timedelta(seconds=2.5)
@@ -136,9 +136,11 @@
             if id_ in self._suspects
         }
         self.sync_workers({**departed, **workers()})
-        self._await_reports()
-        self._bar_unknown(lapse_at)
+        loaded = list(self.board.jobs.values())
+        # Jobs are accepted while the workers are asked what they run.
         self.is_ready = True
+        self._await_reports()
+        self._bar_unknown(loaded, lapse_at)
         _LOG.info(
             'owner ready',
             extra={
@@ -228,11 +230,17 @@
         """Give the workers time to report what they run."""
         limit = self._clock.monotonic() + _REPORT_LIMIT
         while self._clock.monotonic() < limit and not self.ledger.is_over:
-            if all(seat.is_known for seat in self.board.seats.values()):
+            if all(
+                seat.is_known
+                for id_, seat in self.board.seats.items()
+                if id_ in self._suspects
+            ):
                 return
             self._clock.sleep(_REPORT_POLL)
 
-    def _bar_unknown(self, lapse_at: datetime.timedelta) -> None:
+    def _bar_unknown(
+        self, jobs: list[_board.Job], lapse_at: datetime.timedelta
+    ) -> None:
         """Bar tasks that may run on workers that have not reported."""
         seats = self.board.seats
         silent = [
@@ -240,9 +248,9 @@
             for worker in self._suspects
             if worker not in seats or not seats[worker].is_known
         ]
-        if not self.board.jobs or not silent:
+        if not jobs or not silent:
             return
-        for job in self.board.jobs.values():
+        for job in jobs:
             job.barred_until = lapse_at
             for group in job.groups.values():
                 for task in group.tasks:
--- a/tests/test_scheduling_plans.py
+++ b/tests/test_scheduling_plans.py
@@ -249,6 +249,15 @@
         assert refusal.retry_after == pools.seconds(30 + 1 - 2.2)
 
 
+def test_workers_that_are_silent_for_a_moment_do_not_make_a_backlog():
+    """Guards against refusals by a new owner that has no reports yet."""
+    job = pools.make_job('a', pools.make_step(8, cpu=4000))
+    board = pools.make_board(pools.make_worker('w'), jobs=[job])
+    board.seats['w'].is_known = False
+    spec = _work.JobSpec('spec', (pools.make_step(1),))
+    assert _admission.review(board, pools.make_queue(), spec) is None
+
+
 @pytest.mark.parametrize(
     'step',
     [
