Keep silent workers closed, and start copies where a task may have them

Cause: a worker that did not answer was avoided for 1 s, while a look at it took 1.4 s; in a zone cut or with a dark rack each worker got starts again and again, each of which waited for a stop that had no answer.

A worker is closed from the first order or look without an answer until it answers; looks at it do not wait meanwhile. Tasks whose step allows copies start elsewhere at once. Both have a test that replays the cut.

Ruled out: leases of 3.5 s (a restart after 4 s is late all the same, and leases have to outlive a change of owner).

--- a/skylarktally/scheduling/_board.py
+++ b/skylarktally/scheduling/_board.py
@@ -157,6 +157,8 @@
     is_vacating: bool = False
     # Whether its report has been read under the present term.
     is_known: bool = False
+    # Whether it has left the last order or look without an answer.
+    is_silent: bool = False
     # Whether the stored term names it, so that a successor asks it.
     is_recorded: bool = False
 
@@ -172,6 +174,7 @@
             self.is_known
             and self.is_recorded
             and not self.unwanted
+            and not self.is_silent
             and not self.record.is_draining
             and not self.is_vacating
         )
@@ -399,6 +402,15 @@
         for group in job.groups.values():
             self.open_groups.pop(group, None)
 
+    def release_copies(self, seat: Seat) -> None:
+        """Let tasks of a silent worker start elsewhere where copies may run.
+
+        The runs stay with the worker, whose room they may take up.
+        """
+        for run in seat.runs.values():
+            if run.task.group.step.allows_duplicates:
+                self._detach(run)
+
     def drop_seat(self, worker: str, free_at: datetime.timedelta) -> None:
         """Remove a worker whose runs may go on until the given time."""
         seat = self.seats.pop(worker, None)
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -64,7 +64,6 @@
     ) -> None:
         self.seat = seat
         self.is_over = False
-        self.is_silent = False
         # When the last lease that was sent has ended for certain.
         self.lapse_at = clock.monotonic()
         self._host = host
@@ -102,7 +101,8 @@
 
     def _is_idle(self) -> bool:
         seat = self.seat
-        return seat.is_known and not seat.runs and not seat.unwanted
+        has_none = not seat.runs and not seat.unwanted
+        return seat.is_known and not seat.is_silent and has_none
 
     def _find_until(self) -> datetime.timedelta | None:
         """Return the end of a new lease on the clock of the worker."""
@@ -116,7 +116,9 @@
     def exchange(self) -> bool:
         """Hold the leases once; False if there was no report."""
         sent_at = self._clock.monotonic()
-        wait = _REPORT_WAIT if self.seat.is_known else datetime.timedelta()
+        wait = datetime.timedelta()
+        if self.seat.is_known and not self.seat.is_silent:
+            wait = _REPORT_WAIT
         order = _orders.HoldOrder(self._find_until(), self._seen, wait)
         outcome = self._calls.hold(self.seat.record, self._token, order)
         if self.is_over or self._host.ledger.is_over:
@@ -133,11 +135,11 @@
         return False
 
     def _note_silence(self, failure: _errors.Failure) -> None:
-        now = self._clock.monotonic()
-        self.seat.avoided_until = now + _AVOID
-        if self.is_silent:
+        if self.seat.is_silent:
             return
-        self.is_silent = True
+        self.seat.is_silent = True
+        self._host.board.release_copies(self.seat)
+        self._host.note_report()
         _LOG.info(
             'worker does not answer',
             extra={
@@ -148,12 +150,13 @@
         )
 
     def _note_answer(self) -> None:
-        if self.is_silent:
+        if self.seat.is_silent:
             _LOG.info(
                 'worker answers again',
                 extra={'worker': self.seat.record.id},
             )
-        self.is_silent = False
+            self._host.note_report()
+        self.seat.is_silent = False
 
     def _read_rejection(self, answer: _orders.OrderResult) -> None:
         if answer.rejection is _orders.Rejection.FENCED:
@@ -266,12 +269,13 @@
             self._note_started(run, outcome.unwrap())
         elif outcome.failure().kind is _errors.ErrorKind.OUTCOME_UNKNOWN:
             run.state = _board.RunState.DOUBTFUL
-            self.seat.avoided_until = self._clock.monotonic() + _AVOID
+            self._note_silence(outcome.failure())
             self.stop(run)
         else:
             self._host.board.remove_run(run)
-            self.seat.avoided_until = self._clock.monotonic() + _AVOID
+            self._note_silence(outcome.failure())
             self._host.note_report()
+            self.wake()
 
     def _note_started(
         self, run: _board.Run, answer: _orders.OrderResult
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -248,6 +248,42 @@
     assert pool.start() == []
 
 
+def test_a_worker_stays_closed_for_as_long_as_it_is_silent(pool, fleet, clock):
+    """Replays a zone cut: starts went to dark workers again and again."""
+    pool.add('a', pools.make_step(1))
+    fleet.silent.add('w')
+    for _ in range(8):
+        pool.look()
+        assert pool.start() == []
+        clock.advance(0.8)
+        pool.ledger.commit()
+    fleet.silent.clear()
+    pool.look()
+    assert len(pool.start()) == 1
+
+
+def test_copies_start_elsewhere_while_a_worker_is_silent(fleet, clock):
+    pool = Pool(fleet, clock, names='wx')
+    pool.look()
+    once, copied = (
+        pool.add('a', pools.make_step(1)),
+        pool.add('b', pools.make_step(1, allows_duplicates=True)),
+    )
+    (first, second) = pool.start()
+    assert {first.worker, second.worker} == {first.worker}
+    fleet.silent.add(first.worker)
+    pool.look()
+    (copy,) = pool.start()
+    assert copy.task is copied[0]
+    assert copy.worker != first.worker
+    assert once[0].run.worker == first.worker
+    # The copy ends first; the other run is of no use any more.
+    fleet.workers[copy.worker].end(copied[0].id, EndKind.DONE)
+    pool.look()
+    assert copied[0].is_done
+    assert [run.task for run in pool.board.list_obsolete()] == copied
+
+
 def test_a_holder_that_was_paused_gives_no_orders(pool, fleet, clock):
     """Guards against an order under a term that others may have."""
     pool.add('a', pools.make_step(1))
