Keep half of a usual job as the reserve of a pool, and forget lapsed suspects

Cause: time of instances is the largest price at both sites; the reserve of a whole job held one instance more in most pools. A worker that never reported was named as a holder of leases for as long as it was listed.

--- a/skylarktally/scheduling/_lending.py
+++ b/skylarktally/scheduling/_lending.py
@@ -167,7 +167,7 @@
 
 def _count_wanted(load: PoolLoad, size: int, now: datetime.timedelta) -> Want:
     least = math.ceil(load.needed_millicores / (size * _PATIENCE))
-    needed = load.needed_millicores + load.reserve_millicores
+    needed = load.needed_millicores + load.reserve_millicores // 2
     most = math.ceil(needed / (size * _FILL))
     fewest = max(load.fewest_workers, 1)
     return Want(now, max(least, fewest), max(most, fewest))
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -385,17 +385,22 @@
             id_ for id_ in self._suspects if id_ not in self._sessions
         )
         for id_, seat in self.board.seats.items():
-            if self._may_hold(seat, now):
+            if self._may_hold(id_, seat, now):
                 holders[id_] = None
             else:
                 # It gets no run before it is named again.
                 seat.is_recorded = False
         return tuple(holders)
 
-    def _may_hold(self, seat: _board.Seat, now: datetime.timedelta) -> bool:
+    def _may_hold(
+        self, id_: str, seat: _board.Seat, now: datetime.timedelta
+    ) -> bool:
         """Tell whether a worker has a run, or may get one at any time."""
-        if seat.runs or not seat.is_known:
+        if seat.runs:
             return True
+        if not seat.is_known:
+            # Only an earlier owner can have given it a lease.
+            return id_ in self._suspects
         is_avoided = seat.is_silent or seat.avoided_until > now
         is_leaving = seat.is_vacating or seat.record.is_draining
         return not is_avoided and not is_leaving
