--- a/skylarktally/scheduling/_admission.py
+++ b/skylarktally/scheduling/_admission.py
@@ -9,6 +9,7 @@
 from skylarktally.scheduling import _board
 from skylarktally.scheduling import _ordering
 from skylarktally.scheduling import _placing
+from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 
 _SHORTEST_DELAY = datetime.timedelta(seconds=1)
@@ -39,7 +40,7 @@
         step.is_long_running for step in spec.steps
     ):
         return None
-    chain = _board.find_chain(spec)
+    chain = _states.find_chain(spec)
     allowed = queue.stretch * chain + queue.target_latency
     delay = estimate_delay(board)
     latest = _ordering.LATE_FACTOR * allowed
@@ -60,7 +61,7 @@
         for run in seat.runs.values():
             step = run.task.group.step
             if step.is_long_running:
-                capacity -= _board.occupy(step).cpu_millicores
+                capacity -= _states.occupy(step).cpu_millicores
     work = datetime.timedelta()
     for job in board.jobs.values():
         if not job.is_final:
@@ -68,7 +69,7 @@
     return work / max(capacity, 1)
 
 
-def _measure_rest(job: _board.Job) -> datetime.timedelta:
+def _measure_rest(job: _states.Job) -> datetime.timedelta:
     """Return the work that is left, in time of one millicore."""
     work = datetime.timedelta()
     for group in job.groups.values():
--- a/skylarktally/scheduling/_board.py
+++ b/skylarktally/scheduling/_board.py
@@ -6,180 +6,17 @@
 
 import collections
 from collections.abc import Iterator
-import dataclasses
 import datetime
-import enum
 
 from skylarktally.scheduling import _forecasts
+from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 
 _NONE = datetime.timedelta()
-FULL_SPEED = 100
-# Workers report every second; one that has not for longer may be gone.
-_FRESH = datetime.timedelta(seconds=1.6)
 # Jobs from which a usual one is told.
 _USUAL_JOBS = 21
 
 
-class RunState(enum.Enum):
-    """What is known about a run."""
-
-    # The start is on its way.
-    SENT = 'sent'
-    ACTIVE = 'active'
-    # The start has no answer and may be carried out later.
-    DOUBTFUL = 'doubtful'
-    # A stop has been ordered.
-    STOPPING = 'stopping'
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Run:
-    """One start of a task on a worker."""
-
-    task: 'Task'
-    number: int
-    worker: str
-    sent_at: datetime.timedelta
-    state: RunState = RunState.SENT
-    # As reported; a task that has just started is not at work yet.
-    percent: int = 0
-    load: int = 0
-    # When the answer to the last order on this run arrived.
-    answered_at: datetime.timedelta | None = None
-    # When the worker last reported the run.
-    reported_at: datetime.timedelta | None = None
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Task:
-    """One task of a job."""
-
-    id: _work.TaskId
-    group: 'Group'
-    run: Run | None = None
-    is_done: bool = False
-    failed_runs: set[int] = dataclasses.field(default_factory=set)
-    last_number: int = 0
-    checkpoint: str = ''
-    # A run that nobody reports may be present until then.
-    barred_until: datetime.timedelta = _NONE
-
-    def is_working(self, now: datetime.timedelta) -> bool:
-        """Tell whether the worker says that the task is at full speed."""
-        run = self.run
-        return (
-            run is not None
-            and run.state is RunState.ACTIVE
-            and run.percent >= FULL_SPEED
-            and run.reported_at is not None
-            and now - run.reported_at <= _FRESH
-        )
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Group:
-    """The tasks of one step in one occurrence of a job."""
-
-    job: 'Job'
-    occurrence: int
-    position: int
-    step: _work.Step
-    tasks: list[Task] = dataclasses.field(default_factory=list)
-    remaining: int = 0
-    # Tasks of the group on each worker.
-    spread: dict[str, int] = dataclasses.field(default_factory=dict)
-
-    @property
-    def key(self) -> tuple[int, int]:
-        """Occurrence and position of the step."""
-        return self.occurrence, self.position
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Job:
-    """A job that was accepted."""
-
-    id: str
-    queue: _work.Queue
-    spec: _work.JobSpec
-    accepted_at: datetime.timedelta
-    state: _work.JobState = _work.JobState.PENDING
-    # Whether the final state is stored, so that callers may see it.
-    is_settled: bool = False
-    groups: dict[tuple[int, int], Group] = dataclasses.field(
-        default_factory=dict
-    )
-    released: int = 0
-    open_groups: int = 0
-    # Failed runs and done tasks as of an earlier owner.
-    restored: 'Progress | None' = None
-    barred_until: datetime.timedelta = _NONE
-    chain: datetime.timedelta = _NONE
-
-    @property
-    def is_final(self) -> bool:
-        """Whether nothing of the job runs any more."""
-        return self.state in _work.FINAL_STATES
-
-    @property
-    def objective(self) -> datetime.timedelta:
-        """Time by which the job is on time, as the board counts it."""
-        allowed = self.queue.stretch * self.chain + self.queue.target_latency
-        return self.accepted_at + allowed
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """What is stored about a job after it was accepted."""
-
-    state: _work.JobState
-    done: set[_work.TaskId] = dataclasses.field(default_factory=set)
-    failed: dict[_work.TaskId, set[int]] = dataclasses.field(
-        default_factory=dict
-    )
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Seat:
-    """A worker with the runs that it may have."""
-
-    record: _work.WorkerRecord
-    used: _work.Resources = _work.Resources()
-    runs: dict[_work.TaskId, Run] = dataclasses.field(default_factory=dict)
-    # No new runs until then, since the worker fails or does not answer.
-    avoided_until: datetime.timedelta = _NONE
-    failures: int = 0
-    # Runs of the last report that have no use there; they take up room
-    # until they have ended.
-    unwanted: int = 0
-    # The instance is to be maintained or moved.
-    is_vacating: bool = False
-    # Whether its report has been read under the present term.
-    is_known: bool = False
-    # Whether it has left the last order or look without an answer.
-    is_silent: bool = False
-    # Whether the stored term names it, so that a successor asks it.
-    is_recorded: bool = False
-
-    @property
-    def room(self) -> _work.Resources:
-        """What is left of the capacity."""
-        return self.record.capacity.minus(self.used)
-
-    @property
-    def is_open(self) -> bool:
-        """Whether new runs may be sent to the worker."""
-        return (
-            self.is_known
-            and self.is_recorded
-            and not self.unwanted
-            and not self.is_silent
-            and not self.record.is_draining
-            and not self.is_vacating
-        )
-
-
 class Board:
     """Jobs, runs and workers of a pool."""
 
@@ -189,12 +26,12 @@
         :param first_number: lowest number of a run, above those of earlier
             owners
         """
-        self.jobs: dict[str, Job] = {}
-        self.seats: dict[str, Seat] = {}
+        self.jobs: dict[str, _states.Job] = {}
+        self.seats: dict[str, _states.Seat] = {}
         # Groups with tasks that may be started.
-        self.open_groups: dict[Group, None] = {}
+        self.open_groups: dict[_states.Group, None] = {}
         # Jobs whose progress has not been stored.
-        self.changed: dict[str, Job] = {}
+        self.changed: dict[str, _states.Job] = {}
         self._first_number = first_number
         # Processor capacity that the pool could be lent, in millicores.
         self.lendable_millicores = 0
@@ -205,13 +42,16 @@
         )
 
     def add_job(
-        self, job: Job, now: datetime.timedelta, wall: datetime.datetime
+        self,
+        job: _states.Job,
+        now: datetime.timedelta,
+        wall: datetime.datetime,
     ) -> None:
         """Take a job that is stored."""
-        job.chain = find_chain(job.spec)
+        job.chain = _states.find_chain(job.spec)
         self._note_width(job.spec)
         if job.restored is None and job.spec.first_run is None:
-            self.arrivals.note(now, measure_work(job.spec))
+            self.arrivals.note(now, _states.measure_work(job.spec))
         self.jobs[job.id] = job
         if not job.is_final:
             self.release(job, wall)
@@ -231,18 +71,18 @@
             return 0
         return sorted(self._widths)[len(self._widths) // 2]
 
-    def release(self, job: Job, wall: datetime.datetime) -> None:
+    def release(self, job: _states.Job, wall: datetime.datetime) -> None:
         """Make the occurrences that are due ready to start."""
         while job.released < job.spec.occurrences:
-            due = find_due(job.spec, job.released)
+            due = _states.find_due(job.spec, job.released)
             if due is not None and due > wall:
                 return
             self._add_occurrence(job, job.released)
             job.released += 1
 
-    def _add_occurrence(self, job: Job, occurrence: int) -> None:
+    def _add_occurrence(self, job: _states.Job, occurrence: int) -> None:
         for position, step in enumerate(job.spec.steps):
-            group = Group(job, occurrence, position, step)
+            group = _states.Group(job, occurrence, position, step)
             for index in range(step.task_count):
                 id_ = _work.TaskId(job.id, occurrence, position, index)
                 group.tasks.append(self._create_task(id_, group))
@@ -252,9 +92,11 @@
         for position in range(len(job.spec.steps)):
             self._open(job.groups[occurrence, position])
 
-    def _create_task(self, id_: _work.TaskId, group: Group) -> Task:
+    def _create_task(
+        self, id_: _work.TaskId, group: _states.Group
+    ) -> _states.Task:
         job = group.job
-        task = Task(id_, group, barred_until=job.barred_until)
+        task = _states.Task(id_, group, barred_until=job.barred_until)
         task.last_number = self._first_number - 1
         if job.restored is not None:
             task.is_done = id_ in job.restored.done
@@ -262,7 +104,7 @@
             task.last_number = max(task.failed_runs | {task.last_number})
         return task
 
-    def _open(self, group: Group) -> None:
+    def _open(self, group: _states.Group) -> None:
         before = (
             group.job.groups[group.occurrence, position]
             for position in group.step.after
@@ -270,7 +112,7 @@
         if group.remaining and not any(item.remaining for item in before):
             self.open_groups[group] = None
 
-    def find_task(self, id_: _work.TaskId) -> Task | None:
+    def find_task(self, id_: _work.TaskId) -> _states.Task | None:
         """Return a task of a job that is known."""
         job = self.jobs.get(id_.job)
         group = job and job.groups.get((id_.occurrence, id_.step))
@@ -279,8 +121,8 @@
         return group.tasks[id_.ordinal]
 
     def list_waiting(
-        self, group: Group, now: datetime.timedelta
-    ) -> list[Task]:
+        self, group: _states.Group, now: datetime.timedelta
+    ) -> list[_states.Task]:
         """Return the tasks of an open group that may be started."""
         return [
             task
@@ -290,47 +132,51 @@
             and task.barred_until <= now
         ]
 
-    def add_run(self, task: Task, seat: Seat, now: datetime.timedelta) -> Run:
+    def add_run(
+        self, task: _states.Task, seat: _states.Seat, now: datetime.timedelta
+    ) -> _states.Run:
         """Note that a start of the task is being sent to the worker."""
         task.last_number += 1
-        return self._attach(Run(task, task.last_number, '', now), seat)
+        return self._attach(_states.Run(task, task.last_number, '', now), seat)
 
     def adopt_run(
         self,
-        task: Task,
-        seat: Seat,
+        task: _states.Task,
+        seat: _states.Seat,
         active: _work.ActiveRun,
         now: datetime.timedelta,
-    ) -> Run:
+    ) -> _states.Run:
         """Note a run that the worker reports and the board did not know."""
         task.last_number = max(task.last_number, active.number)
-        run = Run(task, active.number, '', now, RunState.ACTIVE)
+        run = _states.Run(
+            task, active.number, '', now, _states.RunState.ACTIVE
+        )
         run.answered_at = run.reported_at = now
         run.percent, run.load = active.percent, active.load
         task.checkpoint = active.checkpoint or task.checkpoint
         return self._attach(run, seat)
 
-    def _attach(self, run: Run, seat: Seat) -> Run:
+    def _attach(self, run: _states.Run, seat: _states.Seat) -> _states.Run:
         task = run.task
         run.worker = seat.record.id
         task.run = run
         seat.runs[task.id] = run
-        seat.used = seat.used.plus(occupy(task.group.step))
+        seat.used = seat.used.plus(_states.occupy(task.group.step))
         spread = task.group.spread
         spread[run.worker] = spread.get(run.worker, 0) + 1
         if task.group.job.state is _work.JobState.PENDING:
             task.group.job.state = _work.JobState.RUNNING
         return run
 
-    def remove_run(self, run: Run) -> None:
+    def remove_run(self, run: _states.Run) -> None:
         """Note that the run is not present and will not be."""
         seat = self.seats.get(run.worker)
         if seat is not None and seat.runs.get(run.task.id) is run:
             del seat.runs[run.task.id]
-            seat.used = seat.used.minus(occupy(run.task.group.step))
+            seat.used = seat.used.minus(_states.occupy(run.task.group.step))
         self._detach(run)
 
-    def _detach(self, run: Run) -> None:
+    def _detach(self, run: _states.Run) -> None:
         if run.task.run is not run:
             return
         run.task.run = None
@@ -358,7 +204,7 @@
         elif end.kind is _work.EndKind.DONE:
             self._finish(task)
 
-    def _finish(self, task: Task) -> None:
+    def _finish(self, task: _states.Task) -> None:
         step = task.group.step
         if step.is_long_running:
             return
@@ -369,7 +215,7 @@
         else:
             self._mark_done(task)
 
-    def _mark_done(self, task: Task) -> None:
+    def _mark_done(self, task: _states.Task) -> None:
         if task.is_done:
             return
         group, job = task.group, task.group.job
@@ -386,7 +232,7 @@
         if not job.open_groups and job.released == job.spec.occurrences:
             self.finish_job(job, _work.JobState.COMPLETED)
 
-    def _fail(self, task: Task, number: int) -> None:
+    def _fail(self, task: _states.Task, number: int) -> None:
         if task.is_done or task.group.step.is_long_running:
             return
         job = task.group.job
@@ -395,14 +241,14 @@
         if len(task.failed_runs) >= job.queue.attempt_limit:
             self.finish_job(job, _work.JobState.FAILED)
 
-    def finish_job(self, job: Job, state: _work.JobState) -> None:
+    def finish_job(self, job: _states.Job, state: _work.JobState) -> None:
         """Give the job its final state; its runs are left to be stopped."""
         job.state = state
         self.changed[job.id] = job
         for group in job.groups.values():
             self.open_groups.pop(group, None)
 
-    def release_copies(self, seat: Seat) -> None:
+    def release_copies(self, seat: _states.Seat) -> None:
         """Let tasks of a silent worker start elsewhere where copies may run.
 
         The runs stay with the worker, whose room they may take up.
@@ -419,7 +265,7 @@
         for run in list(seat.runs.values()):
             self._lose(run, free_at)
 
-    def _lose(self, run: Run, free_at: datetime.timedelta) -> None:
+    def _lose(self, run: _states.Run, free_at: datetime.timedelta) -> None:
         task = run.task
         if task.run is run and not task.group.step.allows_duplicates:
             task.barred_until = max(task.barred_until, free_at)
@@ -434,45 +280,12 @@
             for job in self.jobs.values()
         )
 
-    def list_obsolete(self) -> Iterator[Run]:
+    def list_obsolete(self) -> Iterator[_states.Run]:
         """Yield runs that have no use any more."""
         for seat in self.seats.values():
             for run in seat.runs.values():
                 task = run.task
-                if run.state is RunState.STOPPING:
+                if run.state is _states.RunState.STOPPING:
                     continue
                 if task.group.job.is_final or task.is_done:
                     yield run
-
-
-def measure_work(spec: _work.JobSpec) -> datetime.timedelta:
-    """Return the estimated work of a job, in time of one millicore."""
-    work = _NONE
-    for step in spec.steps:
-        if not step.is_long_running:
-            cost = step.resources.cpu_millicores * step.task_count
-            work += step.estimate * cost
-    return work
-
-
-def occupy(step: _work.Step) -> _work.Resources:
-    """Return what a task of the step occupies of the capacity."""
-    if step.is_filler:
-        return step.resources._replace(cpu_millicores=0)
-    return step.resources
-
-
-def find_chain(spec: _work.JobSpec) -> datetime.timedelta:
-    """Return the longest chain of estimated work."""
-    ends: list[datetime.timedelta] = []
-    for step in spec.steps:
-        begin = max((ends[item] for item in step.after), default=_NONE)
-        ends.append(begin + step.estimate)
-    return max(ends)
-
-
-def find_due(spec: _work.JobSpec, occurrence: int) -> datetime.datetime | None:
-    """Return when an occurrence is due; None if at once."""
-    if spec.first_run is None:
-        return None
-    return spec.first_run + occurrence * spec.interval
--- a/skylarktally/scheduling/_ordering.py
+++ b/skylarktally/scheduling/_ordering.py
@@ -9,7 +9,7 @@
 import enum
 from typing import NamedTuple
 
-from skylarktally.scheduling import _board
+from skylarktally.scheduling import _states
 
 # A job that takes this many times its objective is of no use any more.
 LATE_FACTOR = 3
@@ -33,7 +33,7 @@
     objective: datetime.timedelta
 
 
-def find_prospect(group: _board.Group, now: datetime.timedelta) -> Prospect:
+def find_prospect(group: _states.Group, now: datetime.timedelta) -> Prospect:
     """Tell how useful the job can become if the group starts now."""
     job = group.job
     end = now + find_remaining_chain(group)
@@ -45,7 +45,7 @@
     return Prospect.USELESS
 
 
-def find_remaining_chain(group: _board.Group) -> datetime.timedelta:
+def find_remaining_chain(group: _states.Group) -> datetime.timedelta:
     """Return the longest chain of estimated work from the group on."""
     steps = group.job.spec.steps
     chains = [datetime.timedelta()] * len(steps)
@@ -56,7 +56,7 @@
     return chains[group.position]
 
 
-def rank(group: _board.Group, now: datetime.timedelta) -> Order:
+def rank(group: _states.Group, now: datetime.timedelta) -> Order:
     """Return the sort key of a group that may be started."""
     job = group.job
     return Order(
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -21,6 +21,7 @@
 from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _sessions
 from skylarktally.scheduling import _signals
+from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 
 _LOG = logging.getLogger(__name__)
@@ -180,7 +181,7 @@
         stored: tuple[_rows.Row, ...],
     ) -> None:
         now = self._clock.monotonic()
-        known: dict[str, _board.Progress] = {}
+        known: dict[str, _states.Progress] = {}
         for row in stored:
             try:
                 progress = _records.decode_progress(row.place.key, row.value)
@@ -203,7 +204,7 @@
         self,
         queues: Mapping[str, _work.Queue],
         row: _rows.Row,
-        progress: _board.Progress | None,
+        progress: _states.Progress | None,
     ) -> None:
         record = _records.decode_job(row.value)
         queue = queues.get(record.queue)
@@ -215,7 +216,7 @@
         )
         age = max(wall - accepted, datetime.timedelta())
         now = self._clock.monotonic()
-        job = _board.Job(
+        job = _states.Job(
             row.place.key,
             queue,
             self._decode_job(record.body.encode()),
@@ -239,7 +240,7 @@
             self._clock.sleep(_REPORT_POLL)
 
     def _bar_unknown(
-        self, jobs: list[_board.Job], lapse_at: datetime.timedelta
+        self, jobs: list[_states.Job], lapse_at: datetime.timedelta
     ) -> None:
         """Bar tasks that may run on workers that have not reported."""
         seats = self.board.seats
@@ -307,7 +308,7 @@
             seat.is_vacating = self._vacating.get(id_, now) > now
 
     def _add(self, record: _work.WorkerRecord) -> None:
-        seat = _board.Seat(record)
+        seat = _states.Seat(record)
         self.board.seats[record.id] = seat
         session = _sessions.Session(self, seat, self._calls, self._clock)
         self._sessions[record.id] = session
@@ -360,7 +361,7 @@
         for run in _planning.plan_stops(self.board, now):
             session = self._sessions.get(run.worker)
             if session is not None:
-                run.state = _board.RunState.STOPPING
+                run.state = _states.RunState.STOPPING
                 run.answered_at = None
                 _loop.spawn_guarded(session.stop, run)
         for task, seat in _planning.plan_starts(self.board, now):
@@ -393,7 +394,7 @@
         return tuple(holders)
 
     def _may_hold(
-        self, id_: str, seat: _board.Seat, now: datetime.timedelta
+        self, id_: str, seat: _states.Seat, now: datetime.timedelta
     ) -> bool:
         """Tell whether a worker has a run, or may get one at any time."""
         if seat.runs:
@@ -417,7 +418,7 @@
         """Return the progress of jobs that have changed."""
         puts: list[_ledger.Put] = []
         removals: list[_rows.RowKey] = []
-        settled: list[_board.Job] = []
+        settled: list[_states.Job] = []
         taken = 0
         while self.board.changed and taken + 2 <= limit:
             id_, job = self.board.changed.popitem()
@@ -454,7 +455,7 @@
             expired.append(self._place(_records.PROGRESS, id_))
         return expired
 
-    def _settle(self, job: _board.Job) -> None:
+    def _settle(self, job: _states.Job) -> None:
         job.is_settled = True
         self.board.jobs.pop(job.id, None)
         now = self._clock.monotonic()
@@ -518,7 +519,7 @@
             self._place(_records.JOBS, submission.id),
             _records.encode_job(record),
         )
-        job = _board.Job(submission.id, submission.queue, spec, now)
+        job = _states.Job(submission.id, submission.queue, spec, now)
         self._accepting[job.id] = _loop.Event()
 
         def take(fate: _ledger.Fate) -> None:
--- a/skylarktally/scheduling/_placing.py
+++ b/skylarktally/scheduling/_placing.py
@@ -4,34 +4,34 @@
 import datetime
 from typing import NamedTuple
 
-from skylarktally.scheduling import _board
+from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 
 
 class Placement(NamedTuple):
     """A task and the worker that is to run it."""
 
-    task: _board.Task
-    seat: _board.Seat
+    task: _states.Task
+    seat: _states.Seat
 
 
 class Sketch:
     """Room on the workers of a pool, less what a plan has placed."""
 
     def __init__(
-        self, seats: Iterable[_board.Seat], now: datetime.timedelta
+        self, seats: Iterable[_states.Seat], now: datetime.timedelta
     ) -> None:
         self._room = {
             seat.record.id: (seat, seat.room)
             for seat in seats
             if seat.is_open and seat.avoided_until <= now
         }
-        self._spread: dict[tuple[_board.Group, str], int] = {}
+        self._spread: dict[tuple[_states.Group, str], int] = {}
 
-    def place(self, task: _board.Task) -> Placement | None:
+    def place(self, task: _states.Task) -> Placement | None:
         """Take room for the task where it is best placed, if anywhere."""
         group = task.group
-        need = _board.occupy(group.step)
+        need = _states.occupy(group.step)
         best = None
         for seat, room in self._room.values():
             if not self._admits(group, seat) or not need.fits(room):
@@ -44,21 +44,21 @@
         self._take(group, best[1], need)
         return Placement(task, best[1])
 
-    def _admits(self, group: _board.Group, seat: _board.Seat) -> bool:
+    def _admits(self, group: _states.Group, seat: _states.Seat) -> bool:
         step = group.step
         if step.required_label not in ('', *seat.record.labels):
             return False
         most = step.tasks_per_worker
         return not most or self._count(group, seat) < most
 
-    def _count(self, group: _board.Group, seat: _board.Seat) -> int:
+    def _count(self, group: _states.Group, seat: _states.Seat) -> int:
         id_ = seat.record.id
         return group.spread.get(id_, 0) + self._spread.get((group, id_), 0)
 
     def _score(
         self,
-        group: _board.Group,
-        seat: _board.Seat,
+        group: _states.Group,
+        seat: _states.Seat,
         room: _work.Resources,
     ) -> tuple[bool, bool, int, float]:
         step = group.step
@@ -70,7 +70,7 @@
         free = room.cpu_millicores / max(capacity, 1)
         return near, together, -seat.failures, -free
 
-    def _is_near(self, group: _board.Group, seat: _board.Seat) -> bool:
+    def _is_near(self, group: _states.Group, seat: _states.Seat) -> bool:
         taken = {id_ for placed, id_ in self._spread if placed is group}
         taken.update(group.spread)
         return any(
@@ -81,8 +81,8 @@
 
     def _take(
         self,
-        group: _board.Group,
-        seat: _board.Seat,
+        group: _states.Group,
+        seat: _states.Seat,
         need: _work.Resources,
     ) -> None:
         id_ = seat.record.id
@@ -90,7 +90,7 @@
         key = group, id_
         self._spread[key] = self._spread.get(key, 0) + 1
 
-    def place_all(self, tasks: list[_board.Task]) -> list[Placement]:
+    def place_all(self, tasks: list[_states.Task]) -> list[Placement]:
         """Place all members of a gang, or none."""
         room, spread = dict(self._room), dict(self._spread)
         placed = [self.place(task) for task in tasks]
@@ -102,7 +102,7 @@
 
 
 def place_group(
-    sketch: Sketch, group: _board.Group, waiting: list[_board.Task]
+    sketch: Sketch, group: _states.Group, waiting: list[_states.Task]
 ) -> Iterator[Placement]:
     """Yield placements of the waiting tasks as far as there is room."""
     if group.step.is_gang:
@@ -117,9 +117,9 @@
         yield placement
 
 
-def can_run(step: _work.Step, seats: Iterable[_board.Seat]) -> bool:
+def can_run(step: _work.Step, seats: Iterable[_states.Seat]) -> bool:
     """Tell whether a worker could run a task of the step when empty."""
-    need = _board.occupy(step)
+    need = _states.occupy(step)
     return any(
         need.fits(seat.record.capacity)
         and step.required_label in ('', *seat.record.labels)
--- a/skylarktally/scheduling/_planning.py
+++ b/skylarktally/scheduling/_planning.py
@@ -6,6 +6,7 @@
 from skylarktally.scheduling import _lending
 from skylarktally.scheduling import _ordering
 from skylarktally.scheduling import _placing
+from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 
 # A task that takes this much longer than its estimate stands still.
@@ -33,7 +34,7 @@
 
 def plan_stops(
     board: _board.Board, now: datetime.timedelta
-) -> list[_board.Run]:
+) -> list[_states.Run]:
     """Return the runs to stop now."""
     stops = list(board.list_obsolete())
     evacuation = _Evacuation(board, now)
@@ -47,9 +48,9 @@
     return stops
 
 
-def _is_stuck(run: _board.Run, now: datetime.timedelta) -> bool:
+def _is_stuck(run: _states.Run, now: datetime.timedelta) -> bool:
     step = run.task.group.step
-    if step.is_long_running or run.state is not _board.RunState.ACTIVE:
+    if step.is_long_running or run.state is not _states.RunState.ACTIVE:
         return False
     allowed = _STUCK_FACTOR * step.estimate + _STUCK_MARGIN
     return now - run.sent_at > allowed
@@ -62,15 +63,15 @@
         self._now = now
         self._sketch = _placing.Sketch(board.seats.values(), now)
         # Tasks of each group that this pass stops, on any worker.
-        self._stopped: dict[_board.Group, int] = {}
+        self._stopped: dict[_states.Group, int] = {}
 
-    def plan(self, seat: _board.Seat) -> list[_board.Run]:
+    def plan(self, seat: _states.Seat) -> list[_states.Run]:
         """Return the runs to stop on a worker."""
         return [run for run in seat.runs.values() if self._take(run, seat)]
 
-    def _take(self, run: _board.Run, seat: _board.Seat) -> bool:
+    def _take(self, run: _states.Run, seat: _states.Seat) -> bool:
         group = run.task.group
-        if run.state is not _board.RunState.ACTIVE:
+        if run.state is not _states.RunState.ACTIVE:
             return False
         if group.job.is_final or not _leaves(run, seat, self._now):
             return False
@@ -84,7 +85,7 @@
 
 
 def _leaves(
-    run: _board.Run, seat: _board.Seat, now: datetime.timedelta
+    run: _states.Run, seat: _states.Seat, now: datetime.timedelta
 ) -> bool:
     """Tell whether a run is better moved than left to finish."""
     step = run.task.group.step
@@ -98,7 +99,7 @@
 
 
 def may_interrupt(
-    task: _board.Task, now: datetime.timedelta, others_stopped: int = 0
+    task: _states.Task, now: datetime.timedelta, others_stopped: int = 0
 ) -> bool:
     """Tell whether a planned action may make the task unavailable.
 
@@ -124,7 +125,7 @@
     for seat in board.seats.values():
         for run in seat.runs.values():
             step = run.task.group.step
-            cost = _board.occupy(step).cpu_millicores
+            cost = _states.occupy(step).cpu_millicores
             if step.is_long_running:
                 lasting += cost
             else:
@@ -137,7 +138,7 @@
         waiting = sum(
             task.run is None and not task.is_done for task in group.tasks
         )
-        batch += waiting * _board.occupy(group.step).cpu_millicores
+        batch += waiting * _states.occupy(group.step).cpu_millicores
         fewest = max(fewest, _count_spread(group.step))
     return _lending.PoolLoad(
         lasting + max(batch, board.arrivals.forecast(now)),
@@ -154,14 +155,14 @@
     return -(-step.task_count // step.tasks_per_worker)
 
 
-def _measure_worker(seat: _board.Seat) -> _lending.WorkerLoad:
+def _measure_worker(seat: _states.Seat) -> _lending.WorkerLoad:
     long_runs = sum(
         run.task.group.step.is_long_running for run in seat.runs.values()
     )
     return _lending.WorkerLoad(seat.record.id, len(seat.runs), long_runs)
 
 
-def is_vacant(seat: _board.Seat) -> bool:
+def is_vacant(seat: _states.Seat) -> bool:
     """Tell whether an instance can go without ending a run."""
     return seat.is_vacating and not seat.runs
 
--- a/skylarktally/scheduling/_records.py
+++ b/skylarktally/scheduling/_records.py
@@ -3,8 +3,8 @@
 import json
 from typing import Any, NamedTuple
 
-from skylarktally.scheduling import _board
 from skylarktally.scheduling import _rows
+from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 
 JOBS = 'jobs'
@@ -73,7 +73,7 @@
     return _rows.RowKey(TERMS, shard, TERM_KEY)
 
 
-def encode_progress(job: _board.Job) -> bytes:
+def encode_progress(job: _states.Job) -> bytes:
     """Return the value of a row with the progress of a job."""
     done: dict[str, list[int]] = {}
     failed: list[list[Any]] = []
@@ -89,10 +89,10 @@
     return json.dumps(data, separators=(',', ':')).encode()
 
 
-def decode_progress(id_: str, value: bytes) -> _board.Progress:
+def decode_progress(id_: str, value: bytes) -> _states.Progress:
     """Return the progress of a job; ValueError if it is damaged."""
     state, done, failed = _load_list(value, 3)
-    progress = _board.Progress(_work.JobState(state))
+    progress = _states.Progress(_work.JobState(state))
     for place, indexes in done.items():
         occurrence, position = (int(item) for item in place.split('.'))
         for index in indexes:
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -17,6 +17,7 @@
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _orders
 from skylarktally.scheduling import _signals
+from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 
 _LOG = logging.getLogger(__name__)
@@ -58,7 +59,7 @@
     def __init__(
         self,
         host: Host,
-        seat: _board.Seat,
+        seat: _states.Seat,
         calls: _orders.Workers,
         clock: _clock.Clock,
     ) -> None:
@@ -248,7 +249,7 @@
             return True
         return False
 
-    def start(self, run: _board.Run) -> None:
+    def start(self, run: _states.Run) -> None:
         """Send the start of a run and note what came of it."""
         until = self._find_until()
         if until is None or not self._host.ledger.may_order():
@@ -268,7 +269,7 @@
         if isinstance(outcome, result.Success):
             self._note_started(run, outcome.unwrap())
         elif outcome.failure().kind is _errors.ErrorKind.OUTCOME_UNKNOWN:
-            run.state = _board.RunState.DOUBTFUL
+            run.state = _states.RunState.DOUBTFUL
             self._note_silence(outcome.failure())
             self.stop(run)
         else:
@@ -278,13 +279,13 @@
             self.wake()
 
     def _note_started(
-        self, run: _board.Run, answer: _orders.OrderResult
+        self, run: _states.Run, answer: _orders.OrderResult
     ) -> None:
         now = self._clock.monotonic()
         if answer.rejection is None:
             run.answered_at = now
-            if run.state is _board.RunState.SENT:
-                run.state = _board.RunState.ACTIVE
+            if run.state is _states.RunState.SENT:
+                run.state = _states.RunState.ACTIVE
             self.wake()
             return
         if answer.rejection is _orders.Rejection.FENCED:
@@ -306,9 +307,9 @@
             self._reading = answer.clock, now
         self._host.note_report()
 
-    def stop(self, run: _board.Run) -> None:
+    def stop(self, run: _states.Run) -> None:
         """Stop a run; the next report tells when it has ended."""
-        run.state = _board.RunState.STOPPING
+        run.state = _states.RunState.STOPPING
         run.answered_at = None
         if self._stop(run.task.id, run.number):
             run.answered_at = self._clock.monotonic()
@@ -332,13 +333,13 @@
 
 
 def _update_run(
-    run: _board.Run, active: _work.ActiveRun, now: datetime.timedelta
+    run: _states.Run, active: _work.ActiveRun, now: datetime.timedelta
 ) -> None:
     run.percent = active.percent
     run.load = active.load
     run.reported_at = now
     if active.checkpoint:
         run.task.checkpoint = active.checkpoint
-    if run.state is _board.RunState.SENT:
-        run.state = _board.RunState.ACTIVE
+    if run.state is _states.RunState.SENT:
+        run.state = _states.RunState.ACTIVE
         run.answered_at = now
--- a/tests/pools.py
+++ b/tests/pools.py
@@ -3,6 +3,7 @@
 import datetime
 
 from skylarktally.scheduling import _board
+from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 from tools import clocks
 
@@ -54,13 +55,13 @@
 
 def make_job(id_, *steps, queue=None, accepted=0.0, **fields):
     spec = _work.JobSpec('spec', steps)
-    return _board.Job(
+    return _states.Job(
         id_, queue or make_queue(), spec, seconds(accepted), **fields
     )
 
 
 def open_seat(record):
-    return _board.Seat(record, is_known=True, is_recorded=True)
+    return _states.Seat(record, is_known=True, is_recorded=True)
 
 
 def make_board(*records, jobs=()):
@@ -75,7 +76,7 @@
 def run_task(board, task, worker, now=0.0, percent=100):
     """Note a run that the worker has reported as at work."""
     run = board.add_run(task, board.seats[worker], seconds(now))
-    run.state = _board.RunState.ACTIVE
+    run.state = _states.RunState.ACTIVE
     run.answered_at = run.reported_at = seconds(now)
     run.percent = percent
     return run
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -5,6 +5,7 @@
 from skylarktally.scheduling import _board
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _records
+from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 from tests import pools
 
@@ -161,7 +162,7 @@
         pools.seconds(2),
         3,
     )
-    job = _board.Job('a', pools.make_queue(), spec, pools.seconds(0))
+    job = _states.Job('a', pools.make_queue(), spec, pools.seconds(0))
     board = pools.make_board(pools.make_worker('w'), jobs=[job])
     counts = []
     for now in (0, 4.9, 5, 7, 20):
--- a/tests/test_scheduling_plans.py
+++ b/tests/test_scheduling_plans.py
@@ -3,8 +3,8 @@
 import pytest
 
 from skylarktally.scheduling import _admission
-from skylarktally.scheduling import _board
 from skylarktally.scheduling import _planning
+from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 from tests import pools
 
@@ -32,7 +32,7 @@
     board = pools.make_board(pools.make_worker('w'), jobs=[job, other])
     run = pools.run_task(board, job.groups[0, 0].tasks[0], 'w')
     board.finish_job(job, _work.JobState.CANCELLED)
-    run.state = _board.RunState.STOPPING
+    run.state = _states.RunState.STOPPING
     assert plan(board) == []
 
 
@@ -214,7 +214,7 @@
     board = pools.make_board(pools.make_worker('w'), jobs=[job])
     task = job.groups[0, 0].tasks[0]
     run = board.add_run(task, board.seats['w'], pools.seconds(0))
-    run.state = _board.RunState.ACTIVE
+    run.state = _states.RunState.ACTIVE
     assert not task.is_working(pools.seconds(0))
 
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -3,11 +3,11 @@
 import pytest
 
 from skylarktally import _loop
-from skylarktally.scheduling import _board
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _sessions
+from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 from standins import leased_workers
 from standins import rows
@@ -15,7 +15,7 @@
 
 EndKind = _work.EndKind
 Fault = leased_workers.Fault
-RunState = _board.RunState
+RunState = _states.RunState
 
 
 class Pool:
@@ -32,7 +32,7 @@
         self.board = pools.make_board()
         self.sessions = {}
         for name in names:
-            seat = _board.Seat(fleet.workers[name].record, is_recorded=True)
+            seat = _states.Seat(fleet.workers[name].record, is_recorded=True)
             self.board.seats[name] = seat
             self.sessions[name] = _sessions.Session(self, seat, fleet, clock)
 
