Split the owner of a pool, and keep the names of lease holders from its first write

Reading them apart showed that the first write of a new owner dropped the names it had been handed, so that an owner after it could start tasks that a silent worker still runs. A worker is named right after its first report instead of with the next renewal.

tests/test_owner.py runs whole owners over the stand-ins.

--- /dev/null
+++ b/skylarktally/scheduling/_archive.py
@@ -0,0 +1,184 @@
+"""Stored jobs of a pool: loading them, and writing their progress."""
+
+import collections
+from collections.abc import Callable, Mapping
+import datetime
+import logging
+from typing import NamedTuple
+
+from returns import result
+
+from skylarktally import _clock
+from skylarktally.scheduling import _board
+from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _records
+from skylarktally.scheduling import _rows
+from skylarktally.scheduling import _states
+from skylarktally.scheduling import _work
+
+_LOG = logging.getLogger(__name__)
+
+# Final states are shown for at least 120 s.
+_RETENTION = datetime.timedelta(seconds=130)
+_PURGED_ROWS = 10
+_RETRY_DELAY = datetime.timedelta(seconds=0.02)
+
+JobDecoder = Callable[[bytes], _work.JobSpec]
+
+
+class _Settled(NamedTuple):
+    """Final state of a job, and since when it is shown."""
+
+    state: _work.JobState
+    since: datetime.timedelta
+
+
+class Archive:
+    """Rows of the jobs of a pool, and the final states that are shown."""
+
+    def __init__(
+        self,
+        ledger: _ledger.Ledger,
+        store: _rows.Store,
+        board: _board.Board,
+        clock: _clock.Clock,
+        decode_job: JobDecoder,
+    ) -> None:
+        self._ledger = ledger
+        self._store = store
+        self._board = board
+        self._clock = clock
+        self._decode_job = decode_job
+        self._settled: collections.OrderedDict[str, _Settled] = (
+            collections.OrderedDict()
+        )
+
+    def find_final(self, id_: str) -> _work.JobState | None:
+        """Return the state of a job that has ended, once it is stored."""
+        settled = self._settled.get(id_)
+        return None if settled is None else settled.state
+
+    def place(self, table: str, id_: str) -> _rows.RowKey:
+        """Return the place of a row of the pool."""
+        return _rows.RowKey(table, self._ledger.shard, id_)
+
+    def load(self, queues: Mapping[str, _work.Queue]) -> bool:
+        """Read the jobs of the pool; False when the term ends first."""
+        if self._ledger.generation == 1:
+            # No job was accepted before the first term.
+            return True
+        while not self._ledger.is_over:
+            jobs = self._store.read(_records.JOBS, self._ledger.shard)
+            progress = self._store.read(_records.PROGRESS, self._ledger.shard)
+            if isinstance(jobs, result.Success) and isinstance(
+                progress, result.Success
+            ):
+                stored = progress.unwrap().rows
+                self._restore(queues, jobs.unwrap().rows, stored)
+                return True
+            self._clock.sleep(_RETRY_DELAY)
+        return False
+
+    def _restore(
+        self,
+        queues: Mapping[str, _work.Queue],
+        jobs: tuple[_rows.Row, ...],
+        stored: tuple[_rows.Row, ...],
+    ) -> None:
+        now = self._clock.monotonic()
+        known: dict[str, _states.Progress] = {}
+        for row in stored:
+            try:
+                progress = _records.decode_progress(row.place.key, row.value)
+            except (ValueError, TypeError) as error:
+                _log_unreadable(row, error)
+                continue
+            known[row.place.key] = progress
+            if progress.state in _work.FINAL_STATES:
+                settled = _Settled(progress.state, now)
+                self._settled[row.place.key] = settled
+        for row in jobs:
+            if row.place.key in self._settled:
+                continue
+            try:
+                self._restore_job(queues, row, known.get(row.place.key))
+            except (ValueError, TypeError, KeyError) as error:
+                _log_unreadable(row, error)
+
+    def _restore_job(
+        self,
+        queues: Mapping[str, _work.Queue],
+        row: _rows.Row,
+        progress: _states.Progress | None,
+    ) -> None:
+        record = _records.decode_job(row.value)
+        queue = queues.get(record.queue)
+        if queue is None:
+            raise KeyError(f'queue {record.queue} is not configured')
+        wall = self._clock.now()
+        accepted = datetime.datetime.fromtimestamp(
+            record.accepted_ms / 1000, datetime.UTC
+        )
+        age = max(wall - accepted, datetime.timedelta())
+        now = self._clock.monotonic()
+        job = _states.Job(
+            row.place.key,
+            queue,
+            self._decode_job(record.body.encode()),
+            now - age,
+        )
+        if progress is not None:
+            job.state = progress.state
+            job.restored = progress
+        self._board.add_job(job, now, wall)
+
+    def take_changes(self, limit: int) -> _ledger.Changes:
+        """Return the progress of jobs that have changed."""
+        puts: list[_ledger.Put] = []
+        removals: list[_rows.RowKey] = []
+        settled: list[_states.Job] = []
+        taken = 0
+        while self._board.changed and taken + 2 <= limit:
+            id_, job = self._board.changed.popitem()
+            puts.append(
+                (
+                    self.place(_records.PROGRESS, id_),
+                    _records.encode_progress(job),
+                )
+            )
+            taken += 1
+            if job.is_final:
+                removals.append(self.place(_records.JOBS, id_))
+                settled.append(job)
+                taken += 1
+        removals.extend(self._list_expired(min(limit - taken, _PURGED_ROWS)))
+
+        def note_applied() -> None:
+            for job in settled:
+                self._settle(job)
+
+        return _ledger.Changes(puts, removals, note_applied)
+
+    def _list_expired(self, limit: int) -> list[_rows.RowKey]:
+        now = self._clock.monotonic()
+        expired: list[_rows.RowKey] = []
+        while self._settled and len(expired) < limit:
+            id_, settled = next(iter(self._settled.items()))
+            if now - settled.since < _RETENTION:
+                break
+            del self._settled[id_]
+            expired.append(self.place(_records.PROGRESS, id_))
+        return expired
+
+    def _settle(self, job: _states.Job) -> None:
+        job.is_settled = True
+        self._board.jobs.pop(job.id, None)
+        now = self._clock.monotonic()
+        self._settled[job.id] = _Settled(job.state, now)
+
+
+def _log_unreadable(row: _rows.Row, error: Exception) -> None:
+    _LOG.error(
+        'unreadable row',
+        extra={'row': row.place, 'reason': str(error)},
+    )
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -1,6 +1,5 @@
 """The owner of a pool: accepts its jobs and runs them on its workers."""
 
-import collections
 from collections.abc import Callable, Mapping
 import datetime
 import logging
@@ -12,12 +11,14 @@
 from skylarktally import _errors
 from skylarktally import _loop
 from skylarktally.scheduling import _admission
+from skylarktally.scheduling import _archive
 from skylarktally.scheduling import _board
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _lending
 from skylarktally.scheduling import _orders
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _records
+from skylarktally.scheduling import _roster
 from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _sessions
 from skylarktally.scheduling import _signals
@@ -28,19 +29,11 @@
 
 ErrorKind = _errors.ErrorKind
 
-# Final states are shown for at least 120 s.
-_RETENTION = datetime.timedelta(seconds=130)
-_PURGED_ROWS = 10
 _PLAN_INTERVAL = datetime.timedelta(seconds=0.25)
 # Workers get this long to report to a new owner before it plans.
 _REPORT_LIMIT = datetime.timedelta(seconds=0.5)
 _REPORT_POLL = datetime.timedelta(seconds=0.02)
-# A worker that is missing in the table for this long is gone.
-_MISSING_LIMIT = datetime.timedelta(seconds=2.5)
-# A request to vacate an instance is forgotten unless it is repeated.
-_VACATE_LIMIT = datetime.timedelta(seconds=3)
 
-JobDecoder = Callable[[bytes], _work.JobSpec]
 Shown = result.Result[_work.JobState, _errors.Failure]
 
 
@@ -65,13 +58,6 @@
     last_order_at: datetime.timedelta
 
 
-class _Settled(NamedTuple):
-    """Final state of a job, and since when it is shown."""
-
-    state: _work.JobState
-    since: datetime.timedelta
-
-
 class PoolOwner:
     """Schedules the jobs of one pool for the time of one term."""
 
@@ -81,7 +67,7 @@
         store: _rows.Store,
         calls: _orders.Workers,
         clock: _clock.Clock,
-        decode_job: JobDecoder,
+        decode_job: _archive.JobDecoder,
     ) -> None:
         self.ledger = ledger
         # Numbers of runs rise from term to term; 1000 starts of one task
@@ -89,17 +75,12 @@
         first = (ledger.generation - 1) * 1000 + 1
         self.board = _board.Board(first)
         self.is_ready = False
-        self._store = store
-        self._calls = calls
         self._clock = clock
         self._decode_job = decode_job
-        self._sessions: dict[str, _sessions.Session] = {}
-        self._missing: dict[str, datetime.timedelta] = {}
-        self._vacating: dict[str, datetime.timedelta] = {}
-        self._suspects: dict[str, datetime.timedelta] = {}
-        self._settled: collections.OrderedDict[str, _Settled] = (
-            collections.OrderedDict()
+        self._archive = _archive.Archive(
+            ledger, store, self.board, clock, decode_job
         )
+        self._roster = _roster.Roster(self, calls, clock)
         self._accepting: dict[str, _loop.Event] = {}
         self._signal = _signals.Signal()
         ledger.attach(self)
@@ -113,9 +94,12 @@
         succession: Succession,
     ) -> None:
         """Load the pool, learn what runs, and schedule until the end."""
+        lapse_at = _sessions.find_lapse(succession.last_order_at)
+        # Before the first write, which must not drop their names.
+        self._roster.suspect(succession.workers, lapse_at)
         _loop.spawn_guarded(self.ledger.run)
         try:
-            self._run(queues, workers, succession)
+            self._run(queues, workers, succession, lapse_at)
         finally:
             # After an error another entry, or a new term, takes over.
             self.ledger.end()
@@ -126,17 +110,16 @@
         queues: Mapping[str, _work.Queue],
         workers: Callable[[], Mapping[str, _work.WorkerRecord]],
         succession: Succession,
+        lapse_at: datetime.timedelta,
     ) -> None:
-        if not self._load(queues):
+        if not self._archive.load(queues):
             return
-        lapse_at = _sessions.find_lapse(succession.last_order_at)
-        self._suspects = dict.fromkeys(succession.workers, lapse_at)
         departed = {
             id_: record
             for id_, record in succession.departed.items()
-            if id_ in self._suspects
+            if id_ in succession.workers
         }
-        self.sync_workers({**departed, **workers()})
+        self._roster.sync({**departed, **workers()})
         loaded = list(self.board.jobs.values())
         # Jobs are accepted while the workers are asked what they run.
         self.is_ready = True
@@ -153,89 +136,15 @@
         )
         while not self.ledger.is_over:
             self._signal.wait(_PLAN_INTERVAL)
-            self.sync_workers(workers())
+            self._roster.sync(workers())
             if self.ledger.may_order():
                 self._plan()
 
-    def _load(self, queues: Mapping[str, _work.Queue]) -> bool:
-        """Read the jobs of the pool; False when the term ends first."""
-        if self.ledger.generation == 1:
-            # No job was accepted before the first term.
-            return True
-        while not self.ledger.is_over:
-            jobs = self._store.read(_records.JOBS, self.ledger.shard)
-            progress = self._store.read(_records.PROGRESS, self.ledger.shard)
-            if isinstance(jobs, result.Success) and isinstance(
-                progress, result.Success
-            ):
-                stored = progress.unwrap().rows
-                self._restore(queues, jobs.unwrap().rows, stored)
-                return True
-            self._clock.sleep(_REPORT_POLL)
-        return False
-
-    def _restore(
-        self,
-        queues: Mapping[str, _work.Queue],
-        jobs: tuple[_rows.Row, ...],
-        stored: tuple[_rows.Row, ...],
-    ) -> None:
-        now = self._clock.monotonic()
-        known: dict[str, _states.Progress] = {}
-        for row in stored:
-            try:
-                progress = _records.decode_progress(row.place.key, row.value)
-            except (ValueError, TypeError) as error:
-                _log_unreadable(row, error)
-                continue
-            known[row.place.key] = progress
-            if progress.state in _work.FINAL_STATES:
-                settled = _Settled(progress.state, now)
-                self._settled[row.place.key] = settled
-        for row in jobs:
-            if row.place.key in self._settled:
-                continue
-            try:
-                self._restore_job(queues, row, known.get(row.place.key))
-            except (ValueError, TypeError, KeyError) as error:
-                _log_unreadable(row, error)
-
-    def _restore_job(
-        self,
-        queues: Mapping[str, _work.Queue],
-        row: _rows.Row,
-        progress: _states.Progress | None,
-    ) -> None:
-        record = _records.decode_job(row.value)
-        queue = queues.get(record.queue)
-        if queue is None:
-            raise KeyError(f'queue {record.queue} is not configured')
-        wall = self._clock.now()
-        accepted = datetime.datetime.fromtimestamp(
-            record.accepted_ms / 1000, datetime.UTC
-        )
-        age = max(wall - accepted, datetime.timedelta())
-        now = self._clock.monotonic()
-        job = _states.Job(
-            row.place.key,
-            queue,
-            self._decode_job(record.body.encode()),
-            now - age,
-        )
-        if progress is not None:
-            job.state = progress.state
-            job.restored = progress
-        self.board.add_job(job, now, wall)
-
     def _await_reports(self) -> None:
         """Give the workers time to report what they run."""
         limit = self._clock.monotonic() + _REPORT_LIMIT
         while self._clock.monotonic() < limit and not self.ledger.is_over:
-            if all(
-                seat.is_known
-                for id_, seat in self.board.seats.items()
-                if id_ in self._suspects
-            ):
+            if self._roster.have_reported():
                 return
             self._clock.sleep(_REPORT_POLL)
 
@@ -243,12 +152,7 @@
         self, jobs: list[_states.Job], lapse_at: datetime.timedelta
     ) -> None:
         """Bar tasks that may run on workers that have not reported."""
-        seats = self.board.seats
-        silent = [
-            worker
-            for worker in self._suspects
-            if worker not in seats or not seats[worker].is_known
-        ]
+        silent = self._roster.list_silent()
         if not jobs or not silent:
             return
         for job in jobs:
@@ -269,8 +173,7 @@
         )
 
     def _end(self) -> None:
-        for session in self._sessions.values():
-            session.end()
+        self._roster.end()
         for id_ in list(self._accepting):
             self._resolve(id_, _ledger.Fate.UNKNOWN)
         _LOG.info('owner ended', extra={'shard': self.ledger.shard})
@@ -285,61 +188,7 @@
             self.ledger.end()
             self._signal.set()
 
-    # Workers.
-
-    def sync_workers(self, workers: Mapping[str, _work.WorkerRecord]) -> None:
-        """Follow the entries of the pool's workers."""
-        now = self._clock.monotonic()
-        for id_, record in workers.items():
-            self._missing.pop(id_, None)
-            seat = self.board.seats.get(id_)
-            if seat is not None and _is_other_life(seat.record, record):
-                # The former life has ended with all it ran.
-                self._drop(id_, now)
-                seat = None
-            if seat is None:
-                self._add(record)
-            else:
-                seat.record = record
-        for id_ in list(self.board.seats):
-            if id_ not in workers:
-                self._note_missing(id_, now)
-        for id_, seat in self.board.seats.items():
-            seat.is_vacating = self._vacating.get(id_, now) > now
-
-    def _add(self, record: _work.WorkerRecord) -> None:
-        seat = _states.Seat(record)
-        self.board.seats[record.id] = seat
-        session = _sessions.Session(self, seat, self._calls, self._clock)
-        self._sessions[record.id] = session
-        self.ledger.note_changes(is_urgent=True)
-        _loop.spawn_guarded(session.run)
-
-    def _note_missing(self, id_: str, now: datetime.timedelta) -> None:
-        since = self._missing.setdefault(id_, now)
-        seat = self.board.seats[id_]
-        seat.avoided_until = now + _MISSING_LIMIT
-        if now - since >= _MISSING_LIMIT or not seat.runs:
-            del self._missing[id_]
-            self._drop(id_, self._sessions[id_].lapse_at)
-
-    def _drop(self, id_: str, free_at: datetime.timedelta) -> None:
-        self._sessions.pop(id_).end()
-        if self.board.seats[id_].runs:
-            self._suspects[id_] = free_at
-        self.board.drop_seat(id_, free_at)
-
-    def vacate(self, id_: str) -> bool:
-        """Empty a worker; tell whether its instance can go now."""
-        seat = self.board.seats.get(id_)
-        if seat is None or not self.is_ready:
-            return False
-        now = self._clock.monotonic()
-        self._vacating[id_] = now + _VACATE_LIMIT
-        if not seat.is_vacating:
-            seat.is_vacating = True
-            self._signal.set()
-        return _planning.is_vacant(seat)
+    # Planning.
 
     def measure(self, lendable_millicores: int) -> _lending.PoolLoad:
         """Return what the pool would use at once.
@@ -349,7 +198,9 @@
         self.board.lendable_millicores = lendable_millicores
         return _planning.measure_load(self.board, self._clock.monotonic())
 
-    # Planning.
+    def vacate(self, id_: str) -> bool:
+        """Empty a worker; tell whether its instance can go now."""
+        return self.is_ready and self._roster.vacate(id_)
 
     def note_report(self) -> None:
         """Plan again soon."""
@@ -359,14 +210,16 @@
         now = self._clock.monotonic()
         _planning.release_due(self.board, self._clock.now())
         for run in _planning.plan_stops(self.board, now):
-            session = self._sessions.get(run.worker)
+            session = self._roster.find_session(run.worker)
             if session is not None:
                 run.state = _states.RunState.STOPPING
                 run.answered_at = None
                 _loop.spawn_guarded(session.stop, run)
         for task, seat in _planning.plan_starts(self.board, now):
             run = self.board.add_run(task, seat, now)
-            _loop.spawn_guarded(self._sessions[seat.record.id].start, run)
+            session = self._roster.find_session(seat.record.id)
+            if session is not None:
+                _loop.spawn_guarded(session.start, run)
         if self.board.changed:
             self._note_changes()
 
@@ -378,88 +231,15 @@
 
     def list_holders(self) -> tuple[str, ...]:
         """Return the workers that may hold a lease."""
-        now = self._clock.monotonic()
-        for id_, until in list(self._suspects.items()):
-            if until <= now:
-                del self._suspects[id_]
-        holders = dict.fromkeys(
-            id_ for id_ in self._suspects if id_ not in self._sessions
-        )
-        for id_, seat in self.board.seats.items():
-            if self._may_hold(id_, seat, now):
-                holders[id_] = None
-            else:
-                # It gets no run before it is named again.
-                seat.is_recorded = False
-        return tuple(holders)
-
-    def _may_hold(
-        self, id_: str, seat: _states.Seat, now: datetime.timedelta
-    ) -> bool:
-        """Tell whether a worker has a run, or may get one at any time."""
-        if seat.runs:
-            return True
-        if not seat.is_known:
-            # Only an earlier owner can have given it a lease.
-            return id_ in self._suspects
-        is_avoided = seat.is_silent or seat.avoided_until > now
-        is_leaving = seat.is_vacating or seat.record.is_draining
-        return not is_avoided and not is_leaving
+        return self._roster.list_holders()
 
     def note_recorded(self, workers: tuple[str, ...]) -> None:
         """Open the workers that a successor will know of."""
-        for id_ in workers:
-            seat = self.board.seats.get(id_)
-            if seat is not None and not seat.is_recorded:
-                seat.is_recorded = True
-                self._signal.set()
+        self._roster.note_recorded(workers)
 
     def take_changes(self, limit: int) -> _ledger.Changes:
         """Return the progress of jobs that have changed."""
-        puts: list[_ledger.Put] = []
-        removals: list[_rows.RowKey] = []
-        settled: list[_states.Job] = []
-        taken = 0
-        while self.board.changed and taken + 2 <= limit:
-            id_, job = self.board.changed.popitem()
-            puts.append(
-                (
-                    self._place(_records.PROGRESS, id_),
-                    _records.encode_progress(job),
-                )
-            )
-            taken += 1
-            if job.is_final:
-                removals.append(self._place(_records.JOBS, id_))
-                settled.append(job)
-                taken += 1
-        removals.extend(self._list_expired(min(limit - taken, _PURGED_ROWS)))
-
-        def note_applied() -> None:
-            for job in settled:
-                self._settle(job)
-
-        return _ledger.Changes(puts, removals, note_applied)
-
-    def _place(self, table: str, id_: str) -> _rows.RowKey:
-        return _rows.RowKey(table, self.ledger.shard, id_)
-
-    def _list_expired(self, limit: int) -> list[_rows.RowKey]:
-        now = self._clock.monotonic()
-        expired: list[_rows.RowKey] = []
-        while self._settled and len(expired) < limit:
-            id_, settled = next(iter(self._settled.items()))
-            if now - settled.since < _RETENTION:
-                break
-            del self._settled[id_]
-            expired.append(self._place(_records.PROGRESS, id_))
-        return expired
-
-    def _settle(self, job: _states.Job) -> None:
-        job.is_settled = True
-        self.board.jobs.pop(job.id, None)
-        now = self._clock.monotonic()
-        self._settled[job.id] = _Settled(job.state, now)
+        return self._archive.take_changes(limit)
 
     # Requests of callers.
 
@@ -468,7 +248,7 @@
     ) -> result.Result[None, _errors.Failure]:
         """Accept a job: it is stored when this returns a success."""
         id_ = submission.id
-        if id_ in self._settled or id_ in self.board.jobs:
+        if self._archive.find_final(id_) or id_ in self.board.jobs:
             return result.Success(None)
         pending = self._accepting.get(id_)
         if pending is not None:
@@ -516,7 +296,7 @@
             submission.body.decode(),
         )
         put = (
-            self._place(_records.JOBS, submission.id),
+            self._archive.place(_records.JOBS, submission.id),
             _records.encode_job(record),
         )
         job = _states.Job(submission.id, submission.queue, spec, now)
@@ -532,9 +312,9 @@
 
     def show(self, id_: str) -> Shown:
         """Return the state of a job."""
-        settled = self._settled.get(id_)
-        if settled is not None:
-            return result.Success(settled.state)
+        final = self._archive.find_final(id_)
+        if final is not None:
+            return result.Success(final)
         job = self.board.jobs.get(id_)
         if job is None:
             return _fail(ErrorKind.NOT_FOUND, f'no job {id_}')
@@ -545,8 +325,9 @@
 
     def cancel(self, id_: str) -> Shown:
         """Cancel a job; it is stored when this returns a success."""
-        if id_ in self._settled:
-            return result.Success(self._settled[id_].state)
+        final = self._archive.find_final(id_)
+        if final is not None:
+            return result.Success(final)
         job = self.board.jobs.get(id_)
         if job is None:
             return _fail(ErrorKind.NOT_FOUND, f'no job {id_}')
@@ -563,12 +344,6 @@
         return self.board.count_queued(queue)
 
 
-def _is_other_life(
-    known: _work.WorkerRecord, record: _work.WorkerRecord
-) -> bool:
-    return (known.born_ms, known.address) != (record.born_ms, record.address)
-
-
 def _answer_fate(
     fate: _ledger.Fate,
 ) -> result.Result[None, _errors.Failure]:
@@ -585,10 +360,3 @@
     kind: ErrorKind, message: str
 ) -> result.Result[Any, _errors.Failure]:
     return result.Failure(_errors.Failure(kind, message))
-
-
-def _log_unreadable(row: _rows.Row, error: Exception) -> None:
-    _LOG.error(
-        'unreadable row',
-        extra={'row': row.place, 'reason': str(error)},
-    )
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -156,9 +156,13 @@
                 'worker answers again',
                 extra={'worker': self.seat.record.id},
             )
-            self._host.note_report()
+            self._ask_naming()
         self.seat.is_silent = False
 
+    def _ask_naming(self) -> None:
+        """Have the term name the worker, so that it may get runs."""
+        self._host.ledger.note_changes(is_urgent=True)
+
     def _read_rejection(self, answer: _orders.OrderResult) -> None:
         if answer.rejection is _orders.Rejection.FENCED:
             self._host.lose_term('worker has seen a higher token')
@@ -177,7 +181,9 @@
         self._compare(report, sent_at, now)
         is_new = not self.seat.is_known
         self.seat.is_known = True
-        if ended or is_new:
+        if is_new:
+            self._ask_naming()
+        if ended:
             self._host.note_report()
         if ended:
             self._acknowledge(ended)
--- a/standins/leased_workers.py
+++ b/standins/leased_workers.py
@@ -21,6 +21,7 @@
 Rejection = _orders.Rejection
 
 _LONGEST_LEASE = datetime.timedelta(seconds=10)
+_POLL = datetime.timedelta(seconds=0.01)
 
 
 class Fault(enum.Enum):
@@ -138,7 +139,13 @@
 class WorkerFleet:
     """All workers; ``faults`` holds one entry for each coming order."""
 
-    def __init__(self, clock: _clock.Clock) -> None:
+    def __init__(self, clock: _clock.Clock, waits: bool = False) -> None:
+        """Create an empty fleet.
+
+        :param waits: whether reports wait for an end as they are asked to;
+            needs a clock that goes on by itself
+        """
+        self._waits = waits
         self.workers: dict[str, LeasedWorker] = {}
         self.faults: list[Fault | None] = []
         self.silent: set[str] = set()
@@ -233,7 +240,7 @@
     ) -> result.Result[
         _work.WorkerReport | _orders.OrderResult, _errors.Failure
     ]:
-        """Extend the leases and report, without waiting."""
+        """Extend the leases and report."""
 
         def carry_out(target: LeasedWorker) -> _work.WorkerReport:
             target.extend(order.until)
@@ -242,6 +249,13 @@
         outcome: result.Result[
             _work.WorkerReport | _orders.OrderResult, _errors.Failure
         ] = self._order(worker, token, carry_out)
+        target = self.workers[worker.id]
+        end = self._clock.monotonic() + order.wait
+        while self._waits and self._clock.monotonic() < end:
+            if any(item.sequence > order.seen for item in target.ended):
+                outcome = self._order(worker, token, carry_out)
+                break
+            self._clock.sleep(_POLL)
         return outcome
 
 
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,200 @@
+"""Guards a pool's owner as a whole, over stand-ins and the real loop."""
+
+import json
+
+import pytest
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _errors
+from skylarktally import _loop
+from skylarktally import platform
+from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _owner
+from skylarktally.scheduling import _records
+from skylarktally.scheduling import _rows
+from skylarktally.scheduling import _work
+from standins import leased_workers
+from standins import rows
+from tests import pools
+
+ErrorKind = _errors.ErrorKind
+JOB = '5c0e7a21d94b36f8'
+OTHER = '5c0e7a21d94b36f9'
+BODY = json.dumps(
+    {'task_spec': 's', 'steps': [{'task_count': 2, 'estimate_ms': 500}]}
+).encode()
+
+
+class Deployment:
+    """A pool with two workers; owners come one after the other."""
+
+    def __init__(self):
+        self.clock = _clock.SystemClock()
+        self.table = rows.RowTable()
+        self.fleet = leased_workers.WorkerFleet(self.clock, waits=True)
+        for name in 'wx':
+            self.fleet.add(pools.make_worker(name))
+        self.queue = pools.make_queue()
+        self.owners = []
+
+    def begin(self, former_workers=(), last_order_at=None):
+        """Claim the pool and return its new owner."""
+        place = _records.place_term('pool')
+        row = self.table.rows.get(place)
+        generation = 1
+        if row is not None:
+            generation = _records.decode_term(row.value).generation + 1
+        term = _records.Term(
+            'me', 'me:1', 'life', generation, 0, workers=former_workers
+        )
+        ledger = _ledger.claim(
+            self.table, self.clock, 'pool', term, row.version if row else 0
+        ).unwrap()
+        owner = _owner.PoolOwner(
+            ledger, self.table, self.fleet, self.clock, platform.decode_job
+        )
+        now = self.clock.monotonic()
+        workers = {
+            id_: worker.record for id_, worker in self.fleet.workers.items()
+        }
+        _loop.spawn(
+            owner.run,
+            {self.queue.name: self.queue},
+            lambda: workers,
+            _owner.Succession(
+                former_workers,
+                {},
+                now if last_order_at is None else last_order_at,
+            ),
+        )
+        self.owners.append(owner)
+        return owner
+
+    def submit(self, owner, job, body=BODY):
+        return owner.submit(
+            _owner.Submission(job, self.queue, body, pools.seconds(1))
+        )
+
+    def list_starts(self, job):
+        return [
+            start
+            for worker in self.fleet.workers.values()
+            for start in worker.starts
+            if start[0].job == job
+        ]
+
+
+@pytest.fixture
+def deployment():
+    deployment = Deployment()
+    yield deployment
+    for owner in deployment.owners:
+        owner.ledger.end()
+    _loop.sleep(0)
+
+
+def wait_until(check, limit=2.0):
+    with _loop.Timeout(limit):
+        while not check():
+            _loop.sleep(0.01)
+
+
+def test_a_job_is_stored_run_and_shown_as_completed(deployment):
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    assert deployment.submit(owner, JOB) == result.Success(None)
+    assert _rows.RowKey('jobs', 'pool', JOB) in deployment.table.rows
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    assert owner.show(JOB) == result.Success(_work.JobState.RUNNING)
+    for worker in deployment.fleet.workers.values():
+        for task in list(worker.active):
+            worker.end(task, _work.EndKind.DONE)
+    completed = result.Success(_work.JobState.COMPLETED)
+    wait_until(lambda: owner.show(JOB) == completed)
+    # What a successor reads says the same.
+    later = deployment.begin()
+    wait_until(lambda: later.is_ready)
+    assert later.show(JOB) == completed
+    assert _rows.RowKey('jobs', 'pool', JOB) not in deployment.table.rows
+
+
+def test_the_same_job_twice_at_once_is_one_job(deployment):
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    threads = [_loop.spawn(deployment.submit, owner, JOB) for _ in range(3)]
+    assert [thread.wait() for thread in threads] == [result.Success(None)] * 3
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    _loop.sleep(0.2)
+    assert len(deployment.list_starts(JOB)) == 2
+
+
+def test_a_cancelled_job_is_stopped_and_stays_cancelled(deployment):
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    deployment.submit(owner, JOB)
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    cancelled = result.Success(_work.JobState.CANCELLED)
+    assert owner.cancel(JOB) == cancelled
+    workers = deployment.fleet.workers.values()
+    wait_until(lambda: not any(worker.active for worker in workers))
+    later = deployment.begin()
+    wait_until(lambda: later.is_ready)
+    assert later.show(JOB) == cancelled
+
+
+def test_a_job_that_was_refused_is_never_stored(deployment):
+    """Guards the truth of a refusal while the store is away."""
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    deployment.table.is_down = True
+    # One job waits for the transaction on its way, the other for its turn.
+    first = _loop.spawn(deployment.submit, owner, JOB)
+    _loop.sleep(0.05)
+    refused = deployment.submit(owner, OTHER)
+    deployment.table.is_down = False
+    assert refused.failure().kind is ErrorKind.PLATFORM_UNAVAILABLE
+    first.wait()
+    _loop.sleep(0.3)
+    assert _rows.RowKey('jobs', 'pool', OTHER) not in deployment.table.rows
+
+
+def test_names_of_lease_holders_outlive_a_chain_of_owners(deployment):
+    """Guards against a second run while an unnamed worker runs the first.
+
+    The first write of a new owner dropped the names that it had not asked
+    yet; an owner after it would have started their tasks at once.
+    """
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    deployment.submit(owner, JOB)
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    names = ('gone', 'w', 'x')
+    second = deployment.begin(names)
+    wait_until(lambda: second.is_ready)
+    _loop.sleep(0.6)
+    written = [
+        set(_records.decode_term(row.value).workers)
+        for row in deployment.table.follow('terms', 0, None).unwrap().rows
+    ]
+    own = written[written.index(set(names)) :]
+    assert all('gone' in workers for workers in own)
+
+
+def test_tasks_wait_for_silent_workers_and_new_jobs_do_not(deployment):
+    """Guards against two runs after a change of owner (TWICE)."""
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    deployment.submit(owner, JOB)
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    holder = next(
+        name
+        for name, worker in deployment.fleet.workers.items()
+        if worker.active
+    )
+    deployment.fleet.silent.add(holder)
+    second = deployment.begin(('w', 'x'))
+    wait_until(lambda: second.is_ready)
+    assert deployment.submit(second, OTHER) == result.Success(None)
+    wait_until(lambda: len(deployment.list_starts(OTHER)) == 2)
+    assert len(deployment.list_starts(JOB)) == 2
