--- a/skylarktally/_metrics.py
+++ b/skylarktally/_metrics.py
@@ -57,6 +57,25 @@
         )
 
 
+class EntryMetrics:
+    """Counters of an entry: its callers' requests and what it answered."""
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
+        self.registry = registry
+        self.requests = prometheus_client.Counter(
+            'skylarktally_entry_requests',
+            'Requests of callers by method and status.',
+            ['method', 'status'],
+            registry=registry,
+        )
+        self.seconds = prometheus_client.Histogram(
+            'skylarktally_entry_request_seconds',
+            'Time from the parsed request to its answer, by method.',
+            ['method'],
+            registry=registry,
+        )
+
+
 def create_registry() -> prometheus_client.CollectorRegistry:
     """Return an empty registry."""
     return prometheus_client.CollectorRegistry()
--- a/skylarktally/entries/_claims.py
+++ b/skylarktally/entries/_claims.py
@@ -65,11 +65,14 @@
     vacancy = Vacancy(tenure.seen_at, tenure.version, term.generation)
     if term.is_released:
         return vacancy
-    if term.holder == claimant.name:
-        # Of an earlier process of this instance, which has ended.
-        if term.incarnation != claimant.incarnation:
-            return vacancy
-        return None
+    is_former_process = (
+        term.holder == claimant.name
+        and term.incarnation != claimant.incarnation
+    )
+    if is_former_process:
+        # It has ended. A term of this very process that it does not know
+        # was claimed by a transaction without an answer, and expires.
+        return vacancy
     # While the store was away, the holder could not renew its term either.
     watched_since = max(tenure.seen_at, reading.steady_since)
     expired_at = watched_since + _ledger.EXPIRY
--- /dev/null
+++ b/skylarktally/entries/_shards.py
@@ -0,0 +1,225 @@
+"""Shards that an entry owns: claiming them and running their owners."""
+
+import logging
+from typing import NamedTuple, Protocol
+
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _loop
+from skylarktally.entries import _claims
+from skylarktally.entries import _directory
+from skylarktally.scheduling import _archive
+from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _lending
+from skylarktally.scheduling import _maintenance
+from skylarktally.scheduling import _orders
+from skylarktally.scheduling import _owner
+from skylarktally.scheduling import _records
+from skylarktally.scheduling import _rows
+
+_LOG = logging.getLogger(__name__)
+
+
+class Identity(NamedTuple):
+    """The entry and its process."""
+
+    name: str
+    peer_address: str
+    # Tells the processes of one instance apart.
+    incarnation: str
+
+
+class Platform(NamedTuple):
+    """Clients of the platform that owners use."""
+
+    store: _rows.Store
+    workers: _orders.Workers
+    instances: _orders.Instances
+    layout: _maintenance.Waves
+    decode_job: _archive.JobDecoder
+
+
+class Requests(Protocol):
+    """What maintenance asks of the owners of pools, here or elsewhere."""
+
+    def vacate(self, pool: str, worker: str) -> bool:
+        """Have a worker emptied; tell whether it is empty."""
+
+    def measure(self, pool: str, lendable: int) -> _lending.PoolLoad | None:
+        """Return the load of a pool; None if its owner does not answer."""
+
+
+class Shards:
+    """Owners of the shards that this entry holds a term of."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        clients: Platform,
+        directory: _directory.Directory,
+        requests: Requests,
+        clock: _clock.Clock,
+    ) -> None:
+        self._identity = identity
+        self._platform = clients
+        self._directory = directory
+        self._requests = requests
+        self._clock = clock
+        self._started_at = clock.monotonic()
+        self._owners: dict[str, _owner.PoolOwner] = {}
+        self._maintenance: _maintenance.Maintenance | None = None
+
+    def list_ledgers(self) -> list[_ledger.Ledger]:
+        ledgers = [owner.ledger for owner in self._owners.values()]
+        if self._maintenance is not None:
+            ledgers.append(self._maintenance.ledger)
+        return ledgers
+
+    def claim_vacant(self) -> None:
+        """Claim shards that have been without an owner for long enough."""
+        directory = self._directory
+        configuration = directory.configuration
+        read_at = directory.terms_read_at
+        if configuration is None or read_at is None:
+            return
+        if directory.workers_known_since is None:
+            return
+        self._drop_ended()
+        now = self._clock.monotonic()
+        shards = [pool.name for pool in configuration.pools]
+        for shard in (*shards, _maintenance.SHARD):
+            if self._owns(shard):
+                continue
+            claimant = _claims.Claimant(
+                self._identity.name,
+                self._identity.incarnation,
+                len(self.list_ledgers()),
+            )
+            vacancy = _claims.find_vacancy(
+                directory.tenures.get(shard),
+                claimant,
+                _claims.Reading(
+                    self._started_at, directory.terms_steady_since, read_at
+                ),
+            )
+            if vacancy is None:
+                continue
+            delay = _claims.find_delay(claimant, shard, vacancy)
+            # The vacancy must show in a read after the delay.
+            if vacancy.since + delay <= min(now, read_at):
+                self._claim(shard, vacancy)
+
+    def _owns(self, shard: str) -> bool:
+        if shard == _maintenance.SHARD:
+            return self._maintenance is not None
+        return shard in self._owners
+
+    def _drop_ended(self) -> None:
+        for shard, owner in list(self._owners.items()):
+            if owner.ledger.is_over:
+                del self._owners[shard]
+        maintenance = self._maintenance
+        if maintenance is not None and maintenance.ledger.is_over:
+            self._maintenance = None
+
+    def _claim(self, shard: str, vacancy: _claims.Vacancy) -> None:
+        former = self._directory.tenures.get(shard)
+        term = _records.Term(
+            self._identity.name,
+            self._identity.peer_address,
+            self._identity.incarnation,
+            vacancy.generation + 1,
+            0,
+            workers=former.term.workers if former is not None else (),
+        )
+        outcome = _ledger.claim(
+            self._platform.store, self._clock, shard, term, vacancy.version
+        )
+        if not isinstance(outcome, result.Success):
+            _LOG.info(
+                'claim without answer',
+                extra={
+                    'shard': shard,
+                    'failure': outcome.failure().kind.value,
+                },
+            )
+            self._directory.refresh_terms()
+            return
+        ledger = outcome.unwrap()
+        if ledger is None:
+            self._directory.refresh_terms()
+            return
+        _LOG.info(
+            'shard claimed',
+            extra={
+                'shard': shard,
+                'token': ledger.token,
+                'generation': term.generation,
+                'former': former.term.holder if former else None,
+            },
+        )
+        self._directory.note_term(shard, term, ledger.token)
+        self._begin(shard, ledger, former)
+
+    def _begin(
+        self,
+        shard: str,
+        ledger: _ledger.Ledger,
+        former: _directory.Tenure | None,
+    ) -> None:
+        if shard == _maintenance.SHARD:
+            self._maintenance = _maintenance.Maintenance(
+                ledger,
+                self._platform.store,
+                self._platform.instances,
+                self._platform.layout,
+                self._clock,
+                self._identity.name,
+            )
+            _loop.spawn_guarded(
+                self._maintenance.run,
+                _maintenance.Surroundings(
+                    lambda: self._directory.waves,
+                    lambda: self._directory.configuration,
+                    self._requests.vacate,
+                    self._requests.measure,
+                ),
+            )
+            return
+        owner = _owner.PoolOwner(
+            ledger,
+            self._platform.store,
+            self._platform.workers,
+            self._clock,
+            self._platform.decode_job,
+        )
+        self._owners[shard] = owner
+        configuration = self._directory.configuration
+        queues = configuration.queues if configuration is not None else ()
+        _loop.spawn_guarded(
+            owner.run,
+            {queue.name: queue for queue in queues},
+            lambda: self._directory.list_workers(shard),
+            self._describe_succession(shard, former),
+        )
+
+    def _describe_succession(
+        self, shard: str, former: _directory.Tenure | None
+    ) -> _owner.Succession:
+        now = self._clock.monotonic()
+        last_order_at = now
+        if former is not None:
+            last_order_at = min(now, former.seen_at + _ledger.HOLD_LIMIT)
+        return _owner.Succession(
+            former.term.workers if former is not None else (),
+            self._directory.list_departed(shard),
+            last_order_at,
+        )
+
+    def find_owner(self, pool: str) -> _owner.PoolOwner | None:
+        """Return the owner of a pool if it is in this process."""
+        owner = self._owners.get(pool)
+        if owner is None or owner.ledger.is_over:
+            return None
+        return owner
--- a/skylarktally/platform/_ingress.py
+++ b/skylarktally/platform/_ingress.py
@@ -12,7 +12,9 @@
 
 from returns import result
 
+from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _metrics
 from skylarktally import _replies
 from skylarktally.scheduling import _work
 
@@ -26,6 +28,7 @@
 _DEFAULT_DEADLINE = datetime.timedelta(seconds=3)
 # The answer has to reach the caller before its deadline.
 _RETURN_TIME = datetime.timedelta(seconds=0.15)
+_METHODS = frozenset({'GET', 'POST', 'DELETE'})
 # A caller that asks for a job that does not exist.
 _GONE = 410
 
@@ -69,8 +72,12 @@
         desk: Desk,
         get_configuration: Callable[[], _work.Configuration | None],
         is_stopping: Callable[[], bool],
+        metrics: _metrics.EntryMetrics,
+        clock: _clock.Clock,
     ) -> None:
         self.in_progress = 0
+        self._metrics = metrics
+        self._clock = clock
         self._desk = desk
         self._get_configuration = get_configuration
         self._is_stopping = is_stopping
@@ -80,15 +87,31 @@
     ) -> Iterable[bytes]:
         """Answer one request."""
         self.in_progress += 1
+        begin = self._clock.monotonic()
         try:
             reply = self._answer(environment)
         finally:
             self.in_progress -= 1
+        self._count_answer(environment, reply, begin)
         if self._is_stopping():
             reply.headers.append(('Connection', 'close'))
         start_response(reply.status, reply.headers)
         return reply.body
 
+    def _count_answer(
+        self,
+        environment: Environment,
+        reply: _replies.Reply,
+        begin: datetime.timedelta,
+    ) -> None:
+        # A caller may send any word; the values of a label are bounded.
+        method = environment['REQUEST_METHOD']
+        method = method if method in _METHODS else 'other'
+        status = reply.status.split(' ', 1)[0]
+        self._metrics.requests.labels(method, status).inc()
+        spent = self._clock.monotonic() - begin
+        self._metrics.seconds.labels(method).observe(spent.total_seconds())
+
     def _answer(self, environment: Environment) -> _replies.Reply:
         configuration = self._get_configuration()
         if configuration is None:
