--- a/skylarktally/scheduling/_planning.py
+++ b/skylarktally/scheduling/_planning.py
@@ -163,8 +163,12 @@
 
 
 def is_vacant(seat: _states.Seat) -> bool:
-    """Tell whether an instance can go without ending a run."""
-    return seat.is_vacating and not seat.runs
+    """Tell whether an instance can go without ending a run.
+
+    Of a worker that has not reported yet nothing is known.
+    """
+    is_empty = not seat.runs and not seat.unwanted
+    return seat.is_vacating and seat.is_known and is_empty
 
 
 def release_due(board: _board.Board, wall: datetime.datetime) -> None:
--- a/tests/test_scheduling_plans.py
+++ b/tests/test_scheduling_plans.py
@@ -218,6 +218,27 @@
     assert not task.is_working(pools.seconds(0))
 
 
+@pytest.mark.parametrize(
+    'field, value, expected',
+    [
+        ('is_known', True, True),
+        ('is_known', False, False),
+        ('unwanted', 1, False),
+        ('is_vacating', False, False),
+    ],
+)
+def test_a_worker_is_empty_only_by_its_own_report(field, value, expected):
+    """Guards against maintenance under a new owner without reports (AVAIL).
+
+    ghala-pamoja hunt-6d99-15: a worker with two tasks of a step was taken
+    down 0.1 s after its pool had changed its owner.
+    """
+    seat = pools.open_seat(pools.make_worker('w'))
+    seat.is_vacating = True
+    setattr(seat, field, value)
+    assert _planning.is_vacant(seat) == expected
+
+
 def test_a_task_that_stands_still_is_stopped():
     job = pools.make_job('a', pools.make_step(1, estimate=1))
     board = pools.make_board(pools.make_worker('w'), jobs=[job])
