Count runs of a silent worker against the tasks it may run of a step

Such a run now leaves the count when it leaves the worker, takes its task back if no copy has been started, and no second run of a task is placed on the worker that may still have the first.

--- a/skylarktally/scheduling/_board.py
+++ b/skylarktally/scheduling/_board.py
@@ -174,16 +174,9 @@
         if seat is not None and seat.runs.get(run.task.id) is run:
             del seat.runs[run.task.id]
             seat.used = seat.used.minus(_states.occupy(run.task.group.step))
-        self._detach(run)
-
-    def _detach(self, run: _states.Run) -> None:
-        if run.task.run is not run:
-            return
-        run.task.run = None
-        spread = run.task.group.spread
-        spread[run.worker] -= 1
-        if not spread[run.worker]:
-            del spread[run.worker]
+            _leave(run)
+        if run.task.run is run:
+            run.task.run = None
 
     def note_end(self, worker: str, end: _work.EndedRun) -> None:
         """Take the end of a run that a worker reports."""
@@ -254,8 +247,9 @@
         The runs stay with the worker, whose room they may take up.
         """
         for run in seat.runs.values():
-            if run.task.group.step.allows_duplicates:
-                self._detach(run)
+            copies = run.task.group.step.allows_duplicates
+            if copies and run.task.run is run:
+                run.task.run = None
 
     def drop_seat(self, worker: str, free_at: datetime.timedelta) -> None:
         """Remove a worker whose runs may go on until the given time."""
@@ -269,7 +263,9 @@
         task = run.task
         if task.run is run and not task.group.step.allows_duplicates:
             task.barred_until = max(task.barred_until, free_at)
-        self._detach(run)
+        _leave(run)
+        if task.run is run:
+            task.run = None
 
     def count_queued(self, queue: str) -> int:
         """Return the number of jobs for which no task has started."""
@@ -289,3 +285,11 @@
                     continue
                 if task.group.job.is_final or task.is_done:
                     yield run
+
+
+def _leave(run: _states.Run) -> None:
+    """Count a run of a step less on its worker."""
+    spread = run.task.group.spread
+    spread[run.worker] -= 1
+    if not spread[run.worker]:
+        del spread[run.worker]
--- a/skylarktally/scheduling/_placing.py
+++ b/skylarktally/scheduling/_placing.py
@@ -34,6 +34,9 @@
         need = _states.occupy(group.step)
         best = None
         for seat, room in self._room.values():
+            if task.id in seat.runs:
+                # An earlier run of the task that may be present still.
+                continue
             if not self._admits(group, seat) or not need.fits(room):
                 continue
             score = self._score(group, seat, room)
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -344,6 +344,9 @@
     run.percent = active.percent
     run.load = active.load
     run.reported_at = now
+    if run.task.run is None:
+        # No copy has been started while the worker was silent.
+        run.task.run = run
     if active.checkpoint:
         run.task.checkpoint = active.checkpoint
     if run.state is _states.RunState.SENT:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -284,6 +284,31 @@
     assert [run.task for run in pool.board.list_obsolete()] == copied
 
 
+def test_copies_do_not_exceed_the_tasks_for_each_worker(fleet, clock):
+    """Guards against a task too many beside others of its step (ROUTE).
+
+    ghala-pamoja fresh-35c4: runs of a silent worker were counted as gone
+    when copies of their tasks might start; the worker answered again and
+    got a third task of a step of which it may run two.
+    """
+    pool = Pool(fleet, clock, names='w')
+    pool.look()
+    step = pools.make_step(3, allows_duplicates=True, tasks_per_worker=2)
+    tasks = pool.add('a', step)
+    assert len(pool.start()) == 2
+    for _ in range(2):
+        fleet.silent.add('w')
+        pool.look()
+        fleet.silent.clear()
+        pool.board.seats['w'].is_silent = False
+        assert pool.start() == []
+        pool.look()
+    assert len(fleet.workers['w'].active) == 2
+    # The runs are those of the tasks again.
+    assert [task.run is not None for task in tasks] == [True, True, False]
+    assert pool.board.seats['w'].used.cpu_millicores == 2000
+
+
 def test_a_holder_that_was_paused_gives_no_orders(pool, fleet, clock):
     """Guards against an order under a term that others may have."""
     pool.add('a', pools.make_step(1))
