--- a/skylarktally/_gen/entry/Entry.py
+++ b/skylarktally/_gen/entry/Entry.py
@@ -47,6 +47,8 @@
 
     def measure(self, pool, lendable_millicores):
         """
+        Tells what the pool would use at once, and what its workers run.
+
         Parameters:
          - pool
          - lendable_millicores
@@ -162,6 +164,8 @@
 
     def measure(self, pool, lendable_millicores):
         """
+        Tells what the pool would use at once, and what its workers run.
+
         Parameters:
          - pool
          - lendable_millicores
--- a/skylarktally/_gen/entry/ttypes.py
+++ b/skylarktally/_gen/entry/ttypes.py
@@ -235,14 +235,16 @@
      - worker
      - runs
      - long_runs
+     - is_leaving: It is being emptied and takes no new work.
 
     """
 
 
-    def __init__(self, worker=None, runs=None, long_runs=None,):
+    def __init__(self, worker=None, runs=None, long_runs=None, is_leaving=None,):
         self.worker = worker
         self.runs = runs
         self.long_runs = long_runs
+        self.is_leaving = is_leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -268,6 +270,11 @@
                     self.long_runs = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -290,6 +297,10 @@
             oprot.writeFieldBegin('long_runs', TType.I32, 3)
             oprot.writeI32(self.long_runs)
             oprot.writeFieldEnd()
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 4)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -310,9 +321,15 @@
 
 class PoolLoad(object):
     """
+    Demand of a pool, in millicores where nothing else is said.
+
     Attributes:
-     - needed_millicores
-     - reserve_millicores
+     - lasting
+     - running
+     - waiting
+     - waiting_work_ms: Work of the tasks that wait, in milliseconds of one millicore.
+     - arriving
+     - reserve
      - fewest_workers
      - workers
      - is_owned: False when the pool is not owned by the entry that was asked.
@@ -320,9 +337,13 @@
     """
 
 
-    def __init__(self, needed_millicores=None, reserve_millicores=None, fewest_workers=None, workers=None, is_owned=None,):
-        self.needed_millicores = needed_millicores
-        self.reserve_millicores = reserve_millicores
+    def __init__(self, lasting=None, running=None, waiting=None, waiting_work_ms=None, arriving=None, reserve=None, fewest_workers=None, workers=None, is_owned=None,):
+        self.lasting = lasting
+        self.running = running
+        self.waiting = waiting
+        self.waiting_work_ms = waiting_work_ms
+        self.arriving = arriving
+        self.reserve = reserve
         self.fewest_workers = fewest_workers
         self.workers = workers
         self.is_owned = is_owned
@@ -338,20 +359,40 @@
                 break
             if fid == 1:
                 if ftype == TType.I32:
-                    self.needed_millicores = iprot.readI32()
+                    self.lasting = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I32:
-                    self.reserve_millicores = iprot.readI32()
+                    self.running = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I32:
-                    self.fewest_workers = iprot.readI32()
+                    self.waiting = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
+                if ftype == TType.I64:
+                    self.waiting_work_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.arriving = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.reserve = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.fewest_workers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
                 if ftype == TType.LIST:
                     self.workers = []
                     (_etype3, _size0) = iprot.readListBegin()
@@ -362,7 +403,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 9:
                 if ftype == TType.BOOL:
                     self.is_owned = iprot.readBool()
                 else:
@@ -377,27 +418,43 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('PoolLoad')
-        if self.needed_millicores is not None:
-            oprot.writeFieldBegin('needed_millicores', TType.I32, 1)
-            oprot.writeI32(self.needed_millicores)
+        if self.lasting is not None:
+            oprot.writeFieldBegin('lasting', TType.I32, 1)
+            oprot.writeI32(self.lasting)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 2)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 3)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.waiting_work_ms is not None:
+            oprot.writeFieldBegin('waiting_work_ms', TType.I64, 4)
+            oprot.writeI64(self.waiting_work_ms)
+            oprot.writeFieldEnd()
+        if self.arriving is not None:
+            oprot.writeFieldBegin('arriving', TType.I32, 5)
+            oprot.writeI32(self.arriving)
             oprot.writeFieldEnd()
-        if self.reserve_millicores is not None:
-            oprot.writeFieldBegin('reserve_millicores', TType.I32, 2)
-            oprot.writeI32(self.reserve_millicores)
+        if self.reserve is not None:
+            oprot.writeFieldBegin('reserve', TType.I32, 6)
+            oprot.writeI32(self.reserve)
             oprot.writeFieldEnd()
         if self.fewest_workers is not None:
-            oprot.writeFieldBegin('fewest_workers', TType.I32, 3)
+            oprot.writeFieldBegin('fewest_workers', TType.I32, 7)
             oprot.writeI32(self.fewest_workers)
             oprot.writeFieldEnd()
         if self.workers is not None:
-            oprot.writeFieldBegin('workers', TType.LIST, 4)
+            oprot.writeFieldBegin('workers', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
             for iter6 in self.workers:
                 iter6.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_owned is not None:
-            oprot.writeFieldBegin('is_owned', TType.BOOL, 5)
+            oprot.writeFieldBegin('is_owned', TType.BOOL, 9)
             oprot.writeBool(self.is_owned)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -441,15 +498,20 @@
     (1, TType.STRING, 'worker', 'UTF8', None, ),  # 1
     (2, TType.I32, 'runs', None, None, ),  # 2
     (3, TType.I32, 'long_runs', None, None, ),  # 3
+    (4, TType.BOOL, 'is_leaving', None, None, ),  # 4
 )
 all_structs.append(PoolLoad)
 PoolLoad.thrift_spec = (
     None,  # 0
-    (1, TType.I32, 'needed_millicores', None, None, ),  # 1
-    (2, TType.I32, 'reserve_millicores', None, None, ),  # 2
-    (3, TType.I32, 'fewest_workers', None, None, ),  # 3
-    (4, TType.LIST, 'workers', (TType.STRUCT, [WorkerLoad, None], False), None, ),  # 4
-    (5, TType.BOOL, 'is_owned', None, None, ),  # 5
+    (1, TType.I32, 'lasting', None, None, ),  # 1
+    (2, TType.I32, 'running', None, None, ),  # 2
+    (3, TType.I32, 'waiting', None, None, ),  # 3
+    (4, TType.I64, 'waiting_work_ms', None, None, ),  # 4
+    (5, TType.I32, 'arriving', None, None, ),  # 5
+    (6, TType.I32, 'reserve', None, None, ),  # 6
+    (7, TType.I32, 'fewest_workers', None, None, ),  # 7
+    (8, TType.LIST, 'workers', (TType.STRUCT, [WorkerLoad, None], False), None, ),  # 8
+    (9, TType.BOOL, 'is_owned', None, None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/skylarktally/entries/_calls.py
+++ b/skylarktally/entries/_calls.py
@@ -17,6 +17,7 @@
 from skylarktally._gen.entry import Entry
 from skylarktally._gen.entry import ttypes
 from skylarktally import _loop
+from skylarktally.scheduling import _lending
 
 _LOG = logging.getLogger(__name__)
 
@@ -177,6 +178,42 @@
             transport.close()
 
 
+def encode_load(load: _lending.PoolLoad) -> ttypes.PoolLoad:
+    """Return the load of a pool that this entry owns as it is sent."""
+    return ttypes.PoolLoad(
+        load.lasting_millicores,
+        load.running_millicores,
+        load.waiting_millicores,
+        int(load.waiting_work.total_seconds() * 1000),
+        load.arriving_millicores,
+        load.reserve_millicores,
+        load.fewest_workers,
+        [ttypes.WorkerLoad(*worker) for worker in load.workers],
+        True,
+    )
+
+
+def decode_load(load: ttypes.PoolLoad) -> _lending.PoolLoad | None:
+    """Return the load that was sent; None if the pool is owned elsewhere."""
+    if not load.is_owned:
+        return None
+    return _lending.PoolLoad(
+        load.lasting,
+        load.running,
+        load.waiting,
+        datetime.timedelta(milliseconds=load.waiting_work_ms),
+        load.arriving,
+        load.reserve,
+        load.fewest_workers,
+        tuple(
+            _lending.WorkerLoad(
+                item.worker, item.runs, item.long_runs, item.is_leaving
+            )
+            for item in load.workers
+        ),
+    )
+
+
 def _fail(
     kind: ErrorKind, address: str, error: Exception
 ) -> result.Result[Any, _errors.Failure]:
--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -201,16 +201,8 @@
         """Tell what the pool would use at once."""
         owner = self._shards.find_owner(pool)
         if owner is None or not owner.is_ready:
-            return _calls.PoolLoad(0, 0, 0, [], False)
-        load = owner.measure(lendable_millicores)
-        workers = [_calls.WorkerLoad(*worker) for worker in load.workers]
-        return _calls.PoolLoad(
-            load.needed_millicores,
-            load.reserve_millicores,
-            load.fewest_workers,
-            workers,
-            True,
-        )
+            return _calls.PoolLoad(workers=[], is_owned=False)
+        return _calls.encode_load(owner.measure(lendable_millicores))
 
     def reaches_store(self) -> bool:
         """Tell whether the store answers this entry."""
--- a/skylarktally/entries/_requests.py
+++ b/skylarktally/entries/_requests.py
@@ -36,10 +36,10 @@
         if address is None:
             return None
         if address == self._own_address:
-            return _read_load(self._handler.measure(pool, lendable))
+            return _calls.decode_load(self._handler.measure(pool, lendable))
         outcome = self._calls.measure(address, pool, lendable, _TIMEOUT)
         if isinstance(outcome, result.Success):
-            return _read_load(outcome.unwrap())
+            return _calls.decode_load(outcome.unwrap())
         return None
 
     def vacate(self, pool: str, worker: str) -> bool:
@@ -58,17 +58,3 @@
                 'owner not reached', extra={'pool': pool, 'kind': kind.value}
             )
         return False
-
-
-def _read_load(load: _calls.PoolLoad) -> _lending.PoolLoad | None:
-    if not load.is_owned:
-        return None
-    return _lending.PoolLoad(
-        load.needed_millicores,
-        load.reserve_millicores,
-        load.fewest_workers,
-        tuple(
-            _lending.WorkerLoad(item.worker, item.runs, item.long_runs)
-            for item in load.workers
-        ),
-    )
--- a/skylarktally/entry.thrift
+++ b/skylarktally/entry.thrift
@@ -28,23 +28,31 @@
   1: string worker,
   2: i32 runs,
   3: i32 long_runs,
+  /** It is being emptied and takes no new work. */
+  4: bool is_leaving,
 }
 
+/** Demand of a pool, in millicores where nothing else is said. */
 struct PoolLoad {
-  1: i32 needed_millicores,
-  2: i32 reserve_millicores,
-  3: i32 fewest_workers,
-  4: list<WorkerLoad> workers,
+  1: i32 lasting,
+  2: i32 running,
+  3: i32 waiting,
+  /** Work of the tasks that wait, in milliseconds of one millicore. */
+  4: i64 waiting_work_ms,
+  5: i32 arriving,
+  6: i32 reserve,
+  7: i32 fewest_workers,
+  8: list<WorkerLoad> workers,
   /** False when the pool is not owned by the entry that was asked. */
-  5: bool is_owned,
+  9: bool is_owned,
 }
 
 service Entry {
   JobReply handle(1: JobCall call),
   /** Empties a worker; tells whether its instance can go now. */
   bool vacate(1: string pool, 2: string worker),
-  /** Tells what the pool would use at once, and what its workers run. */
   /** Tells whether the store answers the entry that is asked. */
   bool reaches_store(),
+  /** Tells what the pool would use at once, and what its workers run. */
   PoolLoad measure(1: string pool, 2: i32 lendable_millicores),
 }
--- a/skylarktally/scheduling/_board.py
+++ b/skylarktally/scheduling/_board.py
@@ -51,20 +51,42 @@
         job.chain = _states.find_chain(job.spec)
         self._note_width(job.spec)
         if job.restored is None and job.spec.first_run is None:
-            self.arrivals.note(now, _states.measure_work(job.spec))
+            self.arrivals.note(now, self._measure_work(job.spec))
         self.jobs[job.id] = job
         if not job.is_final:
             self.release(job, wall)
 
     def _note_width(self, spec: _work.JobSpec) -> None:
         widths = [
-            step.task_count * step.resources.cpu_millicores
+            step.task_count * self.weigh(step)
             for step in spec.steps
             if not step.is_long_running
         ]
         if widths:
             self._widths.append(max(widths))
 
+    def _measure_work(self, spec: _work.JobSpec) -> datetime.timedelta:
+        """Return the estimated work of a job, in time of one millicore."""
+        return sum(
+            (
+                step.estimate * self.weigh(step) * step.task_count
+                for step in spec.steps
+                if not step.is_long_running
+            ),
+            _NONE,
+        )
+
+    def weigh(self, step: _work.Step) -> int:
+        """Return the share of a worker that a task takes, in millicores.
+
+        That is the processor time of which a worker has as small a share as
+        the task needs of what it needs most of.
+        """
+        seat = next(iter(self.seats.values()), None)
+        if seat is None:
+            return _states.occupy(step).cpu_millicores
+        return _states.weigh(step, seat.record.capacity)
+
     def find_usual_need(self) -> int:
         """Return what a usual job needs at once, in millicores."""
         if not self._widths:
--- a/skylarktally/scheduling/_forecasts.py
+++ b/skylarktally/scheduling/_forecasts.py
@@ -11,6 +11,11 @@
 
 # Arrivals of this time tell the rate.
 _WINDOW = datetime.timedelta(seconds=0.8)
+# A burst that is younger than this tells no rate yet.
+_SHORTEST_BURST = datetime.timedelta(seconds=0.25)
+# Jobs whose mean work is taken for that of the next ones.
+_KNOWN_JOBS = 30
+_NONE = datetime.timedelta()
 
 
 class _Arrival(NamedTuple):
@@ -24,23 +29,28 @@
 
     def __init__(self) -> None:
         self._arrivals: collections.deque[_Arrival] = collections.deque()
+        self._works: collections.deque[datetime.timedelta] = collections.deque(
+            maxlen=_KNOWN_JOBS
+        )
 
     def note(self, now: datetime.timedelta, work: datetime.timedelta) -> None:
         """Note the arrival of a job with its estimated work."""
         self._arrivals.append(_Arrival(now, work))
+        self._works.append(work)
 
     def forecast(self, now: datetime.timedelta) -> int:
         """Return what the jobs use at once if they go on like this.
 
-        By Little's law that is their rate times the work of each. A single
-        arrival tells no rate: the largest one is therefore left out.
+        By Little's law that is their rate times the work of each. The rate
+        is counted from the first arrival of the window, which itself tells
+        none, so that a burst shows its rate before the window is full.
 
         :return: in millicores
         """
         while self._arrivals and self._arrivals[0].at < now - _WINDOW:
             self._arrivals.popleft()
-        works = [arrival.work for arrival in self._arrivals]
-        if not works:
+        if len(self._arrivals) < 2:
             return 0
-        work = sum(works, datetime.timedelta()) - max(works)
-        return int(work / _WINDOW)
+        elapsed = max(now - self._arrivals[0].at, _SHORTEST_BURST)
+        mean = sum(self._works, _NONE) / len(self._works)
+        return int((len(self._arrivals) - 1) * mean / elapsed)
--- a/skylarktally/scheduling/_lending.py
+++ b/skylarktally/scheduling/_lending.py
@@ -1,27 +1,29 @@
 """Moves of instances between pools, as their demand comes and goes.
 
 The load it answers: queues that surge in turn, each for some seconds, to
-more than its pool holds. Instances that nobody needs are parked in the
-standby pool, where they are off; a pool with more ready work than room gets
-instances from there first and then from pools that have some to spare.
+more than its pool holds. A pool that will lack room gets instances that
+others have to spare, and then from the standby pool, where instances are
+off. Instances that nobody needs are parked there.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 import datetime
 import math
 from typing import NamedTuple
 
 from skylarktally.scheduling import _work
 
-# Share of an instance that tasks of uneven sizes fill in the mean.
-_FILL = 1.0
-# Ready work that waits for as long as a task takes is still on time.
-_PATIENCE = 1.0
 # An instance is parked once its pool has not needed it for this long. Two
 # moves and their time cost about as much as an instance for 4 s.
 PARK_DELAY = datetime.timedelta(seconds=2)
 # It is lent to a pool that lacks room sooner.
 _LEND_DELAY = datetime.timedelta(seconds=0.5)
+# From the order of a move until the worker gets its first task.
+_MOVE_TIME = datetime.timedelta(seconds=2)
+# Work that waits is to be worked off in this time, since a job of usual
+# length is then still on time.
+_CATCH_UP_TIME = datetime.timedelta(seconds=1.5)
+_NONE = datetime.timedelta()
 
 
 class WorkerLoad(NamedTuple):
@@ -30,19 +32,34 @@
     worker: str
     runs: int
     long_runs: int
+    # It is being emptied and takes no new work.
+    is_leaving: bool = False
 
 
 class PoolLoad(NamedTuple):
     """What the owner of a pool reports of its demand."""
 
-    # Processor time that all work which is ready would use at once.
-    needed_millicores: int
+    # Used by long-running tasks, those that wait included.
+    lasting_millicores: int
+    # Used by other tasks that run, and by those that are ready to.
+    running_millicores: int
+    waiting_millicores: int
+    # Work of the tasks that are ready, in time of one millicore.
+    waiting_work: datetime.timedelta
+    # What jobs will use at once if they go on arriving as now.
+    arriving_millicores: int
     # What a usual job needs when it arrives.
     reserve_millicores: int
     # Workers that long-running steps need to be spread as asked for.
     fewest_workers: int
     workers: tuple[WorkerLoad, ...]
 
+    @property
+    def ready_millicores(self) -> int:
+        """What all work that is ready would use at once."""
+        ready = self.running_millicores + self.waiting_millicores
+        return self.lasting_millicores + ready
+
 
 class Move(NamedTuple):
     """An instance that is to change its pool."""
@@ -51,6 +68,14 @@
     pool: str
 
 
+class Supply(NamedTuple):
+    """Instances that a pool has and those on their way to it."""
+
+    # Without those that are being emptied.
+    present: int
+    arriving: int
+
+
 class Want(NamedTuple):
     """How many instances a pool has a use for."""
 
@@ -70,7 +95,14 @@
     # it needs none of them.
     lendable_above: int
     parkable_above: int
-    present: int
+    held: int
+
+
+class Plan(NamedTuple):
+    """Moves to make now, and which instances can be spared at present."""
+
+    moves: tuple[Move, ...]
+    spare: frozenset[str]
 
 
 class Lender:
@@ -79,6 +111,8 @@
     def __init__(self) -> None:
         # Recent wants of each pool, the newest last.
         self._wants: dict[str, list[Want]] = {}
+        # When the first job of any pool was seen.
+        self._demand_since: datetime.timedelta | None = None
 
     def plan(
         self,
@@ -87,62 +121,113 @@
         standby: frozenset[str],
         moving: Mapping[str, str],
         now: datetime.timedelta,
-    ) -> list[Move]:
+        due: Collection[str] = frozenset(),
+    ) -> Plan:
         """Return the moves to make now.
 
         :param loads: of the pools whose owners answer
         :param standby: pools whose instances are off
         :param moving: pool that each instance in motion goes to
+        :param due: instances that a wave has still to take down; they are
+            lent last and parked first
         """
-        listed = list(instances)
+        listed = sorted(instances, key=lambda item: item.id in due)
         free = [item for item in listed if item.id not in moving]
         size = _find_size(listed)
+        self._note_demand(loads, now)
         balances = {
             pool: self._balance(
-                pool, load, size, _count_present(pool, free, moving), now
+                pool, load, size, _find_supply(pool, load, free, moving), now
             )
             for pool, load in loads.items()
             if pool not in standby
         }
-        donors = _list_parked(free, standby)
-        donors.extend(_list_spare(free, loads, balances))
-        moves = _serve_deficits(balances, donors)
+        idle = _list_idle(free, loads)
+        parked = _list_parked(free, standby)
+        surplus = _Surplus(balances)
+        moves = _serve_deficits(balances, [*idle, *parked], surplus)
         taken = {move.instance.id for move in moves}
-        rest = [item for item in donors if item.id not in taken]
-        moves.extend(_park(rest, balances, standby))
-        return moves
+        # Those of a wave first, since they can go down there.
+        rest = [item for item in reversed(idle) if item.id not in taken]
+        moves.extend(_park(rest, balances, surplus, standby))
+        taken = {move.instance.id for move in moves}
+        spare = [item for item in parked if item.id not in taken]
+        spare += [
+            item
+            for item in rest
+            if item.id not in taken and surplus.take(item.pool)
+        ]
+        ids = frozenset(item.id for item in spare)
+        return Plan(tuple(moves), ids)
+
+    def _note_demand(
+        self, loads: Mapping[str, PoolLoad], now: datetime.timedelta
+    ) -> None:
+        has_demand = any(load.reserve_millicores for load in loads.values())
+        if has_demand and self._demand_since is None:
+            self._demand_since = now
 
     def _balance(
         self,
         pool: str,
         load: PoolLoad,
         size: int,
-        present: int,
+        supply: Supply,
         now: datetime.timedelta,
     ) -> Balance:
         wants = self._wants.setdefault(pool, [])
-        want = _count_wanted(load, size, now)
+        want = _count_wanted(load, size, supply, now)
         wants.append(want)
         # The first one left tells that the pool was known at the beginning.
         while len(wants) > 1 and wants[1].at <= now - PARK_DELAY:
             del wants[0]
         recent = [item for item in wants if item.at >= now - _LEND_DELAY]
+        held = supply.present + supply.arriving
         parkable = max(item.most for item in wants)
-        is_known = wants[0].at <= now - PARK_DELAY
-        if not load.reserve_millicores or not is_known:
-            # Too little is known of its demand yet.
-            parkable = max(parkable, present)
+        if not self._is_known(wants, now):
+            parkable = max(parkable, held)
         return Balance(
             want.least,
             max(item.most for item in recent),
             parkable,
-            present,
+            held,
         )
 
+    def _is_known(self, wants: list[Want], now: datetime.timedelta) -> bool:
+        """Tell whether the demand of a pool has been seen for long enough.
+
+        Before the first job instances stay where the operator put them.
+        """
+        begin = now - PARK_DELAY
+        since = self._demand_since
+        return wants[0].at <= begin and since is not None and since <= begin
+
+
+class _Surplus:
+    """Instances that each pool can still do without at once."""
+
+    def __init__(self, balances: Mapping[str, Balance]) -> None:
+        self._left = {
+            pool: balance.held - balance.lendable_above
+            for pool, balance in balances.items()
+        }
+
+    def take(self, pool: str) -> bool:
+        """Take an instance of the pool, if it can do without."""
+        if self._left.get(pool, 0) <= 0:
+            return False
+        self._left[pool] -= 1
+        return True
+
+    def count(self, pool: str) -> int:
+        """Return how many are left."""
+        return self._left.get(pool, 0)
+
 
 def _park(
     rest: list[_work.InstanceRecord],
     balances: Mapping[str, Balance],
+    surplus: _Surplus,
     standby: frozenset[str],
 ) -> list[Move]:
     """Move instances away that their pool has not wanted for long."""
@@ -150,11 +235,10 @@
         return []
     home = min(standby)
     moves = []
-    left = {pool: item.present for pool, item in balances.items()}
     for instance in rest:
         pool = instance.pool
-        if pool in balances and left[pool] > balances[pool].parkable_above:
-            left[pool] -= 1
+        kept = balances[pool].parkable_above - balances[pool].lendable_above
+        if surplus.count(pool) > kept and surplus.take(pool):
             moves.append(Move(instance, home))
     return moves
 
@@ -165,21 +249,52 @@
     return max(sizes[len(sizes) // 2], 1) if sizes else 1
 
 
-def _count_wanted(load: PoolLoad, size: int, now: datetime.timedelta) -> Want:
-    least = math.ceil(load.needed_millicores / (size * _PATIENCE))
-    needed = load.needed_millicores + load.reserve_millicores // 2
-    most = math.ceil(needed / (size * _FILL))
-    fewest = max(load.fewest_workers, 1)
-    return Want(now, max(least, fewest), max(most, fewest))
+def _count_wanted(
+    load: PoolLoad, size: int, supply: Supply, now: datetime.timedelta
+) -> Want:
+    needed = _forecast_need(load, size, supply)
+    used = max(
+        load.ready_millicores,
+        load.lasting_millicores + load.arriving_millicores,
+    )
+    most = math.ceil((used + load.reserve_millicores // 2) / size)
+    least = math.ceil(needed / size)
+    # One stays for the next job, but a pool that has never had one does
+    # not ask for it.
+    fewest = max(load.fewest_workers, min(load.reserve_millicores, 1))
+    return Want(now, max(least, fewest), max(least, most, fewest, 1))
+
+
+def _forecast_need(load: PoolLoad, size: int, supply: Supply) -> int:
+    """Return what the pool needs once a move ordered now has been made.
+
+    That is what jobs use at once as they arrive now, and enough to work
+    off in time what waits by then. Capacity that is on its way arrives
+    half of the time before, on average.
+
+    :return: in millicores
+    """
+    capacity = supply.present * size - load.lasting_millicores
+    arriving = load.arriving_millicores
+    backlog = load.waiting_work
+    backlog += (arriving - capacity) * _MOVE_TIME
+    backlog -= supply.arriving * size * _MOVE_TIME / 2
+    catch_up = max(backlog, _NONE) / _CATCH_UP_TIME
+    return load.lasting_millicores + arriving + int(catch_up)
 
 
-def _count_present(
+def _find_supply(
     pool: str,
+    load: PoolLoad,
     free: list[_work.InstanceRecord],
     moving: Mapping[str, str],
-) -> int:
-    here = sum(item.pool == pool and item.state == 'up' for item in free)
-    return here + sum(target == pool for target in moving.values())
+) -> Supply:
+    leaving = {item.worker for item in load.workers if item.is_leaving}
+    present = sum(
+        item.pool == pool and item.state == 'up' and item.worker not in leaving
+        for item in free
+    )
+    return Supply(present, sum(target == pool for target in moving.values()))
 
 
 def _list_parked(
@@ -190,43 +305,40 @@
     ]
 
 
-def _list_spare(
-    free: list[_work.InstanceRecord],
-    loads: Mapping[str, PoolLoad],
-    balances: Mapping[str, Balance],
+def _list_idle(
+    free: list[_work.InstanceRecord], loads: Mapping[str, PoolLoad]
 ) -> list[_work.InstanceRecord]:
-    """Return idle instances of pools that have more than they want."""
+    """Return the instances of pools that run nothing."""
     idle = {
         worker.worker
         for load in loads.values()
         for worker in load.workers
         if not worker.runs
     }
-    spare: list[_work.InstanceRecord] = []
-    for pool, balance in balances.items():
-        surplus = balance.present - balance.lendable_above
-        candidates = [
-            item
-            for item in free
-            if item.pool == pool and item.state == 'up' and item.worker in idle
-        ]
-        spare.extend(candidates[: max(surplus, 0)])
-    return spare
+    return [
+        item
+        for item in free
+        if item.pool in loads and item.state == 'up' and item.worker in idle
+    ]
 
 
 def _serve_deficits(
-    balances: Mapping[str, Balance], donors: list[_work.InstanceRecord]
+    balances: Mapping[str, Balance],
+    donors: list[_work.InstanceRecord],
+    surplus: _Surplus,
 ) -> list[Move]:
-    """Give to the pool that lacks the largest share, one by one."""
+    """Give to the pool that lacks the most, one by one."""
     lacking = {
-        pool: item.least - item.present
+        pool: item.least - item.held
         for pool, item in balances.items()
-        if item.least > item.present
+        if item.least > item.held
     }
     moves: list[Move] = []
     for instance in donors:
         if not lacking:
             break
+        if instance.pool in balances and not surplus.take(instance.pool):
+            continue
         pool = max(lacking, key=lambda name: (lacking[name], name))
         moves.append(Move(instance, pool))
         lacking[pool] -= 1
--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -5,9 +5,8 @@
 from the order on until the platform lists it as up again.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 import datetime
-import json
 import logging
 from typing import NamedTuple, Protocol
 
@@ -19,24 +18,23 @@
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _lending
 from skylarktally.scheduling import _orders
+from skylarktally.scheduling import _records
 from skylarktally.scheduling import _rows
+from skylarktally.scheduling import _waves
 from skylarktally.scheduling import _work
 
 _LOG = logging.getLogger(__name__)
 
 # The shard of this duty; the rows of the operator have no partition either.
 SHARD = ''
-_TABLE = 'maintenance'
 _INTERVAL = datetime.timedelta(seconds=0.2)
 _WRITE_TIMEOUT = datetime.timedelta(seconds=3)
 # A move that is not listed as made after this has not been made.
 _MOVE_LIMIT = datetime.timedelta(seconds=5)
-# The platform may list an instance as up for this long after the order.
-_LIST_LAG = datetime.timedelta(seconds=1)
-# Instances that are emptied ahead of time, beside those that are down.
-_AHEAD = 2
 _UP = 'up'
 
+Listed = Mapping[str, _work.InstanceRecord]
+
 
 class Waves(Protocol):
     """How the operator learns the state of a wave."""
@@ -67,56 +65,16 @@
     at: datetime.timedelta
 
 
-class Turn(NamedTuple):
-    """What to do next for a wave."""
-
-    # Instances to empty and to take down once they are empty.
-    instances: tuple[_work.InstanceRecord, ...]
-    # How many of them may go down now.
-    allowance: int
-    is_completed: bool
-
-
-def plan_turn(
-    wave: _work.Wave,
-    listed: Mapping[str, _work.InstanceRecord],
-    done: Mapping[str, datetime.timedelta],
-    now: datetime.timedelta,
-) -> Turn:
-    """Return what to do next for a wave.
-
-    :param listed: the platform's list of instances by id
-    :param done: when each instance of the wave was ordered down
-    """
-    down = 0
-    waiting: list[_work.InstanceRecord] = []
-    is_open = False
-    for id_ in wave.instances:
-        record = listed.get(id_)
-        if id_ in done:
-            is_fresh = now - done[id_] < _LIST_LAG
-            down += is_fresh or (record is not None and record.state != _UP)
-        elif record is not None:
-            is_open = True
-            if record.state == _UP:
-                waiting.append(record)
-    ranked = sorted(waiting, key=lambda record: _rank(record, waiting))
-    allowance = max(wave.limit - down, 0)
-    return Turn(tuple(ranked[: allowance + _AHEAD]), allowance, not is_open)
-
-
-def _rank(
-    record: _work.InstanceRecord, others: list[_work.InstanceRecord]
-) -> tuple[int, str]:
-    """Return a key that takes the pools in turn."""
-    position = sum(
-        other.pool == record.pool and other.id < record.id for other in others
-    )
-    return position, record.pool
+class _Progress(NamedTuple):
+    """How far a wave has come."""
+
+    begun_at: datetime.timedelta
+    # When each instance was ordered down.
+    done: dict[str, datetime.timedelta]
 
 
 class Maintenance:
-    """Carries out the waves for the time of one term."""
+    """Carries out the waves and moves for the time of one term."""
 
     def __init__(
         self,
@@ -133,7 +91,7 @@
         self._waves = waves
         self._clock = clock
         self._holder = holder
-        self._done: dict[int, dict[str, datetime.timedelta]] = {}
+        self._progress: dict[int, _Progress] = {}
         self._statuses: dict[int, bool] = {}
         self._lender = _lending.Lender()
         # Pool that each instance goes to, and when that was ordered.
@@ -153,63 +111,102 @@
             return
         while not self.ledger.is_over:
             outcome = self._instances.list_instances()
-            if isinstance(outcome, result.Success):
+            configuration = surroundings.get_configuration()
+            if (
+                isinstance(outcome, result.Success)
+                and configuration is not None
+            ):
                 listed = {record.id: record for record in outcome.unwrap()}
-                for wave in list(surroundings.get_waves().values()):
-                    if not self._statuses.get(wave.id, False):
-                        self._advance(wave, listed, surroundings.vacate)
-                self._lend(listed, surroundings)
+                self._take_turn(listed, configuration, surroundings)
             self._clock.sleep(_INTERVAL)
 
     def _load(self) -> bool:
+        """Read how far the waves have come; False when the term ends."""
         while not self.ledger.is_over:
-            outcome = self._store.read(_TABLE, SHARD)
+            outcome = self._store.read(_records.MAINTENANCE, SHARD)
             if isinstance(outcome, result.Success):
-                now = self._clock.monotonic()
                 for row in outcome.unwrap().rows:
-                    done = json.loads(row.value)
-                    # Their orders may have been given just now.
-                    self._done[int(row.place.key)] = dict.fromkeys(done, now)
+                    self._restore(row)
                 return True
             self._clock.sleep(_INTERVAL)
         return False
 
-    def _lend(
+    def _restore(self, row: _rows.Row) -> None:
+        try:
+            record = _records.decode_wave(row.value)
+            wave = int(row.place.key)
+        except (ValueError, TypeError) as error:
+            _LOG.error(
+                'unreadable row',
+                extra={'row': row.place, 'reason': str(error)},
+            )
+            return
+        now = self._clock.monotonic()
+        age = self._clock.now().timestamp() - record.begun_ms / 1000
+        self._progress[wave] = _Progress(
+            now - datetime.timedelta(seconds=max(age, 0)),
+            # Their orders may have been given just now.
+            dict.fromkeys(record.done, now),
+        )
+
+    def _take_turn(
         self,
-        listed: Mapping[str, _work.InstanceRecord],
+        listed: Listed,
+        configuration: _work.Configuration,
         surroundings: Surroundings,
     ) -> None:
-        """Move instances to where the demand is."""
-        configuration = surroundings.get_configuration()
-        if configuration is None or not self.ledger.may_order():
+        """Move instances to where the demand is, then see to the waves."""
+        waves = [
+            wave
+            for wave in surroundings.get_waves().values()
+            if not self._statuses.get(wave.id, False)
+        ]
+        if not self.ledger.may_order():
             return
         self._settle_moves(listed)
         standby = frozenset(
             pool.name for pool in configuration.pools if pool.is_standby
         )
+        pools = [item.name for item in configuration.pools]
         lendable = _lending.count_lendable(listed.values(), standby)
-        loads = {}
-        for pool in configuration.pools:
-            if pool.is_standby:
-                continue
-            load = surroundings.measure(pool.name, lendable)
-            if load is not None:
-                loads[pool.name] = load
-        targets = {id_: item.pool for id_, item in self._moving.items()}
-        now = self._clock.monotonic()
-        moves = self._lender.plan(
-            loads, listed.values(), standby, targets, now
+        loads = _measure_all(
+            [pool for pool in pools if pool not in standby],
+            lambda pool: surroundings.measure(pool, lendable),
         )
-        for instance, target in moves:
+        plan = self._lender.plan(
+            loads,
+            listed.values(),
+            standby,
+            {id_: item.pool for id_, item in self._moving.items()},
+            self._clock.monotonic(),
+            self._list_due(waves),
+        )
+        for instance, target in plan.moves:
             is_empty = not instance.worker or surroundings.vacate(
                 instance.pool, instance.worker
             )
             if is_empty and not self._move(instance, target):
                 return
+        outlook = _waves.Outlook(
+            _find_uses(listed, loads), plan.spare, self._moving
+        )
+        for wave in waves:
+            self._advance(wave, listed, outlook, surroundings.vacate)
+
+    def _list_due(self, waves: list[_work.Wave]) -> frozenset[str]:
+        """Return the instances that waves have still to take down."""
+        return frozenset(
+            id_
+            for wave in waves
+            for id_ in wave.instances
+            if id_ not in self._find_progress(wave.id).done
+        )
 
-    def _settle_moves(
-        self, listed: Mapping[str, _work.InstanceRecord]
-    ) -> None:
+    def _find_progress(self, wave: int) -> _Progress:
+        now = self._clock.monotonic()
+        return self._progress.setdefault(wave, _Progress(now, {}))
+
+    def _settle_moves(self, listed: Listed) -> None:
         """Forget moves that the platform lists as made, or that failed."""
         now = self._clock.monotonic()
         for id_, motion in list(self._moving.items()):
@@ -253,20 +250,24 @@
     def _advance(
         self,
         wave: _work.Wave,
-        listed: Mapping[str, _work.InstanceRecord],
+        listed: Listed,
+        outlook: _waves.Outlook,
         vacate: Callable[[str, str], bool],
     ) -> None:
-        done = self._done.setdefault(wave.id, {})
-        turn = plan_turn(wave, listed, done, self._clock.monotonic())
+        progress = self._find_progress(wave.id)
+        turn = _waves.plan_turn(
+            wave,
+            listed,
+            progress.done,
+            outlook,
+            progress.begun_at,
+            self._clock.monotonic(),
+        )
         self._report(wave.id, turn.is_completed)
-        allowance = turn.allowance
         for record in turn.instances:
             # An instance that is off has no worker.
             is_empty = not record.worker or vacate(record.pool, record.worker)
-            if not is_empty or not allowance:
-                continue
-            allowance -= 1
-            if not self._take_down(wave, record):
+            if is_empty and not self._take_down(wave, record):
                 return
 
     def _take_down(
@@ -275,7 +276,7 @@
         """Order an instance down; False if no more orders may be given."""
         if not self.ledger.may_order():
             return False
-        done = self._done[wave.id]
+        done = self._find_progress(wave.id).done
         done[record.id] = self._clock.monotonic()
         outcome = self._instances.maintain(
             record.id, wave.id, self._holder, self.ledger.token
@@ -302,13 +303,20 @@
         if rejection is not None or not isinstance(outcome, result.Success):
             del done[record.id]
             return True
-        self._store_done(wave.id)
+        self.ledger.write(
+            [self._encode_progress(wave.id)], _WRITE_TIMEOUT, _ignore
+        )
         return True
 
-    def _store_done(self, wave: int) -> None:
-        place = _rows.RowKey(_TABLE, SHARD, str(wave))
-        value = json.dumps(sorted(self._done[wave])).encode()
-        self.ledger.write([(place, value)], _WRITE_TIMEOUT, _ignore)
+    def _encode_progress(self, wave: int) -> _ledger.Put:
+        progress = self._find_progress(wave)
+        age = self._clock.monotonic() - progress.begun_at
+        begun = self._clock.now() - age
+        record = _records.WaveRecord(
+            int(begun.timestamp() * 1000), tuple(sorted(progress.done))
+        )
+        place = _rows.RowKey(_records.MAINTENANCE, SHARD, str(wave))
+        return place, _records.encode_wave(record)
 
     def _report(self, wave: int, is_completed: bool) -> None:
         """Tell the operator the state of a wave, once."""
@@ -316,7 +324,8 @@
             return
         place = self._waves.place_wave_status(wave)
         value = self._waves.encode_wave_status(wave, is_completed)
-        fate = self.ledger.write([(place, value)], _WRITE_TIMEOUT, _ignore)
+        puts = [(place, value), self._encode_progress(wave)]
+        fate = self.ledger.write(puts, _WRITE_TIMEOUT, _ignore)
         if fate is _ledger.Fate.APPLIED:
             self._statuses[wave] = is_completed
             _LOG.info(
@@ -325,6 +334,42 @@
             )
 
 
+def _measure_all(
+    pools: Iterable[str],
+    measure: Callable[[str], _lending.PoolLoad | None],
+) -> dict[str, _lending.PoolLoad]:
+    """Ask the owners of all pools at the same time."""
+    loads: dict[str, _lending.PoolLoad] = {}
+
+    def ask(pool: str) -> None:
+        load = measure(pool)
+        if load is not None:
+            loads[pool] = load
+
+    threads = [_loop.spawn(ask, pool) for pool in pools]
+    for thread in threads:
+        thread.wait()
+    return loads
+
+
+def _find_uses(
+    listed: Listed, loads: Mapping[str, _lending.PoolLoad]
+) -> dict[str, _waves.Use]:
+    """Return what the workers of each instance run, as far as known."""
+    uses = {
+        worker.worker: _waves.Use(
+            worker.runs, worker.long_runs, worker.is_leaving
+        )
+        for load in loads.values()
+        for worker in load.workers
+    }
+    return {
+        id_: uses[record.worker]
+        for id_, record in listed.items()
+        if record.worker in uses
+    }
+
+
 def _ignore(fate: _ledger.Fate) -> None:
     """Take the fate of a write whose caller waits for it anyway."""
     del fate
--- a/skylarktally/scheduling/_planning.py
+++ b/skylarktally/scheduling/_planning.py
@@ -1,4 +1,4 @@
-"""Which runs to start, to stop and to slow down next."""
+"""Which runs to start and to stop next, and what the pool needs."""
 
 import datetime
 
@@ -117,33 +117,37 @@
 def measure_load(
     board: _board.Board, now: datetime.timedelta
 ) -> _lending.PoolLoad:
-    """Return what the pool would use at once, and what its workers run."""
-    lasting = 0
-    batch = 0
-    fewest = 0
-    leaving = 0
+    """Return what the work of the pool uses and will use."""
+    lasting = running = waiting = fewest = 0
+    waiting_work = datetime.timedelta()
     for seat in board.seats.values():
         for run in seat.runs.values():
             step = run.task.group.step
-            cost = _states.occupy(step).cpu_millicores
+            cost = board.weigh(step)
             if step.is_long_running:
                 lasting += cost
             else:
-                batch += cost
-        if seat.is_vacating or seat.record.is_draining:
-            # Its room is needed elsewhere meanwhile.
-            leaving += 1
-            lasting += max(seat.room.cpu_millicores, 0)
+                running += cost
     for group in board.open_groups:
-        waiting = sum(
+        step = group.step
+        count = sum(
             task.run is None and not task.is_done for task in group.tasks
         )
-        batch += waiting * _states.occupy(group.step).cpu_millicores
-        fewest = max(fewest, _count_spread(group.step))
+        cost = count * board.weigh(step)
+        if step.is_long_running:
+            lasting += cost
+            fewest = max(fewest, _count_spread(step))
+        else:
+            waiting += cost
+            waiting_work += cost * step.estimate
     return _lending.PoolLoad(
-        lasting + max(batch, board.arrivals.forecast(now)),
+        lasting,
+        running,
+        waiting,
+        waiting_work,
+        board.arrivals.forecast(now),
         board.find_usual_need(),
-        fewest + leaving,
+        fewest,
         tuple(_measure_worker(seat) for seat in board.seats.values()),
     )
 
@@ -159,7 +163,10 @@
     long_runs = sum(
         run.task.group.step.is_long_running for run in seat.runs.values()
     )
-    return _lending.WorkerLoad(seat.record.id, len(seat.runs), long_runs)
+    is_leaving = seat.is_vacating or seat.record.is_draining
+    return _lending.WorkerLoad(
+        seat.record.id, len(seat.runs), long_runs, is_leaving
+    )
 
 
 def is_vacant(seat: _states.Seat) -> bool:
--- a/skylarktally/scheduling/_records.py
+++ b/skylarktally/scheduling/_records.py
@@ -10,6 +10,7 @@
 JOBS = 'jobs'
 PROGRESS = 'progress'
 TERMS = 'terms'
+MAINTENANCE = 'maintenance'
 TERM_KEY = 'term'
 
 
@@ -40,6 +41,15 @@
     workers: tuple[str, ...] = ()
 
 
+class WaveRecord(NamedTuple):
+    """How far a wave has come; the row is named by its number."""
+
+    # When it was first seen, in milliseconds since the epoch.
+    begun_ms: int
+    # Instances that were ordered down.
+    done: tuple[str, ...]
+
+
 def encode_job(record: JobRecord) -> bytes:
     """Return the value of a row."""
     return json.dumps(record, separators=(',', ':')).encode()
@@ -61,6 +71,17 @@
     return term._replace(workers=tuple(term.workers))
 
 
+def encode_wave(record: WaveRecord) -> bytes:
+    """Return the value of a row."""
+    return json.dumps(record, separators=(',', ':')).encode()
+
+
+def decode_wave(value: bytes) -> WaveRecord:
+    """Return the record of a row; ValueError if it is damaged."""
+    begun_ms, done = _load_list(value, len(WaveRecord._fields))
+    return WaveRecord(int(begun_ms), tuple(done))
+
+
 def _load_list(value: bytes, size: int) -> list[Any]:
     data = json.loads(value)
     if not isinstance(data, list) or len(data) != size:
--- a/skylarktally/scheduling/_states.py
+++ b/skylarktally/scheduling/_states.py
@@ -171,16 +171,6 @@
         )
 
 
-def measure_work(spec: _work.JobSpec) -> datetime.timedelta:
-    """Return the estimated work of a job, in time of one millicore."""
-    work = _NONE
-    for step in spec.steps:
-        if not step.is_long_running:
-            cost = step.resources.cpu_millicores * step.task_count
-            work += step.estimate * cost
-    return work
-
-
 def occupy(step: _work.Step) -> _work.Resources:
     """Return what a task of the step occupies of the capacity."""
     if step.is_filler:
@@ -188,6 +178,15 @@
     return step.resources
 
 
+def weigh(step: _work.Step, capacity: _work.Resources) -> int:
+    """Return the share of the capacity that a task takes, in millicores."""
+    need = occupy(step)
+    memory_share = need.memory_mb / max(capacity.memory_mb, 1)
+    return max(
+        need.cpu_millicores, int(memory_share * capacity.cpu_millicores)
+    )
+
+
 def find_chain(spec: _work.JobSpec) -> datetime.timedelta:
     """Return the longest chain of estimated work."""
     ends: list[datetime.timedelta] = []
--- /dev/null
+++ b/skylarktally/scheduling/_waves.py
@@ -0,0 +1,121 @@
+"""Which instances of a maintenance wave to take down next.
+
+The load it answers: a wave over many instances that comes while queues
+surge. Instances that nobody needs are taken first, for as long as the wave
+has time; the others are emptied a few at a time, so that no pool loses
+much of its room at once.
+"""
+
+import collections
+from collections.abc import Collection, Mapping
+import datetime
+import math
+from typing import NamedTuple
+
+from skylarktally.scheduling import _work
+
+# The platform may list an instance as up for this long after the order.
+_LIST_LAG = datetime.timedelta(seconds=1)
+# Shares of the time of a wave: up to the first only instances that can be
+# spared go down; by the second all have.
+_BEGIN_SHARE = 0.15
+_END_SHARE = 0.7
+_UP = 'up'
+
+
+class Use(NamedTuple):
+    """What an instance is used for."""
+
+    runs: int
+    long_runs: int
+    # It is being emptied.
+    is_leaving: bool = False
+
+
+class Outlook(NamedTuple):
+    """What the fleet needs its instances for at present."""
+
+    # Of the instances whose pool's owner answers.
+    uses: Mapping[str, Use]
+    # Instances that no pool needs now.
+    spare: Collection[str]
+    # Instances that are being moved.
+    moving: Collection[str]
+
+
+class Turn(NamedTuple):
+    """What to do next for a wave."""
+
+    # Instances to empty and to take down once they are empty.
+    instances: tuple[_work.InstanceRecord, ...]
+    # How many of them may go down now.
+    allowance: int
+    is_completed: bool
+
+
+def plan_turn(
+    wave: _work.Wave,
+    listed: Mapping[str, _work.InstanceRecord],
+    done: Mapping[str, datetime.timedelta],
+    outlook: Outlook,
+    begun_at: datetime.timedelta,
+    now: datetime.timedelta,
+) -> Turn:
+    """Return what to do next for a wave.
+
+    :param listed: the platform's list of instances by id
+    :param done: when each instance of the wave was ordered down
+    """
+    down = 0
+    waiting: list[_work.InstanceRecord] = []
+    is_open = False
+    for id_ in wave.instances:
+        record = listed.get(id_)
+        if id_ in done:
+            is_fresh = now - done[id_] < _LIST_LAG
+            down += is_fresh or (record is not None and record.state != _UP)
+        elif record is not None:
+            is_open = True
+            if record.state == _UP and id_ not in outlook.moving:
+                waiting.append(record)
+    allowance = max(wave.limit - down, 0)
+    chosen = _rank(waiting, outlook)
+    forced = count_due(wave, now - begun_at) - len(done)
+    spare = sum(record.id in outlook.spare for record in chosen)
+    count = min(max(forced, spare), allowance)
+    return Turn(tuple(chosen[:count]), allowance, not is_open)
+
+
+def count_due(wave: _work.Wave, elapsed: datetime.timedelta) -> int:
+    """Return how many instances have to be down, or back, by now."""
+    share = elapsed / max(wave.duration, datetime.timedelta(seconds=1))
+    part = (share - _BEGIN_SHARE) / (_END_SHARE - _BEGIN_SHARE)
+    return math.ceil(len(wave.instances) * min(max(part, 0), 1))
+
+
+def _rank(
+    waiting: list[_work.InstanceRecord], outlook: Outlook
+) -> list[_work.InstanceRecord]:
+    """Sort instances by the harm that taking them down does."""
+    ranked = sorted(waiting, key=lambda item: _weigh(item, outlook))
+    positions: collections.Counter[str] = collections.Counter()
+    keys = {}
+    for record in ranked:
+        harm = _weigh(record, outlook)
+        # The pools in turn, so that none is emptied first.
+        keys[record.id] = *harm[:-1], positions[record.pool], *harm[-1:]
+        positions[record.pool] += 1
+    return sorted(ranked, key=lambda item: keys[item.id])
+
+
+def _weigh(
+    record: _work.InstanceRecord, outlook: Outlook
+) -> tuple[bool, bool, bool, int, int]:
+    # Of an instance whose pool has no owner that answers nothing is known;
+    # one that is off runs nothing.
+    use = outlook.uses.get(record.id)
+    is_unknown = bool(record.worker) and use is None
+    use = use or Use(0, 0)
+    # What has been begun is finished first.
+    is_needed = record.id not in outlook.spare
+    return is_needed, is_unknown, not use.is_leaving, use.long_runs, use.runs
--- a/tests/pools.py
+++ b/tests/pools.py
@@ -14,9 +14,9 @@
     return datetime.timedelta(seconds=value)
 
 
-def make_step(count=1, cpu=1000, estimate=1.0, **fields):
+def make_step(count=1, cpu=1000, estimate=1.0, memory=100, **fields):
     return _work.Step(
-        count, _work.Resources(cpu, 100), seconds(estimate), **fields
+        count, _work.Resources(cpu, memory), seconds(estimate), **fields
     )
 
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -10,10 +10,8 @@
 from skylarktally.entries import _isolation
 from skylarktally import platform
 from skylarktally.scheduling import _ledger
-from skylarktally.scheduling import _maintenance
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _rows
-from skylarktally.scheduling import _work
 from standins import rows
 from tests import pools
 
@@ -102,54 +100,6 @@
     assert not contacts.is_cut_off(now)
 
 
-def make_instance(id_, pool='a', state='up', worker='w'):
-    return _work.InstanceRecord(id_, pool, state, 'z1', worker, 32000)
-
-
-def plan_turn(listed, done=None, now=100.0, limit=2):
-    wave = _work.Wave(1, tuple('abcd'), pools.seconds(20), limit)
-    found = {record.id: record for record in listed}
-    times = {id_: pools.seconds(at) for id_, at in (done or {}).items()}
-    return _maintenance.plan_turn(wave, found, times, pools.seconds(now))
-
-
-@pytest.mark.parametrize(
-    'states, done, allowance, is_completed',
-    [
-        ({}, {}, 2, False),
-        ({'a': 'upkeep'}, {'a': 90}, 1, False),
-        ({'a': 'upkeep', 'b': 'upkeep'}, {'a': 90, 'b': 90}, 0, False),
-        # The list may still show an instance as up after the order.
-        ({}, {'a': 99.5}, 1, False),
-        ({}, {'a': 90}, 2, False),
-        ({}, dict.fromkeys('abcd', 90), 2, True),
-        ({'d': 'down'}, dict.fromkeys('abc', 90), 2, False),
-    ],
-)
-def test_a_wave_keeps_within_its_limit(states, done, allowance, is_completed):
-    """Guards against too many instances down at once (LIMIT, MIXED)."""
-    listed = [
-        make_instance(id_, state=states.get(id_, 'up')) for id_ in 'abcd'
-    ]
-    turn = plan_turn(listed, done)
-    assert (turn.allowance, turn.is_completed) == (allowance, is_completed)
-    assert not {item.id for item in turn.instances} & set(done)
-
-
-def test_an_instance_that_is_gone_does_not_hold_up_a_wave():
-    listed = [make_instance(id_) for id_ in 'abc']
-    assert plan_turn(listed, dict.fromkeys('abc', 90)).is_completed
-
-
-def test_the_instances_of_a_wave_are_taken_from_the_pools_in_turn():
-    listed = [
-        make_instance(id_, pool)
-        for id_, pool in zip('abcd', 'xxyy', strict=True)
-    ]
-    turn = plan_turn(listed, limit=0)
-    assert [item.pool for item in turn.instances] == ['x', 'y']
-
-
 class Known:
     """A directory over the stand-in of the table."""
 
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -27,41 +27,76 @@
     ]
 
 
-def make_load(needed, fewest=1, reserve=1000, idle=()):
-    workers = tuple(_lending.WorkerLoad(name, 0, 0) for name in idle)
-    return _lending.PoolLoad(needed, reserve, fewest, workers)
+def make_load(
+    running=0,
+    waiting=0,
+    arriving=0,
+    lasting=0,
+    fewest=0,
+    reserve=1000,
+    idle=(),
+    leaving=(),
+):
+    """Describe a pool; its waiting tasks take a second each."""
+    workers = [_lending.WorkerLoad(name, 0, 0) for name in idle]
+    workers += [_lending.WorkerLoad(name, 0, 0, True) for name in leaving]
+    return _lending.PoolLoad(
+        lasting_millicores=lasting,
+        running_millicores=running,
+        waiting_millicores=waiting,
+        waiting_work=pools.seconds(waiting),
+        arriving_millicores=arriving,
+        reserve_millicores=reserve,
+        fewest_workers=fewest,
+        workers=tuple(workers),
+    )
 
 
-def plan(lender, loads, instances, now=0.0, moving=None):
-    moves = lender.plan(
-        loads, instances, STANDBY, moving or {}, pools.seconds(now)
+def plan(lender, loads, instances, now=0.0, moving=None, due=()):
+    found = lender.plan(
+        loads, instances, STANDBY, moving or {}, pools.seconds(now), due
     )
-    return sorted((move.instance.pool, move.pool) for move in moves)
+    return sorted((move.instance.pool, move.pool) for move in found.moves)
+
 
+def test_a_surge_gets_what_others_can_spare_before_what_is_parked():
+    """Replays the beginning of a surge.
 
-def test_a_pool_that_lacks_room_gets_parked_instances_first():
-    """Replays the beginning of a surge."""
+    An instance that another pool does not need is paid for already.
+    """
     loads = {
-        'a': make_load(5 * SIZE),
-        'b': make_load(0, idle=['w-b0', 'w-b1', 'w-b2']),
+        'a': make_load(running=2 * SIZE, arriving=5 * SIZE),
+        'b': make_load(idle=['w-b0', 'w-b1', 'w-b2']),
     }
-    instances = make_instances(a=2, b=3, spare=2)
+    instances = make_instances(a=3, b=3, spare=9)
+    # 5 for what arrives, and 2.7 for what waits until the moves are made.
     assert plan(_lending.Lender(), loads, instances) == [
+        ('b', 'a'),
         ('b', 'a'),
         ('spare', 'a'),
         ('spare', 'a'),
+        ('spare', 'a'),
     ]
 
 
-def test_instances_on_their_way_are_not_asked_for_again():
-    loads = {'a': make_load(4 * SIZE)}
-    instances = make_instances(a=2, spare=4)
-    moving = {'spare0': 'a', 'spare1': 'a'}
-    assert plan(_lending.Lender(), loads, instances, 0, moving) == []
+@pytest.mark.parametrize('incoming, ordered', [(0, 5), (2, 2), (6, 0)])
+def test_instances_on_their_way_are_not_asked_for_again(incoming, ordered):
+    loads = {'a': make_load(running=2 * SIZE, arriving=5 * SIZE)}
+    instances = make_instances(a=3, spare=9)
+    moving = {f'spare{number}': 'a' for number in range(incoming)}
+    moves = plan(_lending.Lender(), loads, instances, 0, moving)
+    assert len(moves) == ordered
+
+
+def test_work_that_the_pool_ends_in_time_moves_no_instance():
+    """Replays the end of a surge, when only a backlog is left."""
+    loads = {'a': make_load(running=4 * SIZE, waiting=6 * SIZE)}
+    instances = make_instances(a=4, spare=9)
+    assert plan(_lending.Lender(), loads, instances) == []
 
 
 def test_a_pool_keeps_what_its_long_running_steps_need():
-    loads = {'a': make_load(0, fewest=3, idle=['w-a0', 'w-a1', 'w-a2'])}
+    loads = {'a': make_load(fewest=3, idle=['w-a0', 'w-a1', 'w-a2'])}
     instances = make_instances(a=3, spare=1)
     lender = _lending.Lender()
     for now in range(20):
@@ -69,8 +104,8 @@
 
 
 def test_an_instance_is_parked_only_after_its_pool_wanted_it_no_more():
-    busy = {'a': make_load(4 * SIZE)}
-    calm = {'a': make_load(0, idle=[f'w-a{n}' for n in range(4)])}
+    busy = {'a': make_load(running=4 * SIZE)}
+    calm = {'a': make_load(idle=[f'w-a{n}' for n in range(4)])}
     instances = make_instances(a=4)
     lender = _lending.Lender()
     assert plan(lender, busy, instances, 0) == []
@@ -81,42 +116,139 @@
     assert parked == [('a', 'spare')] * 3
 
 
+def test_the_first_jobs_of_a_surge_do_not_empty_their_pool():
+    """Replays the first second of traffic after a long calm.
+
+    The pool had wanted nothing so far, so that its instances were parked
+    at the very moment at which its demand became known.
+    """
+    calm = make_load(reserve=0, idle=[f'w-a{n}' for n in range(6)])
+    begun = make_load(running=SIZE // 2, idle=[f'w-a{n}' for n in range(5)])
+    instances = make_instances(a=6, spare=2)
+    lender = _lending.Lender()
+    for step in range(60):
+        assert plan(lender, {'a': calm}, instances, step / 5) == []
+    for step in range(9):
+        assert plan(lender, {'a': begun}, instances, 12 + step / 5) == []
+
+
+def test_a_worker_whose_instance_has_gone_counts_no_longer():
+    """Replays the end of a surge.
+
+    The entry of a worker stays for some seconds after its instance has
+    moved; each kept another instance in the pool meanwhile.
+    """
+    gone = [f'w-a{number}' for number in range(4, 9)]
+    loads = {'a': make_load(idle=[f'w-a{n}' for n in range(4)], leaving=gone)}
+    lender = _lending.Lender()
+    assert plan(lender, loads, make_instances(a=4, spare=5), 0) == []
+    moves = plan(lender, loads, make_instances(a=4, spare=5), 2.1)
+    assert moves == [('a', 'spare')] * 3
+
+
+def test_an_instance_that_is_being_emptied_is_replaced():
+    loads = {'a': make_load(arriving=3 * SIZE, leaving=['w-a0'])}
+    instances = make_instances(a=3, spare=4)
+    assert len(plan(_lending.Lender(), loads, instances)) == 3
+
+
 def test_a_worker_that_runs_something_is_not_taken():
-    loads = {'a': make_load(9 * SIZE), 'b': make_load(0)}
+    loads = {'a': make_load(arriving=9 * SIZE), 'b': make_load()}
     assert plan(_lending.Lender(), loads, make_instances(a=1, b=5)) == []
 
 
-def test_a_pool_of_unknown_demand_keeps_its_instances():
-    loads = {'a': make_load(0, reserve=0, idle=['w-a0', 'w-a1'])}
+def test_before_the_first_job_instances_stay_where_they_are():
+    loads = {'a': make_load(reserve=0, idle=['w-a0', 'w-a1'])}
     lender = _lending.Lender()
     for now in range(10):
         assert plan(lender, loads, make_instances(a=2), now) == []
 
 
+def test_a_pool_without_demand_is_idle_once_others_have_some():
+    loads = {
+        'a': make_load(reserve=0, idle=['w-a0', 'w-a1']),
+        'b': make_load(running=SIZE),
+    }
+    instances = make_instances(a=2, b=2)
+    lender = _lending.Lender()
+    assert plan(lender, loads, instances, 0) == []
+    assert plan(lender, loads, instances, 2.1) == [('a', 'spare')]
+
+
+def test_a_pool_that_has_just_started_asks_for_nothing():
+    """Guards moves while the platform still starts the instances."""
+    loads = {'a': make_load(reserve=0)}
+    assert plan(_lending.Lender(), loads, make_instances(spare=4)) == []
+
+
 def test_a_pool_whose_owner_does_not_answer_is_left_alone():
-    loads = {'a': make_load(9 * SIZE)}
+    loads = {'a': make_load(arriving=9 * SIZE)}
     assert plan(_lending.Lender(), loads, make_instances(a=1, b=4)) == []
 
 
+def test_instances_of_a_wave_are_parked_first_and_lent_last():
+    """What is parked can go down without harm."""
+    calm = make_load(idle=['w-b0', 'w-b1', 'w-b2'])
+    instances = make_instances(a=1, b=3)
+    lender = _lending.Lender()
+    surge = {'a': make_load(arriving=2 * SIZE), 'b': calm}
+    found = lender.plan(
+        surge, instances, STANDBY, {}, pools.seconds(0), {'b0'}
+    )
+    assert 'b0' not in {move.instance.id for move in found.moves}
+    lender.plan({'b': calm}, instances, STANDBY, {}, pools.seconds(0))
+    found = lender.plan(
+        {'b': calm}, instances, STANDBY, {}, pools.seconds(2.1), {'b1'}
+    )
+    assert found.moves[0].instance.id == 'b1'
+
+
+def test_a_pool_that_lacks_room_leaves_nothing_to_spare():
+    instances = make_instances(a=1, spare=3)
+    lender = _lending.Lender()
+    calm = lender.plan(
+        {'a': make_load()}, instances, STANDBY, {}, pools.seconds(0)
+    )
+    assert calm.spare == {'spare0', 'spare1', 'spare2'}
+    surge = lender.plan(
+        {'a': make_load(arriving=9 * SIZE)},
+        instances,
+        STANDBY,
+        {},
+        pools.seconds(1),
+    )
+    assert surge.spare == frozenset()
+
+
 @pytest.mark.parametrize(
-    'rate, expected', [(0, 0), (1, 0), (5, 40000), (20, 190000)]
+    'times, now, cores',
+    [
+        ([], 1.0, 0),
+        ([0.9], 1.0, 0),
+        # Two within a moment tell little yet.
+        ([0.95, 0.99], 1.0, 32),
+        # Ten a second, from the second job on.
+        ([0.0, 0.1, 0.2, 0.3], 0.3, 80),
+        ([0.1 * number for number in range(9)], 0.8, 80),
+        # What is past tells nothing of now.
+        ([0.0, 0.1, 0.2], 2.0, 0),
+    ],
 )
-def test_the_rate_of_arrivals_tells_a_surge(rate, expected):
-    """Replays arrivals of 8 core-seconds each within a window."""
+def test_the_rate_of_arrivals_tells_a_surge(times, now, cores):
+    """Replays the first arrivals of a surge, of 8 core-seconds each."""
     arrivals = _forecasts.Arrivals()
-    work = pools.seconds(8000)
-    for number in range(rate):
-        arrivals.note(pools.seconds(number * 0.7 / max(rate, 1)), work)
-    assert arrivals.forecast(pools.seconds(0.75)) == expected
-    assert arrivals.forecast(pools.seconds(5)) == 0
+    for time in times:
+        arrivals.note(pools.seconds(time), pools.seconds(8000))
+    found = arrivals.forecast(pools.seconds(now))
+    assert found == pytest.approx(cores * 1000, rel=1e-3)
 
 
-def test_a_load_counts_running_waiting_and_leaving():
+def test_a_load_counts_lasting_running_and_waiting_tasks():
     lasting = pools.make_step(
         2, cpu=2000, is_long_running=True, tasks_per_worker=1
     )
     jobs = [
-        pools.make_job('a', pools.make_step(4, cpu=3000)),
+        pools.make_job('a', pools.make_step(4, cpu=3000, estimate=0.5)),
         pools.make_job('b', lasting),
     ]
     names = 'wxy'
@@ -125,10 +257,22 @@
     )
     pools.run_task(board, jobs[0].groups[0, 0].tasks[0], 'w')
     pools.run_task(board, jobs[1].groups[0, 0].tasks[0], 'x')
+    board.seats['y'].is_vacating = True
     load = _planning.measure_load(board, pools.seconds(0))
-    assert load.needed_millicores == 4 * 3000 + 2 * 2000
+    assert load.lasting_millicores == 2 * 2000
+    assert load.running_millicores == 3000
+    assert load.waiting_millicores == 3 * 3000
+    assert load.waiting_work == pools.seconds(3 * 3000 * 0.5)
     assert load.fewest_workers == 2
-    board.seats['y'].is_vacating = True
-    leaving = _planning.measure_load(board, pools.seconds(0))
-    assert leaving.fewest_workers == 3
-    assert leaving.needed_millicores == load.needed_millicores + SIZE
+    leaving = {item.worker: item.is_leaving for item in load.workers}
+    assert leaving == {'w': False, 'x': False, 'y': True}
+
+
+def test_a_task_counts_by_what_it_takes_most_of():
+    """Guards pools whose memory is used up before their processors."""
+    step = pools.make_step(4, cpu=1000, memory=32768)
+    board = pools.make_board(
+        pools.make_worker('w'), jobs=[pools.make_job('a', step)]
+    )
+    load = _planning.measure_load(board, pools.seconds(0))
+    assert load.waiting_millicores == 4 * SIZE // 2
--- /dev/null
+++ b/tests/test_wave_turns.py
@@ -0,0 +1,130 @@
+"""Guards which instances of a wave go down, replayed without I/O."""
+
+import pytest
+
+from skylarktally.scheduling import _waves
+from skylarktally.scheduling import _work
+from tests import pools
+
+MEMBERS = tuple('abcdefghij')
+
+
+def make_instance(id_, pool='p', state='up', worker=None):
+    worker = f'w-{id_}' if worker is None else worker
+    return _work.InstanceRecord(id_, pool, state, 'z1', worker, 32000)
+
+
+def plan_turn(
+    listed, done=(), spare=(), uses=None, elapsed=0.0, limit=3, moving=()
+):
+    """Plan at 100 s for a wave that has 20 s; those done are back."""
+    wave = _work.Wave(1, MEMBERS, pools.seconds(20), limit)
+    if uses is None:
+        uses = {record.id: _waves.Use(1, 0) for record in listed}
+    return _waves.plan_turn(
+        wave,
+        {record.id: record for record in listed},
+        dict.fromkeys(done, pools.seconds(10)),
+        _waves.Outlook(uses, spare, moving),
+        pools.seconds(100 - elapsed),
+        pools.seconds(100),
+    )
+
+
+def list_ids(turn):
+    return [record.id for record in turn.instances]
+
+
+def test_a_wave_that_begins_in_a_surge_closes_no_worker_at_once():
+    """Replays a wave over a pool whose instances are all at work.
+
+    Up to nine of its workers took no new work from the first moment on.
+    """
+    listed = [make_instance(id_) for id_ in MEMBERS]
+    assert list_ids(plan_turn(listed)) == []
+
+
+def test_what_can_be_spared_goes_down_at_once():
+    listed = [make_instance(id_) for id_ in MEMBERS]
+    assert list_ids(plan_turn(listed, spare='hc')) == ['c', 'h']
+
+
+def test_an_instance_in_motion_is_left_alone():
+    listed = [make_instance(id_) for id_ in MEMBERS]
+    assert list_ids(plan_turn(listed, spare='hc', moving='c')) == ['h']
+
+
+@pytest.mark.parametrize(
+    'elapsed, expected', [(0, 0), (3, 0), (4.1, 1), (8.4, 5), (14, 10)]
+)
+def test_the_wave_is_through_well_before_its_time_is_up(elapsed, expected):
+    wave = _work.Wave(1, MEMBERS, pools.seconds(20), 3)
+    assert _waves.count_due(wave, pools.seconds(elapsed)) == expected
+
+
+def test_instances_that_are_due_are_emptied_a_few_at_a_time():
+    listed = [make_instance(id_) for id_ in MEMBERS]
+    assert len(plan_turn(listed, elapsed=4.1).instances) == 1
+    assert len(plan_turn(listed, elapsed=8.5, done='ab').instances) == 3
+    # All that the limit allows, once time presses.
+    assert len(plan_turn(listed, elapsed=19).instances) == 3
+
+
+def test_those_that_harm_least_go_first():
+    listed = [make_instance(id_) for id_ in 'abcdef']
+    listed[5] = make_instance('f', worker='')
+    uses = {
+        'a': _waves.Use(5, 2),
+        'b': _waves.Use(5, 0),
+        'c': _waves.Use(1, 0),
+        # Nothing is known of d. What is being emptied is finished first.
+        'e': _waves.Use(7, 1, is_leaving=True),
+    }
+    turn = plan_turn(listed, uses=uses, elapsed=19, limit=6)
+    assert list_ids(turn) == ['e', 'f', 'c', 'b', 'a', 'd']
+
+
+def test_the_pools_are_taken_in_turn():
+    listed = [
+        make_instance(id_, pool)
+        for id_, pool in zip('abcd', 'xxyy', strict=True)
+    ]
+    turn = plan_turn(listed, elapsed=19, limit=2)
+    assert [item.pool for item in turn.instances] == ['x', 'y']
+
+
+@pytest.mark.parametrize(
+    'states, done, allowance, is_completed',
+    [
+        ({}, {}, 2, False),
+        ({'a': 'upkeep'}, {'a': 90}, 1, False),
+        ({'a': 'upkeep', 'b': 'upkeep'}, {'a': 90, 'b': 90}, 0, False),
+        # The list may still show an instance as up after the order.
+        ({}, {'a': 99.5}, 1, False),
+        ({}, {'a': 90}, 2, False),
+        ({}, dict.fromkeys('abcd', 90), 2, True),
+        ({'d': 'down'}, dict.fromkeys('abc', 90), 2, False),
+    ],
+)
+def test_a_wave_keeps_within_its_limit(states, done, allowance, is_completed):
+    """Guards against too many instances down at once (LIMIT, MIXED)."""
+    wave = _work.Wave(1, tuple('abcd'), pools.seconds(20), 2)
+    listed = {
+        id_: make_instance(id_, state=states.get(id_, 'up')) for id_ in 'abcd'
+    }
+    turn = _waves.plan_turn(
+        wave,
+        listed,
+        {id_: pools.seconds(at) for id_, at in done.items()},
+        _waves.Outlook({}, frozenset('abcd'), ()),
+        pools.seconds(0),
+        pools.seconds(100),
+    )
+    assert (turn.allowance, turn.is_completed) == (allowance, is_completed)
+    assert len(turn.instances) <= allowance
+    assert not {item.id for item in turn.instances} & set(done)
+
+
+def test_an_instance_that_is_gone_does_not_hold_up_a_wave():
+    listed = [make_instance(id_) for id_ in 'abc']
+    assert plan_turn(listed, done='abc').is_completed
