Resolve a flush only once all changes are stored

A flush was resolved by the next transaction even when changes were left for a later one. A cancelling or the end of a run was then acknowledged before it was stored; when the owner ended in between, its successor knew nothing of it. A release could also be written before the last changes.

Change: changes are taken oldest first, a flush waits until none is left, and a term is released with the last of them.

Test: 200 changes and one flush, or one release; both fail before.

--- a/skylarktally/scheduling/_archive.py
+++ b/skylarktally/scheduling/_archive.py
@@ -139,7 +139,8 @@
         settled: list[_states.Job] = []
         taken = 0
         while self._board.changed and taken + 2 <= limit:
-            id_, job = self._board.changed.popitem()
+            id_ = next(iter(self._board.changed))
+            job = self._board.changed.pop(id_)
             puts.append(
                 (
                     self.place(_records.PROGRESS, id_),
@@ -157,7 +158,8 @@
             for job in settled:
                 self._settle(job)
 
-        return _ledger.Changes(puts, removals, note_applied)
+        is_complete = not self._board.changed
+        return _ledger.Changes(puts, removals, note_applied, is_complete)
 
     def _list_expired(self, limit: int) -> list[_rows.RowKey]:
         now = self._clock.monotonic()
--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -56,6 +56,8 @@
     puts: list[Put]
     removals: list[_rows.RowKey]
     note_applied: Callable[[], None]
+    # Whether no other changes wait.
+    is_complete: bool = True
 
 
 class Source(Protocol):
@@ -224,11 +226,15 @@
             write = self._writes.popleft()
             writes.append(write)
             puts.extend(write.puts)
-        self._sending_flushes, self._flushes = self._flushes, []
         changes = self._take_changes(_BATCH_ROWS - len(puts))
+        is_complete = changes.is_complete and not self._writes
+        if changes.is_complete:
+            self._sending_flushes, self._flushes = self._flushes, []
+        if not is_complete:
+            self._due = self._clock.monotonic()
         term = self._term._replace(
             sequence=self._term.sequence + 1,
-            is_released=self._is_released,
+            is_released=self._is_released and is_complete,
             workers=self._list_holders(),
         )
         place = _records.place_term(self.shard)
@@ -252,6 +258,7 @@
             write.resolve(Fate.APPLIED if is_applied else Fate.UNKNOWN)
         for done in self._sending_flushes:
             done.send(is_applied)
+        self._sending_flushes = []
         # A release that was asked for meanwhile goes with the next one.
         if is_applied and term.is_released:
             self.is_over = True
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -27,7 +27,7 @@
 
     def take_changes(self, limit):
         taken, self.puts = self.puts[:limit], self.puts[limit:]
-        return _ledger.Changes(taken, [], self.note_applied)
+        return _ledger.Changes(taken, [], self.note_applied, not self.puts)
 
     def note_applied(self):
         self.applied += 1
@@ -252,6 +252,35 @@
     assert order == ['stored', 'flushed']
 
 
+def test_a_flush_waits_for_all_changes_also_when_they_fill_transactions(shard):
+    """Guards a cancelling that is acknowledged before it is stored.
+
+    After an outage of the store more changes waited than one transaction
+    takes, and the first one resolved every flush.
+    """
+    shard.source.puts = [(place(str(n)), b'progress') for n in range(200)]
+    flush = _loop.spawn(shard.ledger.flush, True)
+    _loop.sleep(0)
+    shard.ledger.commit()
+    _loop.sleep(0)
+    assert not flush.dead
+    shard.ledger.commit()
+    shard.ledger.commit()
+    assert flush.wait()
+    assert {place(str(n)) for n in range(200)} <= set(shard.table.rows)
+
+
+def test_a_release_follows_all_changes(shard):
+    """Guards progress that the successor would not know of."""
+    shard.source.puts = [(place(str(n)), b'progress') for n in range(200)]
+    shard.ledger.release()
+    for _ in range(3):
+        assert not shard.ledger.is_over
+        shard.ledger.commit()
+    assert shard.ledger.is_over
+    assert not shard.source.puts
+
+
 def test_workers_are_named_in_the_term(shard):
     shard.source.workers = ('w1', 'w2')
     shard.ledger.commit()
