Deny a job, and accept one, only while the term is certain

Entry b-1 was cut off from the store at 1.0 s and still took itself for the owner of a pool that b-2 and then c-1 owned. At 11.265 s it answered a cancelling with 410, since it knew nothing of the job; c-1 started its tasks at 15.562 s. A submission at such an owner was held until the deadline of the caller, and then its fate was unknown.

Change: an owner says that there is no such job, and takes a new one, only while no other entry can have claimed its pool. The entry also turns a refusal into an unknown outcome when an earlier try of it had no answer and may still arrive.

--- a/skylarktally/entries/_desk.py
+++ b/skylarktally/entries/_desk.py
@@ -33,6 +33,8 @@
         ErrorKind.OUTCOME_UNKNOWN,
     }
 )
+# A caller that gets one of these takes the job for not run.
+_REFUSALS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.PLATFORM_UNAVAILABLE})
 
 
 class Owners(Protocol):
@@ -104,7 +106,7 @@
                 return outcome
             failure = outcome.failure()
             if failure.kind not in _RETRIED:
-                return outcome
+                return result.Failure(_qualify(failure, is_sent))
             is_sent = is_sent or failure.kind is ErrorKind.OUTCOME_UNKNOWN
             spent = self._clock.monotonic() - begin + _RETRY_DELAY
             if spent >= (timeout if is_sent else min(timeout, _OWNER_WAIT)):
@@ -194,6 +196,16 @@
     )
 
 
+def _qualify(failure: Failure, is_sent: bool) -> Failure:
+    """Return a refusal as it is true of all tries.
+
+    :param is_sent: whether an earlier try had no answer and may arrive yet
+    """
+    if is_sent and failure.kind in _REFUSALS:
+        return failure._replace(kind=ErrorKind.OUTCOME_UNKNOWN)
+    return failure
+
+
 def _conclude(failure: Failure, is_sent: bool) -> Failure:
     """Return what the caller is told once the time is up."""
     if is_sent:
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -253,6 +253,9 @@
         pending = self._accepting.get(id_)
         if pending is not None:
             return self._await_accept(pending, submission.timeout)
+        if not self.ledger.may_order():
+            # It could not be stored before the caller has gone.
+            return _fail_stale()
         try:
             spec = self._decode_job(submission.body)
         except (ValueError, TypeError) as error:
@@ -317,7 +320,7 @@
             return result.Success(final)
         job = self.board.jobs.get(id_)
         if job is None:
-            return _fail(ErrorKind.NOT_FOUND, f'no job {id_}')
+            return self._deny(id_)
         if job.is_final:
             # Shown once it is stored, so that no later owner contradicts.
             return result.Success(_work.JobState.RUNNING)
@@ -330,7 +333,7 @@
             return result.Success(final)
         job = self.board.jobs.get(id_)
         if job is None:
-            return _fail(ErrorKind.NOT_FOUND, f'no job {id_}')
+            return self._deny(id_)
         if not job.is_final:
             self.board.finish_job(job, _work.JobState.CANCELLED)
             self._signal.set()
@@ -339,6 +342,12 @@
             return _fail(ErrorKind.OUTCOME_UNKNOWN, 'the owner has changed')
         return result.Success(job.state)
 
+    def _deny(self, id_: str) -> Shown:
+        """Say that there is no such job, if no successor can have it."""
+        if not self.ledger.may_order():
+            return _fail_stale()
+        return _fail(ErrorKind.NOT_FOUND, f'no job {id_}')
+
     def count_queued(self, queue: str) -> int:
         """Return the number of jobs for which no task has started."""
         return self.board.count_queued(queue)
@@ -356,6 +365,11 @@
     return _fail(kind, 'it is not known whether the job is stored')
 
 
+def _fail_stale() -> result.Result[Any, _errors.Failure]:
+    message = 'the term has not been renewed; the pool may have a new owner'
+    return _fail(ErrorKind.LEASE_LOST, message)
+
+
 def _fail(
     kind: ErrorKind, message: str
 ) -> result.Result[Any, _errors.Failure]:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -159,6 +159,40 @@
     assert _rows.RowKey('jobs', 'pool', OTHER) not in deployment.table.rows
 
 
+def test_an_owner_that_may_have_a_successor_denies_no_job(deployment):
+    """Guards a cancelling that is acknowledged by who knows nothing of it.
+
+    An owner that is cut off from the store does not know of the jobs that
+    its successor has accepted; it answered that there was none, and the
+    job ran on.
+    """
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    assert owner.cancel(JOB).failure().kind is ErrorKind.NOT_FOUND
+    deployment.submit(owner, OTHER)
+    deployment.table.is_down = True
+    wait_until(lambda: not owner.ledger.may_order())
+    for ask in (owner.show, owner.cancel):
+        assert ask(JOB).failure().kind is ErrorKind.LEASE_LOST
+    # What is known is still shown.
+    shown = owner.show(OTHER).unwrap()
+    assert shown in (_work.JobState.PENDING, _work.JobState.RUNNING)
+
+
+def test_an_owner_without_the_store_refuses_jobs_at_once(deployment):
+    """Guards callers that were held until their deadline in an outage."""
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    deployment.table.is_down = True
+    wait_until(lambda: not owner.ledger.may_order())
+    with _loop.Timeout(0.2):
+        refused = deployment.submit(owner, JOB)
+    assert refused.failure().kind is ErrorKind.LEASE_LOST
+    deployment.table.is_down = False
+    _loop.sleep(0.3)
+    assert _rows.RowKey('jobs', 'pool', JOB) not in deployment.table.rows
+
+
 def test_names_of_lease_holders_outlive_a_chain_of_owners(deployment):
     """Guards against a second run while an unnamed worker runs the first.
 
