Tell the rate of arrivals from the last twelve, with caution

Cause: a queue of few large jobs (two a second of 168 core-seconds) showed within 0.8 s either no arrival or a rate for 1,000 cores. One job of nine seconds' work was to be caught up in 1.5 s, although it had more time.

Change: the rate is that of the last twelve arrivals within 2.5 s, less a quarter of its standard deviation. A backlog is caught up in the time that its jobs have left on average, and in 1.5 s at least.

--- a/skylarktally/_gen/entry/ttypes.py
+++ b/skylarktally/_gen/entry/ttypes.py
@@ -328,6 +328,7 @@
      - running
      - waiting
      - waiting_work_ms: Work of the tasks that wait, in milliseconds of one millicore.
+     - waiting_time_left_ms: Time that is left on average until this work has to be done.
      - arriving
      - reserve
      - fewest_workers
@@ -337,11 +338,12 @@
     """
 
 
-    def __init__(self, lasting=None, running=None, waiting=None, waiting_work_ms=None, arriving=None, reserve=None, fewest_workers=None, workers=None, is_owned=None,):
+    def __init__(self, lasting=None, running=None, waiting=None, waiting_work_ms=None, waiting_time_left_ms=None, arriving=None, reserve=None, fewest_workers=None, workers=None, is_owned=None,):
         self.lasting = lasting
         self.running = running
         self.waiting = waiting
         self.waiting_work_ms = waiting_work_ms
+        self.waiting_time_left_ms = waiting_time_left_ms
         self.arriving = arriving
         self.reserve = reserve
         self.fewest_workers = fewest_workers
@@ -379,20 +381,25 @@
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.I32:
-                    self.arriving = iprot.readI32()
+                    self.waiting_time_left_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.I32:
-                    self.reserve = iprot.readI32()
+                    self.arriving = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.I32:
-                    self.fewest_workers = iprot.readI32()
+                    self.reserve = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
+                if ftype == TType.I32:
+                    self.fewest_workers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
                 if ftype == TType.LIST:
                     self.workers = []
                     (_etype3, _size0) = iprot.readListBegin()
@@ -403,7 +410,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
+            elif fid == 10:
                 if ftype == TType.BOOL:
                     self.is_owned = iprot.readBool()
                 else:
@@ -434,27 +441,31 @@
             oprot.writeFieldBegin('waiting_work_ms', TType.I64, 4)
             oprot.writeI64(self.waiting_work_ms)
             oprot.writeFieldEnd()
+        if self.waiting_time_left_ms is not None:
+            oprot.writeFieldBegin('waiting_time_left_ms', TType.I32, 5)
+            oprot.writeI32(self.waiting_time_left_ms)
+            oprot.writeFieldEnd()
         if self.arriving is not None:
-            oprot.writeFieldBegin('arriving', TType.I32, 5)
+            oprot.writeFieldBegin('arriving', TType.I32, 6)
             oprot.writeI32(self.arriving)
             oprot.writeFieldEnd()
         if self.reserve is not None:
-            oprot.writeFieldBegin('reserve', TType.I32, 6)
+            oprot.writeFieldBegin('reserve', TType.I32, 7)
             oprot.writeI32(self.reserve)
             oprot.writeFieldEnd()
         if self.fewest_workers is not None:
-            oprot.writeFieldBegin('fewest_workers', TType.I32, 7)
+            oprot.writeFieldBegin('fewest_workers', TType.I32, 8)
             oprot.writeI32(self.fewest_workers)
             oprot.writeFieldEnd()
         if self.workers is not None:
-            oprot.writeFieldBegin('workers', TType.LIST, 8)
+            oprot.writeFieldBegin('workers', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
             for iter6 in self.workers:
                 iter6.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_owned is not None:
-            oprot.writeFieldBegin('is_owned', TType.BOOL, 9)
+            oprot.writeFieldBegin('is_owned', TType.BOOL, 10)
             oprot.writeBool(self.is_owned)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -507,11 +518,12 @@
     (2, TType.I32, 'running', None, None, ),  # 2
     (3, TType.I32, 'waiting', None, None, ),  # 3
     (4, TType.I64, 'waiting_work_ms', None, None, ),  # 4
-    (5, TType.I32, 'arriving', None, None, ),  # 5
-    (6, TType.I32, 'reserve', None, None, ),  # 6
-    (7, TType.I32, 'fewest_workers', None, None, ),  # 7
-    (8, TType.LIST, 'workers', (TType.STRUCT, [WorkerLoad, None], False), None, ),  # 8
-    (9, TType.BOOL, 'is_owned', None, None, ),  # 9
+    (5, TType.I32, 'waiting_time_left_ms', None, None, ),  # 5
+    (6, TType.I32, 'arriving', None, None, ),  # 6
+    (7, TType.I32, 'reserve', None, None, ),  # 7
+    (8, TType.I32, 'fewest_workers', None, None, ),  # 8
+    (9, TType.LIST, 'workers', (TType.STRUCT, [WorkerLoad, None], False), None, ),  # 9
+    (10, TType.BOOL, 'is_owned', None, None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/skylarktally/entries/_calls.py
+++ b/skylarktally/entries/_calls.py
@@ -184,7 +184,8 @@
         load.lasting_millicores,
         load.running_millicores,
         load.waiting_millicores,
-        int(load.waiting_work.total_seconds() * 1000),
+        _to_milliseconds(load.waiting_work),
+        _to_milliseconds(load.waiting_time_left),
         load.arriving_millicores,
         load.reserve_millicores,
         load.fewest_workers,
@@ -193,6 +194,10 @@
     )
 
 
+def _to_milliseconds(time: datetime.timedelta) -> int:
+    return int(time.total_seconds() * 1000)
+
+
 def decode_load(load: ttypes.PoolLoad) -> _lending.PoolLoad | None:
     """Return the load that was sent; None if the pool is owned elsewhere."""
     if not load.is_owned:
@@ -202,6 +207,7 @@
         load.running,
         load.waiting,
         datetime.timedelta(milliseconds=load.waiting_work_ms),
+        datetime.timedelta(milliseconds=load.waiting_time_left_ms),
         load.arriving,
         load.reserve,
         load.fewest_workers,
--- a/skylarktally/entry.thrift
+++ b/skylarktally/entry.thrift
@@ -39,12 +39,14 @@
   3: i32 waiting,
   /** Work of the tasks that wait, in milliseconds of one millicore. */
   4: i64 waiting_work_ms,
-  5: i32 arriving,
-  6: i32 reserve,
-  7: i32 fewest_workers,
-  8: list<WorkerLoad> workers,
+  /** Time that is left on average until this work has to be done. */
+  5: i32 waiting_time_left_ms,
+  6: i32 arriving,
+  7: i32 reserve,
+  8: i32 fewest_workers,
+  9: list<WorkerLoad> workers,
   /** False when the pool is not owned by the entry that was asked. */
-  9: bool is_owned,
+  10: bool is_owned,
 }
 
 service Entry {
--- a/skylarktally/scheduling/_forecasts.py
+++ b/skylarktally/scheduling/_forecasts.py
@@ -7,35 +7,37 @@
 
 import collections
 import datetime
-from typing import NamedTuple
+import math
 
-# Arrivals of this time tell the rate.
-_WINDOW = datetime.timedelta(seconds=0.8)
+# The last arrivals tell the rate: so many, and none older than this.
+_COUNT = 12
+_WINDOW = datetime.timedelta(seconds=2.5)
 # A burst that is younger than this tells no rate yet.
 _SHORTEST_BURST = datetime.timedelta(seconds=0.25)
+# Standard deviations by which a count may be above its mean by chance.
+_CAUTION = 0.25
 # Jobs whose mean work is taken for that of the next ones.
 _KNOWN_JOBS = 30
 _NONE = datetime.timedelta()
 
 
-class _Arrival(NamedTuple):
-    at: datetime.timedelta
-    # In time of one millicore.
-    work: datetime.timedelta
-
-
 class Arrivals:
     """Jobs that have arrived lately."""
 
     def __init__(self) -> None:
-        self._arrivals: collections.deque[_Arrival] = collections.deque()
+        self._arrivals: collections.deque[datetime.timedelta] = (
+            collections.deque(maxlen=_COUNT)
+        )
         self._works: collections.deque[datetime.timedelta] = collections.deque(
             maxlen=_KNOWN_JOBS
         )
 
     def note(self, now: datetime.timedelta, work: datetime.timedelta) -> None:
-        """Note the arrival of a job with its estimated work."""
-        self._arrivals.append(_Arrival(now, work))
+        """Note the arrival of a job.
+
+        :param work: estimated, in time of one millicore
+        """
+        self._arrivals.append(now)
         self._works.append(work)
 
     def forecast(self, now: datetime.timedelta) -> int:
@@ -43,14 +45,18 @@
 
         By Little's law that is their rate times the work of each. The rate
         is counted from the first arrival of the window, which itself tells
-        none, so that a burst shows its rate before the window is full.
+        none, so that a burst shows its rate before the window is full. It
+        is a cautious one, since a few large jobs may come together by
+        chance.
 
         :return: in millicores
         """
-        while self._arrivals and self._arrivals[0].at < now - _WINDOW:
+        while self._arrivals and self._arrivals[0] < now - _WINDOW:
             self._arrivals.popleft()
-        if len(self._arrivals) < 2:
+        count = len(self._arrivals) - 1
+        if count < 1:
             return 0
-        elapsed = max(now - self._arrivals[0].at, _SHORTEST_BURST)
+        likely = count - _CAUTION * math.sqrt(count)
+        elapsed = max(now - self._arrivals[0], _SHORTEST_BURST)
         mean = sum(self._works, _NONE) / len(self._works)
-        return int((len(self._arrivals) - 1) * mean / elapsed)
+        return int(likely * mean / elapsed)
--- a/skylarktally/scheduling/_lending.py
+++ b/skylarktally/scheduling/_lending.py
@@ -20,9 +20,8 @@
 _LEND_DELAY = datetime.timedelta(seconds=0.5)
 # From the order of a move until the worker gets its first task.
 _MOVE_TIME = datetime.timedelta(seconds=2)
-# Work that waits is to be worked off in this time, since a job of usual
-# length is then still on time.
-_CATCH_UP_TIME = datetime.timedelta(seconds=1.5)
+# A backlog is worked off in this time at least.
+_SHORTEST_CATCH_UP = datetime.timedelta(seconds=1.5)
 _NONE = datetime.timedelta()
 
 
@@ -46,6 +45,8 @@
     waiting_millicores: int
     # Work of the tasks that are ready, in time of one millicore.
     waiting_work: datetime.timedelta
+    # Time that is left on average until this work has to be done.
+    waiting_time_left: datetime.timedelta
     # What jobs will use at once if they go on arriving as now.
     arriving_millicores: int
     # What a usual job needs when it arrives.
@@ -279,7 +280,8 @@
     backlog = load.waiting_work
     backlog += (arriving - capacity) * _MOVE_TIME
     backlog -= supply.arriving * size * _MOVE_TIME / 2
-    catch_up = max(backlog, _NONE) / _CATCH_UP_TIME
+    time_left = load.waiting_time_left - _MOVE_TIME
+    catch_up = max(backlog, _NONE) / max(time_left, _SHORTEST_CATCH_UP)
     return load.lasting_millicores + arriving + int(catch_up)
 
 
--- a/skylarktally/scheduling/_planning.py
+++ b/skylarktally/scheduling/_planning.py
@@ -12,6 +12,7 @@
 # A task that takes this much longer than its estimate stands still.
 _STUCK_FACTOR = 4
 _STUCK_MARGIN = datetime.timedelta(seconds=2)
+_SECOND = datetime.timedelta(seconds=1)
 
 
 def plan_starts(
@@ -119,7 +120,7 @@
 ) -> _lending.PoolLoad:
     """Return what the work of the pool uses and will use."""
     lasting = running = waiting = fewest = 0
-    waiting_work = datetime.timedelta()
+    waiting_work = time_left = datetime.timedelta()
     for seat in board.seats.values():
         for run in seat.runs.values():
             step = run.task.group.step
@@ -140,11 +141,16 @@
         else:
             waiting += cost
             waiting_work += cost * step.estimate
+            time_left += (
+                cost * (step.estimate / _SECOND) * _find_time_left(group, now)
+            )
+    work_seconds = waiting_work / _SECOND
     return _lending.PoolLoad(
         lasting,
         running,
         waiting,
         waiting_work,
+        time_left / work_seconds if work_seconds else datetime.timedelta(),
         board.arrivals.forecast(now),
         board.find_usual_need(),
         fewest,
@@ -152,6 +158,15 @@
     )
 
 
+def _find_time_left(
+    group: _states.Group, now: datetime.timedelta
+) -> datetime.timedelta:
+    """Return the time by which the step has to be done, from now on."""
+    chain = _ordering.find_remaining_chain(group)
+    end = group.job.objective - (chain - group.step.estimate)
+    return max(end - now, datetime.timedelta())
+
+
 def _count_spread(step: _work.Step) -> int:
     """Return how many workers a long-running step has to have."""
     if not step.is_long_running or not step.tasks_per_worker:
