Free the tasks of silent workers when their leases end

Three faults met: * The owner went on to extend the leases of a worker that did not answer. Its tasks became free only when its entry had gone (4.5 s), had been missing for 2.5 s, and the last lease sent had ended (6.6 s). * A silent worker barred all tasks of all jobs at each change of owner, anew for 6.6 s, also of jobs that were accepted while it was away. The pool changed its owner five times in 9 s, as entries were cut off and stopped. * Tasks that may not be started were counted as waiting work, so that the pool asked for instances for them.

Change: a silent worker gets no longer lease; its tasks are free when the last one has ended. The term names workers out of contact with the time left of their leases and the last term in which they were in contact; a job accepted in a later term is not barred. Tasks barred for longer than a move takes ask for no instance; late work is in less of a hurry, so that a backlog takes less from a queue that still has time. A worker whose instance is about to go stays closed until its entry has gone: 14 to 19 runs were sent to such a worker 3 s after its maintenance.

Ruled out: no instances (30 were up or moving), a maintenance duty that stood still (it took down instances at 11.3, 12.1 and 13.0 s).

Tests: a silent worker over its lease (tests/test_sessions.py, the lease was extended to 13.0 s before), a chain of owners (tests/test_owner.py), barred and late work (tests/test_lending.py).

--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -1,5 +1,6 @@
 """Shards that an entry owns: claiming them and running their owners."""
 
+import datetime
 import logging
 from typing import NamedTuple, Protocol
 
@@ -16,7 +17,9 @@
 from skylarktally.scheduling import _orders
 from skylarktally.scheduling import _owner
 from skylarktally.scheduling import _records
+from skylarktally.scheduling import _roster
 from skylarktally.scheduling import _rows
+from skylarktally.scheduling import _sessions
 
 _LOG = logging.getLogger(__name__)
 
@@ -132,6 +135,7 @@
             vacancy.generation + 1,
             0,
             workers=former.term.workers if former is not None else (),
+            suspects=former.term.suspects if former is not None else (),
         )
         outcome = _ledger.claim(
             self._platform.store, self._clock, shard, term, vacancy.version
@@ -207,14 +211,12 @@
     def _describe_succession(
         self, shard: str, former: _directory.Tenure | None
     ) -> _owner.Succession:
-        now = self._clock.monotonic()
-        last_order_at = now
+        suspects: dict[str, _roster.Suspicion] = {}
         if former is not None:
-            last_order_at = min(now, former.seen_at + _ledger.HOLD_LIMIT)
+            now = self._clock.monotonic()
+            suspects = find_suspects(former.term, former.seen_at, now)
         return _owner.Succession(
-            former.term.workers if former is not None else (),
-            self._directory.list_departed(shard),
-            last_order_at,
+            suspects, self._directory.list_departed(shard)
         )
 
     def find_owner(self, pool: str) -> _owner.PoolOwner | None:
@@ -223,3 +225,24 @@
         if owner is None or owner.ledger.is_over:
             return None
         return owner
+
+
+def find_suspects(
+    term: _records.Term, seen_at: datetime.timedelta, now: datetime.timedelta
+) -> dict[str, _roster.Suspicion]:
+    """Return the workers that may hold leases of a term that is over.
+
+    :param seen_at: when the row of the term was first seen as it is
+    """
+    last_order_at = min(now, seen_at + _ledger.HOLD_LIMIT)
+    lapse_at = _sessions.find_lapse(last_order_at)
+    suspects = {
+        worker: _roster.Suspicion(lapse_at, term.generation)
+        for worker in term.workers
+    }
+    for suspect in term.suspects:
+        remaining = datetime.timedelta(milliseconds=suspect.remaining_ms)
+        suspects[suspect.worker] = _roster.Suspicion(
+            seen_at + remaining, suspect.generation
+        )
+    return suspects
--- a/skylarktally/scheduling/_archive.py
+++ b/skylarktally/scheduling/_archive.py
@@ -126,6 +126,7 @@
             queue,
             self._decode_job(record.body.encode()),
             now - age,
+            generation=record.generation,
         )
         if progress is not None:
             job.state = progress.state
--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -69,6 +69,9 @@
     def list_holders(self) -> tuple[str, ...]:
         """Return the workers that may hold a lease."""
 
+    def list_suspects(self) -> tuple[_records.Suspect, ...]:
+        """Return those of them that are out of contact."""
+
     def note_recorded(self, workers: tuple[str, ...]) -> None:
         """Note that a successor will know of these workers."""
 
@@ -236,6 +239,7 @@
             sequence=self._term.sequence + 1,
             is_released=self._is_released and is_complete,
             workers=self._list_holders(),
+            suspects=self._list_suspects(),
         )
         place = _records.place_term(self.shard)
         transaction = _rows.Transaction(
@@ -268,6 +272,11 @@
             return self._term.workers
         return self._source.list_holders()
 
+    def _list_suspects(self) -> tuple[_records.Suspect, ...]:
+        if self._source is None:
+            return self._term.suspects
+        return self._source.list_suspects()
+
     def _take_changes(self, limit: int) -> Changes:
         if self._source is None:
             return Changes([], [], lambda: None)
--- a/skylarktally/scheduling/_lending.py
+++ b/skylarktally/scheduling/_lending.py
@@ -19,7 +19,7 @@
 # It is lent to a pool that lacks room sooner.
 _LEND_DELAY = datetime.timedelta(seconds=0.5)
 # From the order of a move until the worker gets its first task.
-_MOVE_TIME = datetime.timedelta(seconds=2)
+MOVE_TIME = datetime.timedelta(seconds=2)
 # A backlog is worked off in this time at least.
 _SHORTEST_CATCH_UP = datetime.timedelta(seconds=1.5)
 _NONE = datetime.timedelta()
@@ -278,9 +278,9 @@
     capacity = supply.present * size - load.lasting_millicores
     arriving = load.arriving_millicores
     backlog = load.waiting_work
-    backlog += (arriving - capacity) * _MOVE_TIME
-    backlog -= supply.arriving * size * _MOVE_TIME / 2
-    time_left = load.waiting_time_left - _MOVE_TIME
+    backlog += (arriving - capacity) * MOVE_TIME
+    backlog -= supply.arriving * size * MOVE_TIME / 2
+    time_left = load.waiting_time_left - MOVE_TIME
     catch_up = max(backlog, _NONE) / max(time_left, _SHORTEST_CATCH_UP)
     return load.lasting_millicores + arriving + int(catch_up)
 
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -1,6 +1,6 @@
 """The owner of a pool: accepts its jobs and runs them on its workers."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 import datetime
 import logging
 from typing import Any, NamedTuple
@@ -20,7 +20,6 @@
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _roster
 from skylarktally.scheduling import _rows
-from skylarktally.scheduling import _sessions
 from skylarktally.scheduling import _signals
 from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
@@ -51,11 +50,9 @@
     """What a new owner knows of the time of the former one."""
 
     # Workers that may hold a lease, by the last term that was stored.
-    workers: tuple[str, ...]
+    suspects: Mapping[str, _roster.Suspicion]
     # Workers that have vanished lately, with their addresses.
     departed: Mapping[str, _work.WorkerRecord]
-    # The former owner has given no order after this.
-    last_order_at: datetime.timedelta
 
 
 class PoolOwner:
@@ -94,12 +91,11 @@
         succession: Succession,
     ) -> None:
         """Load the pool, learn what runs, and schedule until the end."""
-        lapse_at = _sessions.find_lapse(succession.last_order_at)
         # Before the first write, which must not drop their names.
-        self._roster.suspect(succession.workers, lapse_at)
+        self._roster.suspect(succession.suspects)
         _loop.spawn_guarded(self.ledger.run)
         try:
-            self._run(queues, workers, succession, lapse_at)
+            self._run(queues, workers, succession)
         finally:
             # After an error another entry, or a new term, takes over.
             self.ledger.end()
@@ -110,21 +106,20 @@
         queues: Mapping[str, _work.Queue],
         workers: Callable[[], Mapping[str, _work.WorkerRecord]],
         succession: Succession,
-        lapse_at: datetime.timedelta,
     ) -> None:
         if not self._archive.load(queues):
             return
         departed = {
             id_: record
             for id_, record in succession.departed.items()
-            if id_ in succession.workers
+            if id_ in succession.suspects
         }
         self._roster.sync({**departed, **workers()})
         loaded = list(self.board.jobs.values())
         # Jobs are accepted while the workers are asked what they run.
         self.is_ready = True
         self._await_reports()
-        self._bar_unknown(loaded, lapse_at)
+        self._bar_unknown(loaded)
         _LOG.info(
             'owner ready',
             extra={
@@ -148,27 +143,21 @@
                 return
             self._clock.sleep(_REPORT_POLL)
 
-    def _bar_unknown(
-        self, jobs: list[_states.Job], lapse_at: datetime.timedelta
-    ) -> None:
+    def _bar_unknown(self, jobs: list[_states.Job]) -> None:
         """Bar tasks that may run on workers that have not reported."""
         silent = self._roster.list_silent()
-        if not jobs or not silent:
+        barred = [job for job in jobs if _bar(job, silent.values())]
+        if not barred:
             return
-        for job in jobs:
-            job.barred_until = lapse_at
-            for group in job.groups.values():
-                for task in group.tasks:
-                    if task.run is None:
-                        task.barred_until = lapse_at
+        now = self._clock.monotonic()
+        longest = max(job.barred_until for job in barred) - now
         _LOG.info(
             'tasks barred',
             extra={
                 'shard': self.ledger.shard,
-                'silent': silent,
-                'seconds': (
-                    lapse_at - self._clock.monotonic()
-                ).total_seconds(),
+                'silent': list(silent),
+                'jobs': len(barred),
+                'seconds': longest.total_seconds(),
             },
         )
 
@@ -233,6 +222,10 @@
         """Return the workers that may hold a lease."""
         return self._roster.list_holders()
 
+    def list_suspects(self) -> tuple[_records.Suspect, ...]:
+        """Return those of them that are out of contact."""
+        return self._roster.list_suspects()
+
     def note_recorded(self, workers: tuple[str, ...]) -> None:
         """Open the workers that a successor will know of."""
         self._roster.note_recorded(workers)
@@ -297,6 +290,7 @@
             submission.queue.name,
             int(wall.timestamp() * 1000),
             submission.body.decode(),
+            self.ledger.generation,
         )
         put = (
             self._archive.place(_records.JOBS, submission.id),
@@ -353,6 +347,23 @@
         return self.board.count_queued(queue)
 
 
+def _bar(job: _states.Job, silent: Iterable[_roster.Suspicion]) -> bool:
+    """Bar the tasks of a job for as long as a silent worker may run them."""
+    lapses = [
+        suspicion.lapse_at
+        for suspicion in silent
+        if suspicion.generation >= job.generation
+    ]
+    if not lapses:
+        return False
+    job.barred_until = max(lapses)
+    for group in job.groups.values():
+        for task in group.tasks:
+            if task.run is None:
+                task.barred_until = job.barred_until
+    return True
+
+
 def _answer_fate(
     fate: _ledger.Fate,
 ) -> result.Result[None, _errors.Failure]:
--- a/skylarktally/scheduling/_planning.py
+++ b/skylarktally/scheduling/_planning.py
@@ -12,6 +12,8 @@
 # A task that takes this much longer than its estimate stands still.
 _STUCK_FACTOR = 4
 _STUCK_MARGIN = datetime.timedelta(seconds=2)
+# Work that is too late to be of use takes what others leave.
+_NO_HURRY = datetime.timedelta(seconds=10)
 _SECOND = datetime.timedelta(seconds=1)
 
 
@@ -131,9 +133,7 @@
                 running += cost
     for group in board.open_groups:
         step = group.step
-        count = sum(
-            task.run is None and not task.is_done for task in group.tasks
-        )
+        count = _count_startable(group, now + _lending.MOVE_TIME)
         cost = count * board.weigh(step)
         if step.is_long_running:
             lasting += cost
@@ -162,11 +162,26 @@
     group: _states.Group, now: datetime.timedelta
 ) -> datetime.timedelta:
     """Return the time by which the step has to be done, from now on."""
+    prospect = _ordering.find_prospect(group, now)
+    if prospect is _ordering.Prospect.USELESS:
+        return _NO_HURRY
+    job = group.job
+    allowed = job.objective - job.accepted_at
+    if prospect is _ordering.Prospect.LATE:
+        allowed *= _ordering.LATE_FACTOR
     chain = _ordering.find_remaining_chain(group)
-    end = group.job.objective - (chain - group.step.estimate)
+    end = job.accepted_at + allowed - (chain - group.step.estimate)
     return max(end - now, datetime.timedelta())
 
 
+def _count_startable(group: _states.Group, before: datetime.timedelta) -> int:
+    """Return how many tasks wait that may be started by the given time."""
+    return sum(
+        task.run is None and not task.is_done and task.barred_until <= before
+        for task in group.tasks
+    )
+
+
 def _count_spread(step: _work.Step) -> int:
     """Return how many workers a long-running step has to have."""
     if not step.is_long_running or not step.tasks_per_worker:
--- a/skylarktally/scheduling/_records.py
+++ b/skylarktally/scheduling/_records.py
@@ -22,6 +22,18 @@
     accepted_ms: int
     # What the caller sent.
     body: str
+    # Term of the pool in which it was accepted.
+    generation: int
+
+
+class Suspect(NamedTuple):
+    """A worker that may hold a lease and is out of contact."""
+
+    worker: str
+    # The last term in which it was in contact.
+    generation: int
+    # Its leases have ended so long after the row was written.
+    remaining_ms: int
 
 
 class Term(NamedTuple):
@@ -39,6 +51,8 @@
     is_released: bool = False
     # Workers that may hold a lease of this term or of an earlier one.
     workers: tuple[str, ...] = ()
+    # Those of them that are out of contact.
+    suspects: tuple[Suspect, ...] = ()
 
 
 class WaveRecord(NamedTuple):
@@ -68,7 +82,10 @@
 def decode_term(value: bytes) -> Term:
     """Return the term of a row; ValueError if it is damaged."""
     term = Term(*_load_list(value, len(Term._fields)))
-    return term._replace(workers=tuple(term.workers))
+    return term._replace(
+        workers=tuple(term.workers),
+        suspects=tuple(Suspect(*item) for item in term.suspects),
+    )
 
 
 def encode_wave(record: WaveRecord) -> bytes:
--- a/skylarktally/scheduling/_roster.py
+++ b/skylarktally/scheduling/_roster.py
@@ -1,20 +1,36 @@
 """Workers of a pool: their sessions, and which of them may hold leases."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 import datetime
+from typing import NamedTuple
 
 from skylarktally import _clock
 from skylarktally import _loop
 from skylarktally.scheduling import _orders
 from skylarktally.scheduling import _planning
+from skylarktally.scheduling import _records
 from skylarktally.scheduling import _sessions
 from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 # A worker that is missing in the table for this long is gone.
 _MISSING_LIMIT = datetime.timedelta(seconds=2.5)
 # A request to vacate an instance is forgotten unless it is repeated.
 _VACATE_LIMIT = datetime.timedelta(seconds=3)
+# A worker that was found empty is about to go with its instance; its entry
+# may stay for some seconds.
+_GONE_LIMIT = datetime.timedelta(seconds=6)
+
+
+class Suspicion(NamedTuple):
+    """A worker that may hold leases which this owner cannot end."""
+
+    # The leases have ended by then.
+    lapse_at: datetime.timedelta
+    # The last term in which the worker was in contact. It runs no task of
+    # a job that was accepted in a later one.
+    generation: int
 
 
 class Roster:
@@ -35,22 +51,20 @@
         self._vacating: dict[str, datetime.timedelta] = {}
         # Workers that may hold leases that this owner cannot end, and when
         # these have ended.
-        self._suspects: dict[str, datetime.timedelta] = {}
+        self._suspects: dict[str, Suspicion] = {}
 
-    def suspect(
-        self, workers: Iterable[str], lapse_at: datetime.timedelta
-    ) -> None:
-        """Take workers for holders of leases until the given time."""
-        self._suspects = dict.fromkeys(workers, lapse_at)
+    def suspect(self, suspects: Mapping[str, Suspicion]) -> None:
+        """Take workers for holders of leases of earlier owners."""
+        self._suspects = dict(suspects)
 
-    def list_silent(self) -> list[str]:
+    def list_silent(self) -> dict[str, Suspicion]:
         """Return suspects that have not reported."""
         seats = self._board.seats
-        return [
-            worker
-            for worker in self._suspects
+        return {
+            worker: suspicion
+            for worker, suspicion in self._suspects.items()
             if worker not in seats or not seats[worker].is_known
-        ]
+        }
 
     def have_reported(self) -> bool:
         """Tell whether all suspects that are reached have reported."""
@@ -107,7 +121,7 @@
     def _drop(self, id_: str, free_at: datetime.timedelta) -> None:
         self._sessions.pop(id_).end()
         if self._board.seats[id_].runs:
-            self._suspects[id_] = free_at
+            self._suspects[id_] = self._suspect_now(free_at)
         self._board.drop_seat(id_, free_at)
 
     def vacate(self, id_: str) -> bool:
@@ -116,17 +130,20 @@
         if seat is None:
             return False
         now = self._clock.monotonic()
-        self._vacating[id_] = now + _VACATE_LIMIT
-        if not seat.is_vacating:
-            seat.is_vacating = True
+        is_vacating = seat.is_vacating
+        seat.is_vacating = True
+        is_vacant = _planning.is_vacant(seat)
+        limit = _GONE_LIMIT if is_vacant else _VACATE_LIMIT
+        self._vacating[id_] = now + limit
+        if not is_vacating:
             self._host.note_report()
-        return _planning.is_vacant(seat)
+        return is_vacant
 
     def list_holders(self) -> tuple[str, ...]:
         """Return the workers that may hold a lease."""
         now = self._clock.monotonic()
-        for id_, until in list(self._suspects.items()):
-            if until <= now:
+        for id_, suspicion in list(self._suspects.items()):
+            if suspicion.lapse_at <= now:
                 del self._suspects[id_]
         holders = dict.fromkeys(
             id_ for id_ in self._suspects if id_ not in self._sessions
@@ -139,6 +156,26 @@
                 seat.is_recorded = False
         return tuple(holders)
 
+    def list_suspects(self) -> tuple[_records.Suspect, ...]:
+        """Return the holders that are out of contact."""
+        suspects = self.list_silent()
+        for id_, seat in self._board.seats.items():
+            if seat.is_known and seat.is_silent and seat.runs:
+                lapse_at = self._sessions[id_].lapse_at
+                suspects[id_] = self._suspect_now(lapse_at)
+        now = self._clock.monotonic()
+        return tuple(
+            _records.Suspect(
+                id_,
+                suspicion.generation,
+                max(int((suspicion.lapse_at - now) / _MILLISECOND) + 1, 0),
+            )
+            for id_, suspicion in suspects.items()
+        )
+
+    def _suspect_now(self, lapse_at: datetime.timedelta) -> Suspicion:
+        return Suspicion(lapse_at, self._host.ledger.generation)
+
     def _may_hold(
         self, id_: str, seat: _states.Seat, now: datetime.timedelta
     ) -> bool:
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -120,12 +120,16 @@
         wait = datetime.timedelta()
         if self.seat.is_known and not self.seat.is_silent:
             wait = _REPORT_WAIT
-        order = _orders.HoldOrder(self._find_until(), self._seen, wait)
+        # A worker that does not answer gets no longer lease, so that its
+        # tasks can be started elsewhere in time.
+        until = None if self.seat.is_silent else self._find_until()
+        order = _orders.HoldOrder(until, self._seen, wait)
         outcome = self._calls.hold(self.seat.record, self._token, order)
         if self.is_over or self._host.ledger.is_over:
             return True
         if not isinstance(outcome, result.Success):
             self._note_silence(outcome.failure())
+            self._release_lapsed()
             return False
         answer = outcome.unwrap()
         if isinstance(answer, _work.WorkerReport):
@@ -150,6 +154,21 @@
             },
         )
 
+    def _release_lapsed(self) -> None:
+        """Free the tasks of a silent worker once its leases have ended."""
+        if self._clock.monotonic() < self.lapse_at or not self.seat.runs:
+            return
+        _LOG.info(
+            'leases of a silent worker ended',
+            extra={
+                'worker': self.seat.record.id,
+                'runs': len(self.seat.runs),
+            },
+        )
+        for run in list(self.seat.runs.values()):
+            self._host.board.remove_run(run)
+        self._host.note_report()
+
     def _note_answer(self) -> None:
         if self.seat.is_silent:
             _LOG.info(
--- a/skylarktally/scheduling/_states.py
+++ b/skylarktally/scheduling/_states.py
@@ -107,6 +107,8 @@
     restored: 'Progress | None' = None
     barred_until: datetime.timedelta = _NONE
     chain: datetime.timedelta = _NONE
+    # Term of the pool in which it was accepted.
+    generation: int = 0
 
     @property
     def is_final(self) -> bool:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -35,6 +35,9 @@
     def list_holders(self):
         return self.workers
 
+    def list_suspects(self):
+        return ()
+
     def note_recorded(self, workers):
         self.recorded = workers
 
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -284,6 +284,36 @@
     assert leaving == {'w': False, 'x': False, 'y': True}
 
 
+def test_tasks_that_may_not_be_started_yet_ask_for_no_instance():
+    """Replays a change of owner while a worker is silent.
+
+    The pool held 22 instances for 6 s while none of its tasks could start.
+    """
+    job = pools.make_job('a', pools.make_step(4, cpu=3000))
+    board = pools.make_board(pools.make_worker('w'), jobs=[job])
+    for task in job.groups[0, 0].tasks:
+        task.barred_until = pools.seconds(6)
+    load = _planning.measure_load(board, pools.seconds(0))
+    assert (load.waiting_millicores, load.waiting_work) == (
+        0,
+        pools.seconds(0),
+    )
+    # By the time that an instance has come they can.
+    load = _planning.measure_load(board, pools.seconds(4.5))
+    assert load.waiting_millicores == 4 * 3000
+
+
+@pytest.mark.parametrize(
+    'now, time_left', [(0, 2.2), (1.0, 1.2), (1.5, 5.1), (7.0, 10)]
+)
+def test_work_that_is_late_is_in_less_of_a_hurry(now, time_left):
+    """Guards a pool that still has time against the backlog of another."""
+    job = pools.make_job('a', pools.make_step(4, cpu=3000))
+    board = pools.make_board(pools.make_worker('w'), jobs=[job])
+    load = _planning.measure_load(board, pools.seconds(now))
+    assert load.waiting_time_left == pools.seconds(time_left)
+
+
 def test_a_task_counts_by_what_it_takes_most_of():
     """Guards pools whose memory is used up before their processors."""
     step = pools.make_step(4, cpu=1000, memory=32768)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -12,7 +12,9 @@
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _owner
 from skylarktally.scheduling import _records
+from skylarktally.scheduling import _roster
 from skylarktally.scheduling import _rows
+from skylarktally.scheduling import _sessions
 from skylarktally.scheduling import _work
 from standins import leased_workers
 from standins import rows
@@ -38,7 +40,7 @@
         self.queue = pools.make_queue()
         self.owners = []
 
-    def begin(self, former_workers=(), last_order_at=None):
+    def begin(self, former_workers=(), generation_of_suspects=None):
         """Claim the pool and return its new owner."""
         place = _records.place_term('pool')
         row = self.table.rows.get(place)
@@ -63,9 +65,14 @@
             {self.queue.name: self.queue},
             lambda: workers,
             _owner.Succession(
-                former_workers,
+                {
+                    name: _roster.Suspicion(
+                        _sessions.find_lapse(now),
+                        generation_of_suspects or generation - 1,
+                    )
+                    for name in former_workers
+                },
                 {},
-                now if last_order_at is None else last_order_at,
             ),
         )
         self.owners.append(owner)
@@ -232,3 +239,37 @@
     assert deployment.submit(second, OTHER) == result.Success(None)
     wait_until(lambda: len(deployment.list_starts(OTHER)) == 2)
     assert len(deployment.list_starts(JOB)) == 2
+
+
+def test_a_worker_lost_before_a_job_came_holds_up_none_of_its_tasks(
+    deployment,
+):
+    """Replays a chain of owners while one worker stays away.
+
+    Each owner barred all tasks for another 6.6 s, those of jobs included
+    that were accepted when the worker had been away for long.
+    """
+    owner = deployment.begin(('gone',), 1)
+    wait_until(lambda: owner.is_ready)
+    second = deployment.begin(('gone',), 1)
+    wait_until(lambda: second.is_ready)
+    deployment.fleet.refuses_starts = True
+    assert deployment.submit(second, JOB) == result.Success(None)
+    third = deployment.begin(('gone',), 1)
+    wait_until(lambda: third.is_ready)
+    assert third.board.jobs[JOB].barred_until == pools.seconds(0)
+    lapse_at = _sessions.find_lapse(deployment.clock.monotonic())
+    fourth = deployment.begin(('gone',), 2)
+    wait_until(lambda: fourth.is_ready and JOB in fourth.board.jobs)
+    _loop.sleep(0.1)
+    assert fourth.board.jobs[JOB].barred_until >= lapse_at
+
+
+def test_the_time_of_a_suspect_runs_on_through_a_chain_of_owners(deployment):
+    owner = deployment.begin(('gone',), 1)
+    wait_until(lambda: owner.is_ready)
+    (first,) = owner.list_suspects()
+    _loop.sleep(0.2)
+    (later,) = owner.list_suspects()
+    assert (first.worker, first.generation) == ('gone', 1)
+    assert later.remaining_ms <= first.remaining_ms - 150
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -315,3 +315,36 @@
     clock.advance(_ledger.HOLD_LIMIT.total_seconds())
     pool.start()
     assert not fleet.workers['w'].starts
+
+
+def test_tasks_of_a_silent_worker_start_elsewhere_once_its_leases_end(clock):
+    """Replays the loss of a rack.
+
+    The owner went on to extend the leases of the workers that it lost, and
+    freed their tasks only after their entries had gone: 13 s later.
+    """
+    fleet = leased_workers.WorkerFleet(clock)
+    for name in 'wx':
+        fleet.add(pools.make_worker(name))
+    pool = Pool(fleet, clock, names='wx')
+    pool.look()
+    pool.add('a', pools.make_step(1))
+    (run,) = pool.start()
+    pool.look()
+    lost = run.worker
+    lapse_at = pool.sessions[lost].lapse_at
+    fleet.silent.add(lost)
+    while clock.monotonic() < lapse_at - pools.seconds(0.2):
+        pool.look()
+        assert pool.start() == []
+        clock.advance(0.2)
+    assert pool.sessions[lost].lapse_at == lapse_at
+    clock.advance(0.4)
+    pool.look()
+    (again,) = pool.start()
+    assert again.worker != lost
+    assert again.number > run.number
+    # Nothing of the first run is left when the worker comes back.
+    fleet.silent.clear()
+    pool.look()
+    assert not fleet.workers[lost].active
