Count capacity on its way before a job is refused

Cause: a job was refused for the backlog of its pool although instances were on their way to it or idle in other pools: only parked ones counted. Under a new owner nothing counted, until maintenance had asked it for its load.

Change: what a pool can be lent is what no pool needs, and what moves to it. While that is not known no job is refused for a backlog.

--- a/skylarktally/scheduling/_admission.py
+++ b/skylarktally/scheduling/_admission.py
@@ -40,9 +40,12 @@
         step.is_long_running for step in spec.steps
     ):
         return None
+    if board.lendable_millicores is None:
+        # It is not known how long the backlog will take.
+        return None
     chain = _states.find_chain(spec)
     allowed = queue.stretch * chain + queue.target_latency
-    delay = estimate_delay(board)
+    delay = estimate_delay(board, board.lendable_millicores)
     latest = _ordering.LATE_FACTOR * allowed
     if delay + chain <= latest:
         return None
@@ -50,9 +53,11 @@
     return Refusal(False, wait, 'the backlog of the pool is too long')
 
 
-def estimate_delay(board: _board.Board) -> datetime.timedelta:
+def estimate_delay(
+    board: _board.Board, lendable_millicores: int
+) -> datetime.timedelta:
     """Return how long the pool works on what it has accepted."""
-    capacity = board.lendable_millicores
+    capacity = lendable_millicores
     for seat in board.seats.values():
         # One that is silent or in maintenance is back, or replaced, sooner
         # than a backlog is worked off.
--- a/skylarktally/scheduling/_board.py
+++ b/skylarktally/scheduling/_board.py
@@ -33,8 +33,9 @@
         # Jobs whose progress has not been stored.
         self.changed: dict[str, _states.Job] = {}
         self._first_number = first_number
-        # Processor capacity that the pool could be lent, in millicores.
-        self.lendable_millicores = 0
+        # Processor capacity that the pool could be lent, in millicores;
+        # None while that is not known.
+        self.lendable_millicores: int | None = None
         self.arrivals = _forecasts.Arrivals()
         # What the widest steps of the last jobs need, in millicores.
         self._widths: collections.deque[int] = collections.deque(
--- a/skylarktally/scheduling/_lending.py
+++ b/skylarktally/scheduling/_lending.py
@@ -350,9 +350,19 @@
 
 
 def count_lendable(
-    instances: Iterable[_work.InstanceRecord], standby: frozenset[str]
+    pool: str,
+    instances: Iterable[_work.InstanceRecord],
+    spare: Collection[str],
+    moving: Mapping[str, str],
 ) -> int:
-    """Return the processor capacity that is parked, in millicores."""
+    """Return the processor capacity that a pool can be lent or soon has.
+
+    :param spare: instances that no pool needs
+    :return: in millicores
+    """
     return sum(
-        item.cpu_millicores for item in instances if item.pool in standby
+        item.cpu_millicores
+        for item in instances
+        if moving.get(item.id) == pool
+        or (item.id in spare and item.pool != pool)
     )
--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -96,6 +96,8 @@
         self._lender = _lending.Lender()
         # Pool that each instance goes to, and when that was ordered.
         self._moving: dict[str, _Motion] = {}
+        # Instances that no pool needed at the last turn.
+        self._spare: frozenset[str] = frozenset()
 
     def run(self, surroundings: Surroundings) -> None:
         """Carry out waves and moves until the term ends."""
@@ -168,19 +170,25 @@
             pool.name for pool in configuration.pools if pool.is_standby
         )
         pools = [item.name for item in configuration.pools]
-        lendable = _lending.count_lendable(listed.values(), standby)
+        moving = {id_: item.pool for id_, item in self._moving.items()}
         loads = _measure_all(
             [pool for pool in pools if pool not in standby],
-            lambda pool: surroundings.measure(pool, lendable),
+            lambda pool: surroundings.measure(
+                pool,
+                _lending.count_lendable(
+                    pool, listed.values(), self._spare, moving
+                ),
+            ),
         )
         plan = self._lender.plan(
             loads,
             listed.values(),
             standby,
-            {id_: item.pool for id_, item in self._moving.items()},
+            moving,
             self._clock.monotonic(),
             self._list_due(waves),
         )
+        self._spare = plan.spare
         for instance, target in plan.moves:
             is_empty = not instance.worker or surroundings.vacate(
                 instance.pool, instance.worker
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -231,6 +231,13 @@
     assert surge.spare == frozenset()
 
 
+def test_a_pool_can_be_lent_what_is_spare_elsewhere_or_on_its_way():
+    instances = make_instances(a=2, b=2, spare=2)
+    moving = {'spare1': 'a', 'b1': 'b'}
+    found = _lending.count_lendable('a', instances, {'a1', 'b0'}, moving)
+    assert found == 2 * SIZE
+
+
 @pytest.mark.parametrize(
     'times, now, cores',
     [
--- a/tests/test_scheduling_plans.py
+++ b/tests/test_scheduling_plans.py
@@ -261,6 +261,7 @@
     board = pools.make_board(
         pools.make_worker('w'), pools.make_worker('x'), jobs=backlog
     )
+    board.lendable_millicores = 0
     spec = _work.JobSpec('spec', (pools.make_step(1),))
     refusal = _admission.review(board, pools.make_queue(), spec)
     assert (refusal is not None) == is_refused
@@ -270,11 +271,31 @@
         assert refusal.retry_after == pools.seconds(30 + 1 - 2.2)
 
 
+@pytest.mark.parametrize('lendable', [None, 10 * 32000])
+def test_a_job_is_not_refused_while_room_may_come(lendable):
+    """Replays a surge under a new owner, and one that gets instances.
+
+    A new owner does not know yet what its pool can be lent; later only
+    parked instances counted, not those on their way or idle elsewhere.
+    """
+    backlog = [
+        pools.make_job(f'b{number}', pools.make_step(8, cpu=4000))
+        for number in range(12)
+    ]
+    board = pools.make_board(pools.make_worker('w'), jobs=backlog)
+    spec = _work.JobSpec('spec', (pools.make_step(1),))
+    board.lendable_millicores = 0
+    assert _admission.review(board, pools.make_queue(), spec) is not None
+    board.lendable_millicores = lendable
+    assert _admission.review(board, pools.make_queue(), spec) is None
+
+
 def test_workers_that_are_silent_for_a_moment_do_not_make_a_backlog():
     """Guards against refusals by a new owner that has no reports yet."""
     job = pools.make_job('a', pools.make_step(8, cpu=4000))
     board = pools.make_board(pools.make_worker('w'), jobs=[job])
     board.seats['w'].is_known = False
+    board.lendable_millicores = 0
     spec = _work.JobSpec('spec', (pools.make_step(1),))
     assert _admission.review(board, pools.make_queue(), spec) is None
 
