Find a job whose queue has moved or gone

Cause, by reading (a queue may change its service, or be removed, while its jobs are open): a state or a cancelling was asked of the present pool of the queue only, which answered 410; a new owner dropped stored jobs whose queue was not in the configuration that it knew.

Change: before a job is denied the other pools are asked; one that does not answer makes it an error, not a denial. The row of a job holds the policy of its queue.

Tests: tests/test_desk.py (a job in a former pool) and tests/test_owner.py (a queue that is gone) failed before.

--- a/skylarktally/entries/_desk.py
+++ b/skylarktally/entries/_desk.py
@@ -74,15 +74,13 @@
         self, queue: _work.Queue, job: str, timeout: datetime.timedelta
     ) -> result.Result[_work.JobState, Failure]:
         """Return the state of a job."""
-        call = _calls.JobCall('show', queue.pool, queue.name, job)
-        return self._dispatch(call, timeout).map(_read_state)
+        return self._find_state('show', queue, job, timeout)
 
     def cancel(
         self, queue: _work.Queue, job: str, timeout: datetime.timedelta
     ) -> result.Result[_work.JobState, Failure]:
         """Cancel a job; on success that is stored."""
-        call = _calls.JobCall('cancel', queue.pool, queue.name, job)
-        return self._dispatch(call, timeout).map(_read_state)
+        return self._find_state('cancel', queue, job, timeout)
 
     def count(
         self, queue: _work.Queue, timeout: datetime.timedelta
@@ -91,6 +89,40 @@
         call = _calls.JobCall('count', queue.pool, queue.name, '')
         return self._dispatch(call, timeout).map(lambda reply: reply.queued)
 
+    def _find_state(
+        self,
+        operation: str,
+        queue: _work.Queue,
+        job: str,
+        timeout: datetime.timedelta,
+    ) -> result.Result[_work.JobState, Failure]:
+        """Ask the pool of the queue, and then those that it may have had.
+
+        A job stays in the pool in which it was accepted when its queue is
+        configured to use another one.
+        """
+        begin = self._clock.monotonic()
+        found: result.Result[_work.JobState, Failure]
+        for pool in (queue.pool, *self._list_other_pools(queue)):
+            left = timeout - (self._clock.monotonic() - begin)
+            call = _calls.JobCall(operation, pool, queue.name, job)
+            found = self._dispatch(call, left).map(_read_state)
+            if isinstance(found, result.Success):
+                return found
+            if found.failure().kind is not ErrorKind.NOT_FOUND:
+                return found
+        return found
+
+    def _list_other_pools(self, queue: _work.Queue) -> list[str]:
+        configuration = self._directory.configuration
+        if configuration is None:
+            return []
+        return [
+            pool.name
+            for pool in configuration.pools
+            if pool.name != queue.pool and not pool.is_standby
+        ]
+
     def _dispatch(
         self, call: _calls.JobCall, timeout: datetime.timedelta
     ) -> Reply:
--- a/skylarktally/scheduling/_archive.py
+++ b/skylarktally/scheduling/_archive.py
@@ -114,7 +114,7 @@
         record = _records.decode_job(row.value)
         queue = queues.get(record.queue)
         if queue is None:
-            raise KeyError(f'queue {record.queue} is not configured')
+            queue = _rebuild_queue(record, self._ledger.shard)
         wall = self._clock.now()
         accepted = datetime.datetime.fromtimestamp(
             record.accepted_ms / 1000, datetime.UTC
@@ -180,6 +180,43 @@
         self._settled[job.id] = _Settled(job.state, now)
 
 
+def create_record(
+    queue: _work.Queue,
+    body: bytes,
+    accepted_at: datetime.datetime,
+    generation: int,
+) -> _records.JobRecord:
+    """Return the record of a job that is accepted."""
+    return _records.JobRecord(
+        queue.name,
+        int(accepted_at.timestamp() * 1000),
+        body.decode(),
+        generation,
+        queue.priority,
+        queue.attempt_limit,
+        queue.stretch,
+        int(queue.target_latency.total_seconds() * 1000),
+    )
+
+
+def _rebuild_queue(record: _records.JobRecord, pool: str) -> _work.Queue:
+    """Return the queue of a job as it was when the job was accepted."""
+    return _work.Queue(
+        name=record.queue,
+        # Nobody can name it any more.
+        host='',
+        prefix='',
+        pool=pool,
+        priority=record.priority,
+        attempt_limit=record.attempt_limit,
+        stretch=record.stretch,
+        target_latency=datetime.timedelta(
+            milliseconds=record.target_latency_ms
+        ),
+        timeout=datetime.timedelta(),
+    )
+
+
 def _log_unreadable(row: _rows.Row, error: Exception) -> None:
     _LOG.error(
         'unreadable row',
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -286,11 +286,8 @@
     ) -> _ledger.Fate:
         now = self._clock.monotonic()
         wall = self._clock.now()
-        record = _records.JobRecord(
-            submission.queue.name,
-            int(wall.timestamp() * 1000),
-            submission.body.decode(),
-            self.ledger.generation,
+        record = _archive.create_record(
+            submission.queue, submission.body, wall, self.ledger.generation
         )
         put = (
             self._archive.place(_records.JOBS, submission.id),
--- a/skylarktally/scheduling/_records.py
+++ b/skylarktally/scheduling/_records.py
@@ -24,6 +24,11 @@
     body: str
     # Term of the pool in which it was accepted.
     generation: int
+    # Policy of the queue, which may be gone when a later owner reads this.
+    priority: int
+    attempt_limit: int
+    stretch: float
+    target_latency_ms: int
 
 
 class Suspect(NamedTuple):
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -22,7 +22,15 @@
     def __init__(self, address='owner:1'):
         self.address = address
         self.configuration = _work.Configuration(
-            1, (pools.make_queue(),), (), 1000
+            1,
+            (pools.make_queue(),),
+            (
+                _work.Pool('pool', False),
+                _work.Pool('former', False),
+                _work.Pool('other', False),
+                _work.Pool('spare', True),
+            ),
+            1000,
         )
 
     def find_address(self, pool):
@@ -49,6 +57,23 @@
         )
 
 
+class Pools:
+    """Owners elsewhere, of which some know the job."""
+
+    def __init__(self, **answers):
+        self.answers = answers
+        self.asked = []
+
+    def handle(self, address, call):
+        self.asked.append(call.pool)
+        answer = self.answers.get(call.pool, Kind.NOT_FOUND)
+        if isinstance(answer, Kind):
+            reply = _calls.JobReply(answer.value, 'refused', 0, '', 0)
+        else:
+            reply = _calls.JobReply('', '', 0, answer, 0)
+        return result.Success(reply)
+
+
 class NoOwners:
     def find_owner(self, pool):
         return None
@@ -92,3 +117,34 @@
     kind, spent = submit(Calls(), Directory(address=None))
     assert kind is Kind.LEASE_LOST
     assert spent < datetime.timedelta(seconds=1)
+
+
+@pytest.mark.parametrize(
+    'answers, expected, asked',
+    [
+        ({'pool': 'running'}, 'running', ['pool']),
+        ({'former': 'running'}, 'running', ['pool', 'former']),
+        ({}, Kind.NOT_FOUND, ['pool', 'former', 'other']),
+        # Who does not answer may have it.
+        (
+            {'former': Kind.UNAUTHENTICATED},
+            Kind.UNAUTHENTICATED,
+            ['pool', 'former'],
+        ),
+    ],
+)
+@pytest.mark.parametrize('operation', ['show', 'cancel'])
+def test_a_job_is_found_after_its_queue_has_moved_to_another_pool(
+    operation, answers, expected, asked
+):
+    """Guards accepted jobs that are denied after a change (LOST)."""
+    calls = Pools(**answers)
+    clock = pools.ManualClock()
+    desk = _desk.Desk(NoOwners(), Directory(), calls, clock)
+    ask = getattr(desk, operation)
+    found = ask(pools.make_queue(), JOB, TIMEOUT)
+    if isinstance(found, result.Success):
+        assert found.unwrap().value == expected
+    else:
+        assert found.failure().kind is expected
+    assert calls.asked == asked
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -273,3 +273,19 @@
     (later,) = owner.list_suspects()
     assert (first.worker, first.generation) == ('gone', 1)
     assert later.remaining_ms <= first.remaining_ms - 150
+
+
+def test_a_job_outlives_the_removal_of_its_queue(deployment):
+    """Guards jobs that a new owner dropped with their queue (LOST)."""
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    deployment.fleet.silent.update('wx')
+    deployment.submit(owner, JOB)
+    deployment.queue = pools.make_queue('another')
+    later = deployment.begin()
+    wait_until(lambda: later.is_ready)
+    job = later.board.jobs[JOB]
+    expected = pools.make_queue()
+    assert job.queue.attempt_limit == expected.attempt_limit
+    assert job.queue.stretch == expected.stretch
+    assert job.queue.target_latency == expected.target_latency
