Pace the tasks that fill by the latency of those that serve

Cause: tasks that fill were never slowed down, so that a deployment with such tasks would break HARM.

Change: the latency of each serving task is compared with its target at every plan. Above it the fillers of the worker fall to a quarter of their pace, and to none after 1.4 s; below 70 % they rise by 20 % each 0.7 s. A pace without an answer is ordered again. Workers with fillers report every 0.3 s.

Tests: tests/test_pacing.py replays a latency of 1.5 times its target (held within 2 s, of 4 s that break the rule); tests/test_sessions.py lost orders.

--- a/skylarktally/scheduling/_board.py
+++ b/skylarktally/scheduling/_board.py
@@ -175,6 +175,8 @@
             task, active.number, '', now, _states.RunState.ACTIVE
         )
         run.answered_at = run.reported_at = now
+        # An earlier owner may have ordered one.
+        run.pace = None
         run.percent, run.load = active.percent, active.load
         task.checkpoint = active.checkpoint or task.checkpoint
         return self._attach(run, seat)
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -16,6 +16,7 @@
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _lending
 from skylarktally.scheduling import _orders
+from skylarktally.scheduling import _pacing
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _roster
@@ -209,9 +210,18 @@
             session = self._roster.find_session(seat.record.id)
             if session is not None:
                 _loop.spawn_guarded(session.start, run)
+        self._pace(now)
         if self.board.changed:
             self._note_changes()
 
+    def _pace(self, now: datetime.timedelta) -> None:
+        for id_, seat in self.board.seats.items():
+            session = self._roster.find_session(id_)
+            if session is None or seat.is_silent:
+                continue
+            for run, percent in _pacing.plan_paces(seat, now):
+                _loop.spawn_guarded(session.pace, run, percent)
+
     def _note_changes(self) -> None:
         is_urgent = any(job.is_final for job in self.board.changed.values())
         self.ledger.note_changes(is_urgent)
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -29,6 +29,8 @@
 _LAPSE_MARGIN = datetime.timedelta(seconds=0.5)
 # How long a worker may keep a report back while nothing ends.
 _REPORT_WAIT = datetime.timedelta(seconds=1)
+# Fillers are paced by reports that are fresher.
+_SHARED_WAIT = datetime.timedelta(seconds=0.3)
 _IDLE_WAIT = datetime.timedelta(seconds=5)
 _RETRY_DELAY = datetime.timedelta(seconds=0.2)
 _AVOID = datetime.timedelta(seconds=1)
@@ -105,6 +107,12 @@
         has_none = not seat.runs and not seat.unwanted
         return seat.is_known and not seat.is_silent and has_none
 
+    def _is_shared(self) -> bool:
+        """Tell whether tasks that fill run beside others."""
+        return any(
+            run.task.group.step.is_filler for run in self.seat.runs.values()
+        )
+
     def _find_until(self) -> datetime.timedelta | None:
         """Return the end of a new lease on the clock of the worker."""
         if self._reading is None:
@@ -119,7 +127,7 @@
         sent_at = self._clock.monotonic()
         wait = datetime.timedelta()
         if self.seat.is_known and not self.seat.is_silent:
-            wait = _REPORT_WAIT
+            wait = _SHARED_WAIT if self._is_shared() else _REPORT_WAIT
         # A worker that does not answer gets no longer lease, so that its
         # tasks can be started elsewhere in time.
         until = None if self.seat.is_silent else self._find_until()
@@ -332,6 +340,28 @@
             self._reading = answer.clock, now
         self._host.note_report()
 
+    def pace(self, run: _states.Run, percent: int) -> None:
+        """Let a run work at a share of its full speed."""
+        before, run.pace = run.pace, percent
+        outcome = self._calls.pace(
+            self.seat.record, self._token, run.task.id, run.number, percent
+        )
+        if (
+            isinstance(outcome, result.Success)
+            and outcome.unwrap().rejection is None
+        ):
+            return
+        # It is ordered again with the next plan.
+        run.pace = before
+        _LOG.info(
+            'pace not set',
+            extra={
+                'task': run.task.id,
+                'worker': run.worker,
+                'percent': percent,
+            },
+        )
+
     def stop(self, run: _states.Run) -> None:
         """Stop a run; the next report tells when it has ended."""
         run.state = _states.RunState.STOPPING
--- a/skylarktally/scheduling/_states.py
+++ b/skylarktally/scheduling/_states.py
@@ -36,6 +36,8 @@
     # As reported; a task that has just started is not at work yet.
     percent: int = 0
     load: int = 0
+    # Ordered, in per cent of full speed; None while that is not known.
+    pace: int | None = FULL_SPEED
     # When the answer to the last order on this run arrived.
     answered_at: datetime.timedelta | None = None
     # When the worker last reported the run.
@@ -143,6 +145,9 @@
     # No new runs until then, since the worker fails or does not answer.
     avoided_until: datetime.timedelta = _NONE
     failures: int = 0
+    # Pace that fillers are to have, in per cent, and since when.
+    filler_pace: int = FULL_SPEED
+    paced_at: datetime.timedelta = _NONE
     # Runs of the last report that have no use there; they take up room
     # until they have ended.
     unwanted: int = 0
--- /dev/null
+++ b/tests/test_pacing.py
@@ -0,0 +1,82 @@
+"""Guards served latencies against the tasks that fill (HARM)."""
+
+import pytest
+
+from skylarktally.scheduling import _pacing
+from tests import pools
+
+TARGET = pools.seconds(0.2)
+
+
+class Worker:
+    """A worker with one task that serves and two that fill."""
+
+    def __init__(self):
+        serving = pools.make_step(
+            1, is_long_running=True, latency_target=TARGET
+        )
+        filling = pools.make_step(2, is_long_running=True, is_filler=True)
+        jobs = [pools.make_job('a', serving), pools.make_job('b', filling)]
+        self.board = pools.make_board(pools.make_worker('w'), jobs=jobs)
+        self.seat = self.board.seats['w']
+        for job in jobs:
+            for task in job.groups[0, 0].tasks:
+                pools.run_task(self.board, task, 'w')
+        self.serving = jobs[0].groups[0, 0].tasks[0].run
+
+    def report(self, latency_ms, now):
+        """Take a report and carry out the orders that follow."""
+        self.serving.load = latency_ms
+        orders = _pacing.plan_paces(self.seat, pools.seconds(now))
+        for run, percent in orders:
+            run.pace = percent
+        return [percent for _, percent in orders]
+
+
+def test_fillers_are_held_within_the_time_that_harm_may_last():
+    """Replays fillers that double the latency of what they share with."""
+    worker = Worker()
+    now, paces = 1.0, []
+    while not paces or paces[-1]:
+        paces += worker.report(300, now)
+        now += 0.5
+    # 4 s of harm break the rule.
+    assert now < 3
+    assert worker.report(300, now) == []
+
+
+@pytest.mark.parametrize(
+    'latency_ms, expected', [(100, 60), (150, 40), (190, 20), (210, 0)]
+)
+def test_the_pace_follows_the_latency(latency_ms, expected):
+    worker = Worker()
+    worker.seat.filler_pace = 40
+    worker.report(latency_ms, 1.0)
+    assert worker.seat.filler_pace == expected
+
+
+def test_a_pace_is_judged_by_reports_of_its_own_time():
+    worker = Worker()
+    assert worker.report(300, 1.0) == [25, 25]
+    assert worker.report(300, 1.5) == []
+    assert worker.report(300, 1.8) == [0, 0]
+
+
+def test_fillers_regain_full_speed():
+    worker = Worker()
+    worker.seat.filler_pace = 0
+    for second in range(1, 7):
+        worker.report(50, second)
+    assert worker.seat.filler_pace == 100
+
+
+def test_a_filler_that_starts_later_gets_the_pace_of_the_others():
+    worker = Worker()
+    worker.report(300, 1.0)
+    late = pools.make_job(
+        'c', pools.make_step(1, is_long_running=True, is_filler=True)
+    )
+    worker.board.add_job(late, pools.seconds(1), pools.WALL)
+    run = pools.run_task(worker.board, late.groups[0, 0].tasks[0], 'w')
+    orders = _pacing.plan_paces(worker.seat, pools.seconds(1.2))
+    assert orders == [_pacing.Pace(run, 25)]
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -348,3 +348,24 @@
     fleet.silent.clear()
     pool.look()
     assert not fleet.workers[lost].active
+
+
+@pytest.mark.parametrize(
+    'fault, pace, percent',
+    [(None, 20, 20), (Fault.DROP, 100, 100), (Fault.LOSE, 100, 20)],
+)
+def test_a_pace_without_an_answer_is_ordered_again(
+    clock, fault, pace, percent
+):
+    """Guards fillers that are taken to be slow and are not (HARM)."""
+    fleet = leased_workers.WorkerFleet(clock)
+    fleet.add(pools.make_worker('w'))
+    pool = Pool(fleet, clock)
+    pool.look()
+    pool.add('a', pools.make_step(1, is_filler=True))
+    (run,) = pool.start()
+    fleet.faults = [fault]
+    pool.sessions['w'].pace(run, 20)
+    # What is believed differs from what is wanted, until it is confirmed.
+    assert run.pace == pace
+    assert fleet.workers['w'].active[run.task.id].percent == percent
