Ask for advice where a queue needs it, and start under its tickets

Cause: the starts of a queue with an advisor carried no ticket and would be rejected everywhere; such jobs never ran.

The address of the service is a setting of the entry.

Ruled out: asking about all workers at once, since the answer takes longer for each.

--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -59,6 +59,9 @@
                 platform.InstanceCalls(settings.instances_address),
                 layout,
                 platform.decode_job,
+                platform.AdvisorCalls(settings.advisor_address)
+                if settings.advisor_address
+                else None,
             ),
             self._directory,
             _requests.OwnerRequests(
--- a/skylarktally/entries/_settings.py
+++ b/skylarktally/entries/_settings.py
@@ -29,6 +29,8 @@
     instances_address: Annotated[str, _ADDRESS]
     # Time between the request to stop and the forced end of the process.
     stop_limit: Annotated[datetime.timedelta, _DELAY]
+    # The service that advises on workers; empty where there is none.
+    advisor_address: Annotated[str, _ADDRESS] = ''
     log_level: Annotated[
         str,
         _fields.Text(
--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -10,6 +10,7 @@
 from skylarktally import _loop
 from skylarktally.entries import _claims
 from skylarktally.entries import _directory
+from skylarktally.scheduling import _advice
 from skylarktally.scheduling import _archive
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _lending
@@ -41,6 +42,8 @@
     instances: _orders.Instances
     layout: _maintenance.Waves
     decode_job: _archive.JobDecoder
+    # None where no service advises on workers.
+    advisor: _advice.Advisor | None
 
 
 class Requests(Protocol):
@@ -197,6 +200,7 @@
             self._platform.workers,
             self._clock,
             self._platform.decode_job,
+            self._platform.advisor,
         )
         self._owners[shard] = owner
         configuration = self._directory.configuration
--- a/skylarktally/platform/__init__.py
+++ b/skylarktally/platform/__init__.py
@@ -1,5 +1,6 @@
 """Adapter of the platform: translates its names and protocols."""
 
+from skylarktally.platform._advisor import AdvisorCalls
 from skylarktally.platform._decoding import decode_job
 from skylarktally.platform._ingress import answer_readiness
 from skylarktally.platform._ingress import Ingress
@@ -9,6 +10,7 @@
 from skylarktally.platform._workers import WorkerCalls
 
 __all__ = [
+    'AdvisorCalls',
     'Ingress',
     'InstanceCalls',
     'PlatformLayout',
--- /dev/null
+++ b/skylarktally/platform/_advisor.py
@@ -0,0 +1,59 @@
+"""Calls to the platform's service that advises on workers."""
+
+import datetime
+
+from returns import result
+
+from skylarktally import _errors
+from skylarktally.platform import _decoding
+from skylarktally.platform import _http
+from skylarktally.scheduling import _advice
+from skylarktally.scheduling import _work
+
+ErrorKind = _errors.ErrorKind
+
+# Beyond the time that the service says it needs; other questions of this
+# entry are answered before.
+_MARGIN = datetime.timedelta(seconds=1)
+
+
+class AdvisorCalls:
+    """Client of the service."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._caller = _http.Caller(ErrorKind.PLATFORM_UNAVAILABLE)
+
+    def advise(
+        self,
+        step: _work.StepId,
+        workers: tuple[str, ...],
+        allowance: datetime.timedelta,
+    ) -> result.Result[_advice.Answer, _errors.Failure]:
+        """Return the workers that may run the step."""
+        body = {
+            # The name of the step, although the field is called an index.
+            'step_index': _decoding.format_step(step),
+            'worker_ids': list(workers),
+        }
+        outcome = self._caller.call(
+            'POST', self._address, '/-/advise', allowance + _MARGIN, body
+        )
+        return outcome.bind(_read_advice)
+
+
+def _read_advice(
+    answer: _http.Answer,
+) -> result.Result[_advice.Answer, _errors.Failure]:
+    if answer.status == 200:
+        try:
+            return result.Success(_decoding.decode_advice(answer.body))
+        except (KeyError, ValueError, TypeError) as error:
+            message = f'unreadable advice: {error!r}'
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            return result.Failure(_errors.Failure(kind, message))
+    kind = ErrorKind.PLATFORM_UNAVAILABLE
+    if answer.status == 429:
+        kind = ErrorKind.RATE_LIMITED
+    message = f'advice answered {answer.status}'
+    return result.Failure(_errors.Failure(kind, message))
--- a/skylarktally/platform/_decoding.py
+++ b/skylarktally/platform/_decoding.py
@@ -8,6 +8,7 @@
 import re
 from typing import Any
 
+from skylarktally.scheduling import _advice
 from skylarktally.scheduling import _work
 
 _RACK = re.compile(r'r\d+-\d+|r[\w-]*\d')
@@ -137,6 +138,27 @@
         stretch=_number(route.get('deadline_stretch', 1)),
         target_latency=_milliseconds(route.get('target_latency_ms', 0)),
         timeout=_milliseconds(route.get('timeout_ms', 0)),
+        advice=_decode_advice_policy(route.get('advisor')),
+    )
+
+
+def _decode_advice_policy(data: Any) -> _work.AdvicePolicy | None:
+    if not data:
+        return None
+    return _work.AdvicePolicy(
+        _milliseconds(data.get('decide_ms', 0)),
+        _milliseconds(data.get('each_ms', 0)),
+    )
+
+
+def decode_advice(data: dict[str, Any]) -> _advice.Answer:
+    """Decode the answer to a question about workers."""
+    return _advice.Answer(
+        tuple(
+            _advice.Permit(_text(worker), _text(ticket))
+            for worker, ticket in data['eligible_workers']
+        ),
+        _milliseconds(data['valid_ms']),
     )
 
 
@@ -203,6 +225,11 @@
     return f'{task.job}.{task.occurrence}.{task.step}.{task.ordinal}'
 
 
+def format_step(step: _work.StepId) -> str:
+    """Return the name of a step on the wire."""
+    return f'{step.job}.{step.occurrence}.{step.step}'
+
+
 def parse_task(name: str) -> _work.TaskId:
     """Return the task of a name on the wire."""
     job, occurrence, step, ordinal = name.split('.')
--- a/skylarktally/platform/_workers.py
+++ b/skylarktally/platform/_workers.py
@@ -64,6 +64,8 @@
         }
         if order.checkpoint:
             body['checkpoint'] = order.checkpoint
+        if order.ticket:
+            body['ticket_id'] = order.ticket
         return self._order(worker, '/-/run-start', body)
 
     def stop(
--- a/skylarktally/scheduling/_orders.py
+++ b/skylarktally/scheduling/_orders.py
@@ -46,6 +46,8 @@
     # End of the lease on the clock of the worker.
     until: datetime.timedelta
     checkpoint: str
+    # Proves that the worker may run the step, where advice is asked for.
+    ticket: str = ''
 
 
 class HoldOrder(NamedTuple):
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -11,6 +11,7 @@
 from skylarktally import _errors
 from skylarktally import _loop
 from skylarktally.scheduling import _admission
+from skylarktally.scheduling import _advice
 from skylarktally.scheduling import _archive
 from skylarktally.scheduling import _board
 from skylarktally.scheduling import _ledger
@@ -32,6 +33,8 @@
 _PLAN_INTERVAL = datetime.timedelta(seconds=0.25)
 # Workers get this long to report to a new owner before it plans.
 _REPORT_LIMIT = datetime.timedelta(seconds=0.5)
+_ADVICE_POLL = datetime.timedelta(seconds=0.05)
+_ADVICE_RETRY_DELAY = datetime.timedelta(seconds=0.2)
 _REPORT_POLL = datetime.timedelta(seconds=0.02)
 
 Shown = result.Result[_work.JobState, _errors.Failure]
@@ -66,8 +69,10 @@
         calls: _orders.Workers,
         clock: _clock.Clock,
         decode_job: _archive.JobDecoder,
+        advisor: _advice.Advisor | None = None,
     ) -> None:
         self.ledger = ledger
+        self._advisor = advisor
         # Numbers of runs rise from term to term; 1000 starts of one task
         # in a term are out of reach.
         first = (ledger.generation - 1) * 1000 + 1
@@ -130,12 +135,44 @@
                 'workers': len(self.board.seats),
             },
         )
+        if self._advisor is not None:
+            _loop.spawn_guarded(self._ask_advice, self._advisor)
         while not self.ledger.is_over:
             self._signal.wait(_PLAN_INTERVAL)
             self._roster.sync(workers())
             if self.ledger.may_order():
                 self._plan()
 
+    def _ask_advice(self, advisor: _advice.Advisor) -> None:
+        """Ask which workers may run the steps that wait, one by one."""
+        while not self.ledger.is_over:
+            now = self._clock.monotonic()
+            question = _advice.choose_question(
+                _planning.rank_groups(self.board, now),
+                self.board.seats.values(),
+                now,
+            )
+            if question is None:
+                self._clock.sleep(_ADVICE_POLL)
+                continue
+            outcome = advisor.advise(
+                question.group.id,
+                tuple(record.id for record in question.workers),
+                question.allowance,
+            )
+            if isinstance(outcome, result.Success):
+                _advice.note_answer(question, outcome.unwrap(), now)
+                self._signal.set()
+            else:
+                _LOG.info(
+                    'no advice',
+                    extra={
+                        'step': question.group.id,
+                        'failure': outcome.failure().kind.value,
+                    },
+                )
+                self._clock.sleep(_ADVICE_RETRY_DELAY)
+
     def _await_reports(self) -> None:
         """Give the workers time to report what they run."""
         limit = self._clock.monotonic() + _REPORT_LIMIT
--- a/skylarktally/scheduling/_placing.py
+++ b/skylarktally/scheduling/_placing.py
@@ -4,6 +4,7 @@
 import datetime
 from typing import NamedTuple
 
+from skylarktally.scheduling import _advice
 from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 
@@ -27,6 +28,7 @@
             if seat.is_open and seat.avoided_until <= now
         }
         self._spread: dict[tuple[_states.Group, str], int] = {}
+        self._now = now
 
     def place(self, task: _states.Task) -> Placement | None:
         """Take room for the task where it is best placed, if anywhere."""
@@ -51,6 +53,8 @@
         step = group.step
         if step.required_label not in ('', *seat.record.labels):
             return False
+        if _advice.find_ticket(group, seat, self._now) is None:
+            return False
         most = step.tasks_per_worker
         return not most or self._count(group, seat) < most
 
--- a/skylarktally/scheduling/_planning.py
+++ b/skylarktally/scheduling/_planning.py
@@ -21,20 +21,25 @@
     board: _board.Board, now: datetime.timedelta
 ) -> list[_placing.Placement]:
     """Return the tasks to start now, with their workers."""
-    ranked = sorted(
-        (
-            (_ordering.rank(group, now), id(group), group)
-            for group in board.open_groups
-        ),
-    )
     sketch = _placing.Sketch(board.seats.values(), now)
     placements: list[_placing.Placement] = []
-    for _, _, group in ranked:
+    for group in rank_groups(board, now):
         waiting = board.list_waiting(group, now)
         placements.extend(_placing.place_group(sketch, group, waiting))
     return placements
 
 
+def rank_groups(
+    board: _board.Board, now: datetime.timedelta
+) -> list[_states.Group]:
+    """Return the open groups in the order in which they are placed."""
+    ranked = sorted(
+        (_ordering.rank(group, now), id(group), group)
+        for group in board.open_groups
+    )
+    return [group for _, _, group in ranked]
+
+
 def plan_stops(
     board: _board.Board, now: datetime.timedelta
 ) -> list[_states.Run]:
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -13,6 +13,7 @@
 from skylarktally import _clock
 from skylarktally import _errors
 from skylarktally import _loop
+from skylarktally.scheduling import _advice
 from skylarktally.scheduling import _board
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _orders
@@ -289,12 +290,15 @@
             self._host.board.remove_run(run)
             return
         task = run.task
+        group = task.group
+        now = self._clock.monotonic()
         order = _orders.StartOrder(
             task.id,
             run.number,
             task.group.job.spec.task_spec,
             until,
             task.checkpoint,
+            _advice.find_ticket(group, self.seat, now) or '',
         )
         outcome = self._calls.start(self.seat.record, self._token, order)
         if run.task.run is not run:
@@ -334,7 +338,10 @@
             },
         )
         self._host.board.remove_run(run)
-        if answer.rejection is not _orders.Rejection.OLD:
+        if answer.rejection is _orders.Rejection.TICKET:
+            # Another one is asked for.
+            run.task.group.permits.pop(run.worker, None)
+        elif answer.rejection is not _orders.Rejection.OLD:
             self.seat.avoided_until = now + _AVOID
         if answer.clock is not None:
             self._reading = answer.clock, now
--- a/skylarktally/scheduling/_states.py
+++ b/skylarktally/scheduling/_states.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime
 import enum
+from typing import NamedTuple
 
 from skylarktally.scheduling import _work
 
@@ -70,6 +71,16 @@
         )
 
 
+class Permission(NamedTuple):
+    """What advice says of a worker and a step."""
+
+    # The life of the worker that it holds for.
+    born_ms: int
+    # Empty if the worker may not run the step.
+    ticket: str
+    until: datetime.timedelta
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Group:
     """The tasks of one step in one occurrence of a job."""
@@ -82,6 +93,13 @@
     remaining: int = 0
     # Tasks of the group on each worker.
     spread: dict[str, int] = dataclasses.field(default_factory=dict)
+    # Advice by worker, where the queue asks for it.
+    permits: dict[str, Permission] = dataclasses.field(default_factory=dict)
+
+    @property
+    def id(self) -> _work.StepId:
+        """Name of the step."""
+        return _work.StepId(self.job.id, self.occurrence, self.position)
 
     @property
     def key(self) -> tuple[int, int]:
--- a/skylarktally/scheduling/_work.py
+++ b/skylarktally/scheduling/_work.py
@@ -81,6 +81,14 @@
     occurrences: int = 1
 
 
+class AdvicePolicy(NamedTuple):
+    """How long the advice on the workers of a step takes."""
+
+    decision_time: datetime.timedelta
+    # For each worker that is asked about.
+    worker_time: datetime.timedelta
+
+
 class Queue(NamedTuple):
     """A queue of jobs and its policy in the configuration."""
 
@@ -96,6 +104,8 @@
     stretch: float
     target_latency: datetime.timedelta
     timeout: datetime.timedelta
+    # Set where only some workers may run a step, which a service knows.
+    advice: AdvicePolicy | None = None
 
 
 class Pool(NamedTuple):
@@ -143,6 +153,14 @@
     ordinal: int
 
 
+class StepId(NamedTuple):
+    """Name of a step of a job."""
+
+    job: str
+    occurrence: int
+    step: int
+
+
 class JobState(enum.Enum):
     """State of a job as callers see it."""
 
--- a/tests/pools.py
+++ b/tests/pools.py
@@ -20,7 +20,9 @@
     )
 
 
-def make_queue(name='q', priority=0, attempts=2, stretch=1.6, target=0.6):
+def make_queue(
+    name='q', priority=0, attempts=2, stretch=1.6, target=0.6, advice=None
+):
     return _work.Queue(
         name,
         'host',
@@ -31,6 +33,7 @@
         stretch,
         seconds(target),
         seconds(3),
+        advice,
     )
 
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -39,6 +39,7 @@
             self.fleet.add(pools.make_worker(name))
         self.queue = pools.make_queue()
         self.owners = []
+        self.advisor = None
 
     def begin(self, former_workers=(), generation_of_suspects=None):
         """Claim the pool and return its new owner."""
@@ -54,7 +55,12 @@
             self.table, self.clock, 'pool', term, row.version if row else 0
         ).unwrap()
         owner = _owner.PoolOwner(
-            ledger, self.table, self.fleet, self.clock, platform.decode_job
+            ledger,
+            self.table,
+            self.fleet,
+            self.clock,
+            platform.decode_job,
+            self.advisor,
         )
         now = self.clock.monotonic()
         workers = {
