Claim shards side by side, and count arrivals when they come

The store answered in 0.3 to 0.8 s from 12 s on, while entries were stopped in turn. * An entry claimed vacant shards one after the other, each claim for as long as the store took. Two pools had no owner for 0.7 s longer than needed. * A claim that was on its way when the entry was stopped succeeded (15.02 s), and the pool began its work in a process that was about to end. * Jobs counted as arrivals when they were stored: at 15.9 s the forecast said 2,285 cores, since the store had answered for many at once; 25 instances were moved to a pool that used 7.

Change: claims are made side by side; one that succeeds after a stop is released at once. A job counts as an arrival when it is handed in.

--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -175,12 +175,7 @@
     def _stop(self) -> None:
         """Hand over the shards and finish what is in progress."""
         begin = self._clock.monotonic()
-        ledgers = self._shards.list_ledgers()
-        _LOG.info(
-            'stopping', extra={'shards': [item.shard for item in ledgers]}
-        )
-        for ledger in ledgers:
-            ledger.release()
+        _LOG.info('stopping', extra={'shards': self._shards.release_all()})
         end = begin + self._settings.stop_limit - _STOP_MARGIN
         while self._clock.monotonic() < end:
             spent = self._clock.monotonic() - begin
--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -75,19 +75,34 @@
         self._started_at = clock.monotonic()
         self._owners: dict[str, _owner.PoolOwner] = {}
         self._maintenance: _maintenance.Maintenance | None = None
+        # Shards whose claim is on its way.
+        self._claiming: set[str] = set()
+        self._is_stopping = False
+
+    def release_all(self) -> list[str]:
+        """Give up all shards, and return them."""
+        self._is_stopping = True
+        ledgers = self.list_ledgers()
+        for ledger in ledgers:
+            ledger.release()
+        return [ledger.shard for ledger in ledgers]
 
     def list_ledgers(self) -> list[_ledger.Ledger]:
+        """Return the ledgers of the terms that this entry holds."""
         ledgers = [owner.ledger for owner in self._owners.values()]
         if self._maintenance is not None:
             ledgers.append(self._maintenance.ledger)
         return ledgers
 
     def claim_vacant(self) -> None:
-        """Claim shards that have been without an owner for long enough."""
+        """Claim shards that have been without an owner for long enough.
+
+        Claims are made side by side, since the store may answer late.
+        """
         directory = self._directory
         configuration = directory.configuration
         read_at = directory.terms_read_at
-        if configuration is None or read_at is None:
+        if self._is_stopping or configuration is None or read_at is None:
             return
         if directory.workers_known_since is None:
             return
@@ -95,12 +110,12 @@
         now = self._clock.monotonic()
         shards = [pool.name for pool in configuration.pools]
         for shard in (*shards, _maintenance.SHARD):
-            if self._owns(shard):
+            if self._owns(shard) or shard in self._claiming:
                 continue
             claimant = _claims.Claimant(
                 self._identity.name,
                 self._identity.incarnation,
-                len(self.list_ledgers()),
+                len(self.list_ledgers()) + len(self._claiming),
             )
             vacancy = _claims.find_vacancy(
                 directory.tenures.get(shard),
@@ -114,7 +129,14 @@
             delay = _claims.find_delay(claimant, shard, vacancy)
             # The vacancy must show in a read after the delay.
             if vacancy.since + delay <= min(now, read_at):
-                self._claim(shard, vacancy)
+                self._claiming.add(shard)
+                _loop.spawn_guarded(self._try_claim, shard, vacancy)
+
+    def _try_claim(self, shard: str, vacancy: _claims.Vacancy) -> None:
+        try:
+            self._claim(shard, vacancy)
+        finally:
+            self._claiming.discard(shard)
 
     def _owns(self, shard: str) -> bool:
         if shard == _maintenance.SHARD:
@@ -167,6 +189,10 @@
             },
         )
         self._directory.note_term(shard, term, ledger.token)
+        if self._is_stopping:
+            ledger.release()
+            _loop.spawn_guarded(ledger.run)
+            return
         self._begin(shard, ledger, former)
 
     def _begin(
--- a/skylarktally/scheduling/_board.py
+++ b/skylarktally/scheduling/_board.py
@@ -51,12 +51,20 @@
         """Take a job that is stored."""
         job.chain = _states.find_chain(job.spec)
         self._note_width(job.spec)
-        if job.restored is None and job.spec.first_run is None:
-            self.arrivals.note(now, self._measure_work(job.spec))
         self.jobs[job.id] = job
         if not job.is_final:
             self.release(job, wall)
 
+    def note_arrival(
+        self, spec: _work.JobSpec, now: datetime.timedelta
+    ) -> None:
+        """Note that a job is handed in, before it is stored.
+
+        A store that answers late then makes no burst of what it stores.
+        """
+        if spec.first_run is None:
+            self.arrivals.note(now, self._measure_work(spec))
+
     def _note_width(self, spec: _work.JobSpec) -> None:
         widths = [
             step.task_count * self.weigh(step)
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -309,6 +309,7 @@
                 kind, refusal.reason, refusal.retry_after
             )
             return result.Failure(failure)
+        self.board.note_arrival(spec, self._clock.monotonic())
         fate = self._accept(submission, spec)
         if fate is _ledger.Fate.DROPPED:
             self._resolve(id_, fate)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -26,6 +26,9 @@
 BODY = json.dumps(
     {'task_spec': 's', 'steps': [{'task_count': 2, 'estimate_ms': 500}]}
 ).encode()
+LOAD = json.dumps(
+    {'steps': [{'task_count': 2, 'cpu': 1000, 'estimate_ms': 500}]}
+).encode()
 
 
 class Deployment:
@@ -295,3 +298,23 @@
     assert job.queue.attempt_limit == expected.attempt_limit
     assert job.queue.stretch == expected.stretch
     assert job.queue.target_latency == expected.target_latency
+
+
+def test_arrivals_are_counted_when_they_come(deployment):
+    """Replays a store that answers late and then stores many jobs at once.
+
+    The rate of the moment in which they were stored moved 25 instances.
+    """
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    deployment.table.is_down = True
+    threads = []
+    for number in range(5):
+        job = f'{number:016x}'
+        threads.append(_loop.spawn(deployment.submit, owner, job, LOAD))
+        _loop.sleep(0.1)
+    before = owner.board.arrivals.forecast(deployment.clock.monotonic())
+    deployment.table.is_down = False
+    assert [thread.wait() for thread in threads] == [result.Success(None)] * 5
+    after = owner.board.arrivals.forecast(deployment.clock.monotonic())
+    assert 0 < after <= before
--- /dev/null
+++ b/tests/test_shards.py
@@ -0,0 +1,131 @@
+"""Guards claims of shards: side by side, and none after a stop."""
+
+import pytest
+from returns import result
+
+from skylarktally import _clock
+from skylarktally import _loop
+from skylarktally.entries import _directory
+from skylarktally.entries import _shards
+from skylarktally import platform
+from skylarktally.scheduling import _records
+from skylarktally.scheduling import _work
+from standins import leased_workers
+from standins import rows
+from tests import pools
+
+POOLS = ('a', 'b', 'c', 'd')
+LATENCY = 0.1
+
+
+class Instances:
+    """A platform without instances."""
+
+    def list_instances(self):
+        return result.Success(())
+
+
+class Requests:
+    """Owners of pools that do not answer."""
+
+    def vacate(self, pool, worker):
+        return False
+
+    def measure(self, pool, lendable):
+        return None
+
+
+class Entry:
+    """The shards of one entry, over a table that answers late."""
+
+    def __init__(self):
+        self.clock = _clock.SystemClock()
+        self.table = rows.RowTable()
+        commit = self.table.commit
+
+        def commit_late(transaction):
+            _loop.sleep(LATENCY)
+            return commit(transaction)
+
+        self.table.commit = commit_late
+        layout = platform.PlatformLayout()
+        self.directory = _directory.Directory(self.table, layout, self.clock)
+        self.directory.configuration = _work.Configuration(
+            1, (), tuple(_work.Pool(name, False) for name in POOLS), 1000
+        )
+        self.directory.workers_known_since = self.clock.monotonic()
+        self.shards = _shards.Shards(
+            _shards.Identity('me', 'me:1', 'life'),
+            _shards.Platform(
+                self.table,
+                leased_workers.WorkerFleet(self.clock),
+                Instances(),
+                layout,
+                platform.decode_job,
+                None,
+            ),
+            self.directory,
+            Requests(),
+            self.clock,
+        )
+
+    def claim_until(self, check):
+        with _loop.Timeout(3):
+            while not check():
+                self.directory.refresh_terms()
+                self.shards.claim_vacant()
+                _loop.sleep(0.01)
+
+    def find_term(self, shard):
+        row = self.table.rows.get(_records.place_term(shard))
+        return row and _records.decode_term(row.value)
+
+
+@pytest.fixture
+def entry():
+    entry = Entry()
+    # A first start leaves the shards to others for some time.
+    for shard in ('', *POOLS):
+        term = _records.Term('gone', 'gone:1', 'life', 1, 0, is_released=True)
+        value = _records.encode_term(term)
+        entry.table.put(_records.place_term(shard), value)
+    yield entry
+    for ledger in entry.shards.list_ledgers():
+        ledger.end()
+    _loop.sleep(0)
+
+
+def test_shards_are_claimed_side_by_side(entry):
+    """Guards pools that wait for each other's claims in a slow store."""
+    begin = entry.clock.monotonic()
+    entry.claim_until(lambda: len(entry.shards.list_ledgers()) == 5)
+    spent = entry.clock.monotonic() - begin
+    # The last one is left to others for up to 0.5 s; a claim after the
+    # other would take as long as all of them.
+    assert spent < pools.seconds(0.5 + 3 * LATENCY)
+
+
+def test_a_claim_that_succeeds_after_the_stop_is_given_up(entry):
+    """Replays a stop during a claim.
+
+    The pool began its work in a process that was about to end.
+    """
+    claiming = _loop.spawn(
+        entry.claim_until, lambda: entry.shards._claiming != set()
+    )
+    claiming.wait()
+    assert entry.shards.release_all() == []
+    _loop.sleep(4 * LATENCY)
+    assert entry.shards.list_ledgers() == []
+    terms = [entry.find_term(shard) for shard in ('', *POOLS)]
+    assert any(term.generation == 2 for term in terms)
+    assert all(term.is_released for term in terms)
+
+
+def test_nothing_is_claimed_after_the_stop(entry):
+    entry.shards.release_all()
+    for _ in range(30):
+        entry.directory.refresh_terms()
+        entry.shards.claim_vacant()
+        _loop.sleep(0.02)
+    assert all(entry.find_term(shard).generation == 1 for shard in POOLS)
