Read less often without pools, and free tasks once a worker reports

Read by read (the directory) they need neither fresh workers nor terms every 0.35 s. Reading less often made an old fault worse: a new owner that did not yet list a worker took it for silent, and barred all tasks of stored jobs for 6.6 s; it did not free them when the worker reported a moment later.

Change: an entry without pools reads workers every 2 s and terms every 0.7 s, and workers at once when it becomes an owner. A new owner waits up to 0.15 s for workers that are not listed, and frees tasks as soon as no silent worker may run them. Workers lost later bar only what they ran.

The owner and the session had grown above 400 lines: succession and bars, questions for advice, and the comparison of reports are modules of their own now (moved, not changed, but for the bars).

--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -15,6 +15,7 @@
 from skylarktally import _loop
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _rows
+from skylarktally.scheduling import _signals
 from skylarktally.scheduling import _work
 
 _LOG = logging.getLogger(__name__)
@@ -26,6 +27,11 @@
 # next change would return at once.
 _WORKERS_INTERVAL = datetime.timedelta(seconds=0.4)
 _TERMS_INTERVAL = datetime.timedelta(seconds=0.35)
+# An entry that owns no pool reads less often, so that the load of the store
+# does not grow with the number of entries. Terms are still read without a
+# gap in which a renewal could be missed.
+_IDLE_WORKERS_INTERVAL = datetime.timedelta(seconds=2)
+_IDLE_TERMS_INTERVAL = datetime.timedelta(seconds=0.7)
 # Reads of the terms that are further apart tell nothing of their holders.
 _LONGEST_GAP = datetime.timedelta(seconds=1.2)
 _RETRY_DELAY = datetime.timedelta(seconds=0.15)
@@ -93,6 +99,8 @@
         self._layout = layout
         self._clock = clock
         self._refreshing = False
+        self._owns_pools = False
+        self._waking = _signals.Signal()
         self._terms_version: int | None = None
 
     def start(self) -> None:
@@ -102,7 +110,7 @@
             self._follow,
             layout.operator_table,
             _CONFIGURATION_WAIT,
-            _NO_WAIT,
+            lambda: None,
             self._reset_operator,
             self._apply_operator,
         )
@@ -110,12 +118,18 @@
             self._follow,
             layout.workers_table,
             _NO_WAIT,
-            _WORKERS_INTERVAL,
+            self._await_workers,
             self._reset_workers,
             self._apply_worker,
         )
         _loop.spawn_guarded(self._poll_terms)
 
+    def note_ownership(self, owns_pools: bool) -> None:
+        """Note whether this entry owns pools, and needs fresh rows."""
+        if owns_pools and not self._owns_pools:
+            self._waking.set()
+        self._owns_pools = owns_pools
+
     def list_workers(self, pool: str) -> dict[str, _work.WorkerRecord]:
         """Return the workers of a pool by id."""
         return {
@@ -146,7 +160,7 @@
         self,
         table: str,
         wait: datetime.timedelta,
-        interval: datetime.timedelta,
+        pause: Callable[[], None],
         reset: Callable[[], None],
         apply: Callable[[_rows.Row], None],
     ) -> None:
@@ -178,8 +192,14 @@
             for row in changes.rows:
                 apply(row)
             version = changes.version
-            if interval:
-                self._clock.sleep(interval)
+            pause()
+
+    def _await_workers(self) -> None:
+        """Wait until the workers are to be read again."""
+        if self._owns_pools:
+            self._clock.sleep(_WORKERS_INTERVAL)
+        else:
+            self._waking.wait(_IDLE_WORKERS_INTERVAL)
 
     def _reset_operator(self) -> None:
         self.waves = {}
@@ -248,7 +268,9 @@
     def _poll_terms(self) -> None:
         while True:
             self.refresh_terms()
-            self._clock.sleep(_TERMS_INTERVAL)
+            self._clock.sleep(
+                _TERMS_INTERVAL if self._owns_pools else _IDLE_TERMS_INTERVAL
+            )
 
     def refresh_terms(self) -> bool:
         """Read the changes of all terms; False without an answer."""
--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -1,6 +1,5 @@
 """Shards that an entry owns: claiming them and running their owners."""
 
-import datetime
 import logging
 from typing import NamedTuple, Protocol
 
@@ -20,7 +19,7 @@
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _roster
 from skylarktally.scheduling import _rows
-from skylarktally.scheduling import _sessions
+from skylarktally.scheduling import _successions
 
 _LOG = logging.getLogger(__name__)
 
@@ -107,6 +106,7 @@
         if directory.workers_known_since is None:
             return
         self._drop_ended()
+        directory.note_ownership(bool(self._owners))
         now = self._clock.monotonic()
         shards = [pool.name for pool in configuration.pools]
         for shard in (*shards, _maintenance.SHARD):
@@ -229,6 +229,7 @@
             self._platform.advisor,
         )
         self._owners[shard] = owner
+        self._directory.note_ownership(True)
         configuration = self._directory.configuration
         queues = configuration.queues if configuration is not None else ()
         _loop.spawn_guarded(
@@ -240,12 +241,14 @@
 
     def _describe_succession(
         self, shard: str, former: _directory.Tenure | None
-    ) -> _owner.Succession:
+    ) -> _successions.Succession:
         suspects: dict[str, _roster.Suspicion] = {}
         if former is not None:
             now = self._clock.monotonic()
-            suspects = find_suspects(former.term, former.seen_at, now)
-        return _owner.Succession(
+            suspects = _successions.find_suspects(
+                former.term, former.seen_at, now
+            )
+        return _successions.Succession(
             suspects, self._directory.list_departed(shard)
         )
 
@@ -255,24 +258,3 @@
         if owner is None or owner.ledger.is_over:
             return None
         return owner
-
-
-def find_suspects(
-    term: _records.Term, seen_at: datetime.timedelta, now: datetime.timedelta
-) -> dict[str, _roster.Suspicion]:
-    """Return the workers that may hold leases of a term that is over.
-
-    :param seen_at: when the row of the term was first seen as it is
-    """
-    last_order_at = min(now, seen_at + _ledger.HOLD_LIMIT)
-    lapse_at = _sessions.find_lapse(last_order_at)
-    suspects = {
-        worker: _roster.Suspicion(lapse_at, term.generation)
-        for worker in term.workers
-    }
-    for suspect in term.suspects:
-        remaining = datetime.timedelta(milliseconds=suspect.remaining_ms)
-        suspects[suspect.worker] = _roster.Suspicion(
-            seen_at + remaining, suspect.generation
-        )
-    return suspects
--- /dev/null
+++ b/skylarktally/scheduling/_inquiries.py
@@ -0,0 +1,64 @@
+"""Questions of an owner to the service that advises on workers."""
+
+import datetime
+import logging
+
+from returns import result
+
+from skylarktally import _clock
+from skylarktally.scheduling import _advice
+from skylarktally.scheduling import _planning
+from skylarktally.scheduling import _sessions
+
+_LOG = logging.getLogger(__name__)
+
+_POLL = datetime.timedelta(seconds=0.05)
+_RETRY_DELAY = datetime.timedelta(seconds=0.2)
+
+
+class Inquiry:
+    """Asks which workers may run the steps that wait, one by one."""
+
+    def __init__(
+        self,
+        host: _sessions.Host,
+        advisor: _advice.Advisor,
+        clock: _clock.Clock,
+    ) -> None:
+        self._host = host
+        self._advisor = advisor
+        self._clock = clock
+
+    def run(self) -> None:
+        """Ask until the term of the owner ends."""
+        while not self._host.ledger.is_over:
+            if not self._ask():
+                self._clock.sleep(_POLL)
+
+    def _ask(self) -> bool:
+        """Ask the most urgent question; False if there is none."""
+        board = self._host.board
+        now = self._clock.monotonic()
+        question = _advice.choose_question(
+            _planning.rank_groups(board, now), board.seats.values(), now
+        )
+        if question is None:
+            return False
+        outcome = self._advisor.advise(
+            question.group.id,
+            tuple(record.id for record in question.workers),
+            question.allowance,
+        )
+        if isinstance(outcome, result.Success):
+            _advice.note_answer(question, outcome.unwrap(), now)
+            self._host.note_report()
+            return True
+        _LOG.info(
+            'no advice',
+            extra={
+                'step': question.group.id,
+                'failure': outcome.failure().kind.value,
+            },
+        )
+        self._clock.sleep(_RETRY_DELAY)
+        return True
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -1,6 +1,6 @@
 """The owner of a pool: accepts its jobs and runs them on its workers."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 import datetime
 import logging
 from typing import Any, NamedTuple
@@ -14,6 +14,7 @@
 from skylarktally.scheduling import _advice
 from skylarktally.scheduling import _archive
 from skylarktally.scheduling import _board
+from skylarktally.scheduling import _inquiries
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _lending
 from skylarktally.scheduling import _orders
@@ -24,6 +25,7 @@
 from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _signals
 from skylarktally.scheduling import _states
+from skylarktally.scheduling import _successions
 from skylarktally.scheduling import _work
 
 _LOG = logging.getLogger(__name__)
@@ -33,8 +35,8 @@
 _PLAN_INTERVAL = datetime.timedelta(seconds=0.25)
 # Workers get this long to report to a new owner before it plans.
 _REPORT_LIMIT = datetime.timedelta(seconds=0.5)
-_ADVICE_POLL = datetime.timedelta(seconds=0.05)
-_ADVICE_RETRY_DELAY = datetime.timedelta(seconds=0.2)
+# The list of workers is read again within this.
+_LISTING_LIMIT = datetime.timedelta(seconds=0.15)
 _REPORT_POLL = datetime.timedelta(seconds=0.02)
 
 Shown = result.Result[_work.JobState, _errors.Failure]
@@ -50,15 +52,6 @@
     timeout: datetime.timedelta
 
 
-class Succession(NamedTuple):
-    """What a new owner knows of the time of the former one."""
-
-    # Workers that may hold a lease, by the last term that was stored.
-    suspects: Mapping[str, _roster.Suspicion]
-    # Workers that have vanished lately, with their addresses.
-    departed: Mapping[str, _work.WorkerRecord]
-
-
 class PoolOwner:
     """Schedules the jobs of one pool for the time of one term."""
 
@@ -86,6 +79,10 @@
         self._roster = _roster.Roster(self, calls, clock)
         self._accepting: dict[str, _loop.Event] = {}
         self._signal = _signals.Signal()
+        # Jobs of earlier owners whose tasks silent workers may run, and
+        # these workers.
+        self._bars: _successions.Bars | None = None
+        self._silent: set[str] = set()
         ledger.attach(self)
 
     # Life of the owner.
@@ -94,7 +91,7 @@
         self,
         queues: Mapping[str, _work.Queue],
         workers: Callable[[], Mapping[str, _work.WorkerRecord]],
-        succession: Succession,
+        succession: _successions.Succession,
     ) -> None:
         """Load the pool, learn what runs, and schedule until the end."""
         # Before the first write, which must not drop their names.
@@ -111,7 +108,7 @@
         self,
         queues: Mapping[str, _work.Queue],
         workers: Callable[[], Mapping[str, _work.WorkerRecord]],
-        succession: Succession,
+        succession: _successions.Succession,
     ) -> None:
         if not self._archive.load(queues):
             return
@@ -120,12 +117,16 @@
             for id_, record in succession.departed.items()
             if id_ in succession.suspects
         }
-        self._roster.sync({**departed, **workers()})
+
+        def list_all() -> Mapping[str, _work.WorkerRecord]:
+            return {**departed, **workers()}
+
+        self._roster.sync(list_all())
         loaded = list(self.board.jobs.values())
         # Jobs are accepted while the workers are asked what they run.
         self.is_ready = True
-        self._await_reports()
-        self._bar_unknown(loaded)
+        self._await_reports(list_all)
+        self._bars = _successions.Bars(loaded)
         _LOG.info(
             'owner ready',
             extra={
@@ -136,68 +137,56 @@
             },
         )
         if self._advisor is not None:
-            _loop.spawn_guarded(self._ask_advice, self._advisor)
+            inquiry = _inquiries.Inquiry(self, self._advisor, self._clock)
+            _loop.spawn_guarded(inquiry.run)
         while not self.ledger.is_over:
             self._signal.wait(_PLAN_INTERVAL)
             self._roster.sync(workers())
+            self._bar_unknown()
             if self.ledger.may_order():
                 self._plan()
 
-    def _ask_advice(self, advisor: _advice.Advisor) -> None:
-        """Ask which workers may run the steps that wait, one by one."""
+    def _await_reports(
+        self, workers: Callable[[], Mapping[str, _work.WorkerRecord]]
+    ) -> None:
+        """Give the workers time to be listed and to report what they run."""
+        begin = self._clock.monotonic()
         while not self.ledger.is_over:
-            now = self._clock.monotonic()
-            question = _advice.choose_question(
-                _planning.rank_groups(self.board, now),
-                self.board.seats.values(),
-                now,
-            )
-            if question is None:
-                self._clock.sleep(_ADVICE_POLL)
-                continue
-            outcome = advisor.advise(
-                question.group.id,
-                tuple(record.id for record in question.workers),
-                question.allowance,
-            )
-            if isinstance(outcome, result.Success):
-                _advice.note_answer(question, outcome.unwrap(), now)
-                self._signal.set()
-            else:
-                _LOG.info(
-                    'no advice',
-                    extra={
-                        'step': question.group.id,
-                        'failure': outcome.failure().kind.value,
-                    },
-                )
-                self._clock.sleep(_ADVICE_RETRY_DELAY)
-
-    def _await_reports(self) -> None:
-        """Give the workers time to report what they run."""
-        limit = self._clock.monotonic() + _REPORT_LIMIT
-        while self._clock.monotonic() < limit and not self.ledger.is_over:
-            if self._roster.have_reported():
+            self._roster.sync(workers())
+            if not self._roster.list_silent():
+                return
+            spent = self._clock.monotonic() - begin
+            is_listed = spent >= _LISTING_LIMIT
+            if is_listed and self._roster.have_reported():
+                return
+            if spent >= _REPORT_LIMIT:
                 return
             self._clock.sleep(_REPORT_POLL)
 
-    def _bar_unknown(self, jobs: list[_states.Job]) -> None:
+    def _bar_unknown(self) -> None:
         """Bar tasks that may run on workers that have not reported."""
-        silent = self._roster.list_silent()
-        barred = [job for job in jobs if _bar(job, silent.values())]
-        if not barred:
+        if self._bars is None:
             return
-        now = self._clock.monotonic()
-        longest = max(job.barred_until for job in barred) - now
+        # Tasks of workers that were lost since are barred by themselves.
+        silent = {
+            id_: suspicion
+            for id_, suspicion in self._roster.list_silent().items()
+            if suspicion.generation < self.ledger.generation
+        }
+        if silent.keys() == self._silent:
+            return
+        self._silent = set(silent)
+        barred = self._bars.update(silent.values())
         _LOG.info(
-            'tasks barred',
+            'tasks barred' if barred else 'no task barred any more',
             extra={
                 'shard': self.ledger.shard,
                 'silent': list(silent),
-                'jobs': len(barred),
-                'seconds': longest.total_seconds(),
+                'jobs': barred,
             },
         )
+        if not barred:
+            self._bars = None
 
     def _end(self) -> None:
         self._roster.end()
@@ -392,23 +381,6 @@
         return self.board.count_queued(queue)
 
 
-def _bar(job: _states.Job, silent: Iterable[_roster.Suspicion]) -> bool:
-    """Bar the tasks of a job for as long as a silent worker may run them."""
-    lapses = [
-        suspicion.lapse_at
-        for suspicion in silent
-        if suspicion.generation >= job.generation
-    ]
-    if not lapses:
-        return False
-    job.barred_until = max(lapses)
-    for group in job.groups.values():
-        for task in group.tasks:
-            if task.run is None:
-                task.barred_until = job.barred_until
-    return True
-
-
 def _answer_fate(
     fate: _ledger.Fate,
 ) -> result.Result[None, _errors.Failure]:
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -17,6 +17,7 @@
 from skylarktally.scheduling import _board
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _orders
+from skylarktally.scheduling import _reports
 from skylarktally.scheduling import _signals
 from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
@@ -206,7 +207,11 @@
         for end in ended:
             self._note_health(end, now)
             self._host.board.note_end(self.seat.record.id, end)
-        self._compare(report, sent_at, now)
+        unwanted = _reports.compare(
+            self._host.board, self.seat, report, sent_at, now
+        )
+        for active in unwanted:
+            _loop.spawn_guarded(self._stop_unwanted, active)
         is_new = not self.seat.is_known
         self.seat.is_known = True
         if is_new:
@@ -241,48 +246,10 @@
         delay = min(_AVOID * 2 ** (self.seat.failures - 2), _LONGEST_AVOID)
         self.seat.avoided_until = now + delay
 
-    def _compare(
-        self,
-        report: _work.WorkerReport,
-        sent_at: datetime.timedelta,
-        now: datetime.timedelta,
-    ) -> None:
-        present = {active.task: active for active in report.active}
-        for run in list(self.seat.runs.values()):
-            active = present.get(run.task.id)
-            if active is not None and active.number == run.number:
-                _update_run(run, active, now)
-                del present[run.task.id]
-            elif run.answered_at is not None and run.answered_at < sent_at:
-                self._host.board.remove_run(run)
-        unwanted = [
-            active
-            for active in present.values()
-            if not self._adopt(active, now)
-        ]
-        self.seat.unwanted = len(unwanted)
-        for active in unwanted:
-            _loop.spawn_guarded(self._stop_unwanted, active)
-
     def _stop_unwanted(self, active: _work.ActiveRun) -> None:
         if self._stop(active.task, active.number):
             self.wake()
 
-    def _adopt(self, active: _work.ActiveRun, now: datetime.timedelta) -> bool:
-        """Take a run that the board does not know; False if of no use."""
-        board = self._host.board
-        task = board.find_task(active.task)
-        is_wanted = (
-            task is not None
-            and not task.is_done
-            and not task.group.job.is_final
-            and task.run is None
-        )
-        if is_wanted and task is not None:
-            board.adopt_run(task, self.seat, active, now)
-            return True
-        return False
-
     def start(self, run: _states.Run) -> None:
         """Send the start of a run and note what came of it."""
         until = self._find_until()
@@ -392,19 +359,3 @@
                     return True
             self._clock.sleep(_RETRY_DELAY)
         return False
-
-
-def _update_run(
-    run: _states.Run, active: _work.ActiveRun, now: datetime.timedelta
-) -> None:
-    run.percent = active.percent
-    run.load = active.load
-    run.reported_at = now
-    if run.task.run is None:
-        # No copy has been started while the worker was silent.
-        run.task.run = run
-    if active.checkpoint:
-        run.task.checkpoint = active.checkpoint
-    if run.state is _states.RunState.SENT:
-        run.state = _states.RunState.ACTIVE
-        run.answered_at = now
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -5,6 +5,8 @@
 import pytest
 from returns import result
 
+from skylarktally import _clock
+from skylarktally import _loop
 from skylarktally.entries import _claims
 from skylarktally.entries import _directory
 from skylarktally.entries import _isolation
@@ -141,3 +143,35 @@
     assert known.directory.refresh_terms()
     assert known.directory.find_address('a') == 'one:1'
     assert known.directory.find_address('b') is None
+
+
+def test_an_entry_without_pools_reads_less_often():
+    """Guards a store whose load grows with the number of entries.
+
+    Of the reads of a deployment of 30 entries most were of entries that
+    own nothing.
+    """
+    known = Known()
+    known.directory = _directory.Directory(
+        known.table, platform.PlatformLayout(), _clock.SystemClock()
+    )
+    reads = []
+    follow = known.table.follow
+
+    def count(table, after, wait):
+        reads.append(table)
+        if wait:
+            _loop.sleep(wait.total_seconds())
+        return follow(table, after, wait)
+
+    known.table.follow = count
+    known.directory.start()
+    _loop.sleep(1.5)
+    assert reads.count('servers') <= 1
+    known.directory.note_ownership(True)
+    _loop.sleep(0.05)
+    begun = reads.count('servers')
+    # What a new owner needs is read at once.
+    assert begun >= 1
+    _loop.sleep(1)
+    assert reads.count('servers') >= begun + 2
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -15,6 +15,7 @@
 from skylarktally.scheduling import _roster
 from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _sessions
+from skylarktally.scheduling import _successions
 from skylarktally.scheduling import _work
 from standins import leased_workers
 from standins import rows
@@ -26,6 +27,9 @@
 BODY = json.dumps(
     {'task_spec': 's', 'steps': [{'task_count': 2, 'estimate_ms': 500}]}
 ).encode()
+SPREAD = json.dumps(
+    {'steps': [{'task_count': 2, 'estimate_ms': 9000, 'anti_affinity': 1}]}
+).encode()
 LOAD = json.dumps(
     {'steps': [{'task_count': 2, 'cpu': 1000, 'estimate_ms': 500}]}
 ).encode()
@@ -43,6 +47,10 @@
         self.queue = pools.make_queue()
         self.owners = []
         self.advisor = None
+        # Workers as the platform lists them.
+        self.listed = {
+            id_: worker.record for id_, worker in self.fleet.workers.items()
+        }
 
     def begin(self, former_workers=(), generation_of_suspects=None):
         """Claim the pool and return its new owner."""
@@ -66,14 +74,11 @@
             self.advisor,
         )
         now = self.clock.monotonic()
-        workers = {
-            id_: worker.record for id_, worker in self.fleet.workers.items()
-        }
         _loop.spawn(
             owner.run,
             {self.queue.name: self.queue},
-            lambda: workers,
-            _owner.Succession(
+            lambda: self.listed,
+            _successions.Succession(
                 {
                     name: _roster.Suspicion(
                         _sessions.find_lapse(now),
@@ -270,7 +275,7 @@
     lapse_at = _sessions.find_lapse(deployment.clock.monotonic())
     fourth = deployment.begin(('gone',), 2)
     wait_until(lambda: fourth.is_ready and JOB in fourth.board.jobs)
-    _loop.sleep(0.1)
+    wait_until(lambda: fourth.board.jobs[JOB].barred_until)
     assert fourth.board.jobs[JOB].barred_until >= lapse_at
 
 
@@ -318,3 +323,74 @@
     assert [thread.wait() for thread in threads] == [result.Success(None)] * 5
     after = owner.board.arrivals.forecast(deployment.clock.monotonic())
     assert 0 < after <= before
+
+
+def test_tasks_are_free_once_the_silent_worker_reports(deployment):
+    """Replays a worker that is reached a second after a change of owner.
+
+    All tasks of all jobs stayed barred for 6.6 s, although the worker had
+    said by then what it ran.
+    """
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    deployment.fleet.silent.update('wx')
+    _loop.sleep(0.5)
+    deployment.submit(owner, JOB)
+    deployment.fleet.silent.discard('w')
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    deployment.fleet.silent.add('w')
+    second = deployment.begin(('w',))
+    deployment.fleet.silent.discard('x')
+    wait_until(lambda: second.is_ready)
+    _loop.sleep(1)
+    (group,) = second.board.jobs[JOB].groups.values()
+    assert all(task.barred_until for task in group.tasks)
+    deployment.fleet.silent.clear()
+    wait_until(lambda: not any(task.barred_until for task in group.tasks))
+    # They run where they did.
+    wait_until(lambda: all(task.run is not None for task in group.tasks))
+    assert len(deployment.list_starts(JOB)) == 2
+
+
+def test_a_worker_that_is_listed_late_bars_no_task(deployment):
+    """Replays an owner whose list of workers is a moment old."""
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    deployment.submit(owner, JOB)
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    listed = deployment.listed
+    deployment.listed = {}
+    second = deployment.begin(('w', 'x'))
+    wait_until(lambda: second.is_ready)
+    _loop.sleep(0.05)
+    deployment.listed = listed
+    wait_until(lambda: second.board.jobs[JOB].groups)
+    _loop.sleep(0.4)
+    assert not second.board.jobs[JOB].barred_until
+
+
+def test_the_loss_of_a_worker_bars_only_what_it_ran(deployment):
+    """Guards the jobs of earlier owners when a worker is lost later on."""
+    owner = deployment.begin()
+    wait_until(lambda: owner.is_ready)
+    for job in (JOB, OTHER):
+        deployment.submit(owner, job, SPREAD)
+        wait_until(lambda job=job: len(deployment.list_starts(job)) == 2)
+    second = deployment.begin(('w', 'x'))
+    wait_until(lambda: second.is_ready and second.board.seats['x'].runs)
+    _loop.sleep(0.6)
+    lost = set(second.board.seats['x'].runs)
+    deployment.fleet.silent.add('x')
+    deployment.listed = {
+        id_: record for id_, record in deployment.listed.items() if id_ == 'w'
+    }
+    wait_until(lambda: 'x' not in second.board.seats, limit=4)
+    _loop.sleep(0.3)
+    barred = {
+        task.id
+        for job in second.board.jobs.values()
+        for group in job.groups.values()
+        for task in group.tasks
+        if task.barred_until
+    }
+    assert barred == lost
