Read terms as often as before on every entry

Change: all entries read terms every 0.35 s again; only workers are read less often by those without pools.

--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -27,11 +27,10 @@
 # next change would return at once.
 _WORKERS_INTERVAL = datetime.timedelta(seconds=0.4)
 _TERMS_INTERVAL = datetime.timedelta(seconds=0.35)
-# An entry that owns no pool reads less often, so that the load of the store
-# does not grow with the number of entries. Terms are still read without a
-# gap in which a renewal could be missed.
+# An entry that owns no pool reads workers less often, so that the load of
+# the store grows less with the number of entries.
 _IDLE_WORKERS_INTERVAL = datetime.timedelta(seconds=2)
-_IDLE_TERMS_INTERVAL = datetime.timedelta(seconds=0.7)
+
 # Reads of the terms that are further apart tell nothing of their holders.
 _LONGEST_GAP = datetime.timedelta(seconds=1.2)
 _RETRY_DELAY = datetime.timedelta(seconds=0.15)
@@ -268,9 +267,7 @@
     def _poll_terms(self) -> None:
         while True:
             self.refresh_terms()
-            self._clock.sleep(
-                _TERMS_INTERVAL if self._owns_pools else _IDLE_TERMS_INTERVAL
-            )
+            self._clock.sleep(_TERMS_INTERVAL)
 
     def refresh_terms(self) -> bool:
         """Read the changes of all terms; False without an answer."""
