Have other entries make the store calls of one that is turned away

Cause: the store may turn some entries away and serve the others.

Change: an entry whose own way to the store fails sends its calls by way of one that owns a shard, the one that answered last first. The own way is tried beside the calls, every 0.2 s. An entry whose own way fails makes no calls for others, so that an outage for all is not multiplied. A claim without an answer is logged once.

First try: calls took turns to try the own way.

A silent store is still noticed after 1.5 s only.

--- a/skylarktally/_gen/entry/Entry.py
+++ b/skylarktally/_gen/entry/Entry.py
@@ -45,6 +45,16 @@
         """
         pass
 
+    def carry(self, call):
+        """
+        Makes a call to the table service for an entry that cannot.
+
+        Parameters:
+         - call
+
+        """
+        pass
+
     def measure(self, pool, lendable_millicores):
         """
         Tells what the pool would use at once, and what its workers run.
@@ -162,6 +172,40 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "reaches_store failed: unknown result")
 
+    def carry(self, call):
+        """
+        Makes a call to the table service for an entry that cannot.
+
+        Parameters:
+         - call
+
+        """
+        self.send_carry(call)
+        return self.recv_carry()
+
+    def send_carry(self, call):
+        self._oprot.writeMessageBegin('carry', TMessageType.CALL, self._seqid)
+        args = carry_args()
+        args.call = call
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_carry(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = carry_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "carry failed: unknown result")
+
     def measure(self, pool, lendable_millicores):
         """
         Tells what the pool would use at once, and what its workers run.
@@ -206,6 +250,7 @@
         self._processMap["handle"] = Processor.process_handle
         self._processMap["vacate"] = Processor.process_vacate
         self._processMap["reaches_store"] = Processor.process_reaches_store
+        self._processMap["carry"] = Processor.process_carry
         self._processMap["measure"] = Processor.process_measure
         self._on_message_begin = None
 
@@ -298,6 +343,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_carry(self, seqid, iprot, oprot):
+        args = carry_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = carry_result()
+        try:
+            result.success = self._handler.carry(args.call)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("carry", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_measure(self, seqid, iprot, oprot):
         args = measure_args()
         args.read(iprot)
@@ -688,6 +756,131 @@
 )
 
 
+class carry_args(object):
+    """
+    Attributes:
+     - call
+
+    """
+
+
+    def __init__(self, call=None,):
+        self.call = call
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.call = StoreCall()
+                    self.call.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('carry_args')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.STRUCT, 1)
+            self.call.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(carry_args)
+carry_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'call', [StoreCall, None], None, ),  # 1
+)
+
+
+class carry_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = StoreReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('carry_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(carry_result)
+carry_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [StoreReply, None], None, ),  # 0
+)
+
+
 class measure_args(object):
     """
     Attributes:
--- a/skylarktally/_gen/entry/ttypes.py
+++ b/skylarktally/_gen/entry/ttypes.py
@@ -484,6 +484,423 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class StoredRow(object):
+    """
+    A row of the table service; version 0 where there is none.
+
+    Attributes:
+     - table
+     - partition
+     - key
+     - value
+     - version
+     - is_deleted
+
+    """
+
+
+    def __init__(self, table=None, partition=None, key=None, value=None, version=None, is_deleted=None,):
+        self.table = table
+        self.partition = partition
+        self.key = key
+        self.value = value
+        self.version = version
+        self.is_deleted = is_deleted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.table = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.partition = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_deleted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoredRow')
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRING, 1)
+            oprot.writeString(self.table.encode('utf-8') if sys.version_info[0] == 2 else self.table)
+            oprot.writeFieldEnd()
+        if self.partition is not None:
+            oprot.writeFieldBegin('partition', TType.STRING, 2)
+            oprot.writeString(self.partition.encode('utf-8') if sys.version_info[0] == 2 else self.partition)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 3)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 4)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 5)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.is_deleted is not None:
+            oprot.writeFieldBegin('is_deleted', TType.BOOL, 6)
+            oprot.writeBool(self.is_deleted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StoreCall(object):
+    """
+    A call to the table service that another entry is to make.
+
+    Attributes:
+     - operation: One of: commit, read, list_partitions, follow.
+     - expected
+     - puts
+     - removals
+     - table
+     - partition
+     - after: Version after which changes are asked for.
+     - wait_ms: How long the answer may be kept back while nothing changes.
+
+    """
+
+
+    def __init__(self, operation=None, expected=None, puts=None, removals=None, table=None, partition=None, after=None, wait_ms=None,):
+        self.operation = operation
+        self.expected = expected
+        self.puts = puts
+        self.removals = removals
+        self.table = table
+        self.partition = partition
+        self.after = after
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.operation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.expected = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = StoredRow()
+                        _elem12.read(iprot)
+                        self.expected.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.puts = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = StoredRow()
+                        _elem18.read(iprot)
+                        self.puts.append(_elem18)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.removals = []
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = StoredRow()
+                        _elem24.read(iprot)
+                        self.removals.append(_elem24)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.table = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.partition = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.after = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoreCall')
+        if self.operation is not None:
+            oprot.writeFieldBegin('operation', TType.STRING, 1)
+            oprot.writeString(self.operation.encode('utf-8') if sys.version_info[0] == 2 else self.operation)
+            oprot.writeFieldEnd()
+        if self.expected is not None:
+            oprot.writeFieldBegin('expected', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.expected))
+            for iter25 in self.expected:
+                iter25.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.puts is not None:
+            oprot.writeFieldBegin('puts', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.puts))
+            for iter26 in self.puts:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.removals is not None:
+            oprot.writeFieldBegin('removals', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.removals))
+            for iter27 in self.removals:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRING, 5)
+            oprot.writeString(self.table.encode('utf-8') if sys.version_info[0] == 2 else self.table)
+            oprot.writeFieldEnd()
+        if self.partition is not None:
+            oprot.writeFieldBegin('partition', TType.STRING, 6)
+            oprot.writeString(self.partition.encode('utf-8') if sys.version_info[0] == 2 else self.partition)
+            oprot.writeFieldEnd()
+        if self.after is not None:
+            oprot.writeFieldBegin('after', TType.I64, 7)
+            oprot.writeI64(self.after)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 8)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StoreReply(object):
+    """
+    Attributes:
+     - error: Kind of the error; empty for a success.
+     - message
+     - is_applied
+     - version
+     - rows
+     - is_truncated
+     - partitions
+
+    """
+
+
+    def __init__(self, error=None, message=None, is_applied=None, version=None, rows=None, is_truncated=None, partitions=None,):
+        self.error = error
+        self.message = message
+        self.is_applied = is_applied
+        self.version = version
+        self.rows = rows
+        self.is_truncated = is_truncated
+        self.partitions = partitions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.error = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.message = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_applied = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = StoredRow()
+                        _elem33.read(iprot)
+                        self.rows.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_truncated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.partitions = []
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.partitions.append(_elem39)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoreReply')
+        if self.error is not None:
+            oprot.writeFieldBegin('error', TType.STRING, 1)
+            oprot.writeString(self.error.encode('utf-8') if sys.version_info[0] == 2 else self.error)
+            oprot.writeFieldEnd()
+        if self.message is not None:
+            oprot.writeFieldBegin('message', TType.STRING, 2)
+            oprot.writeString(self.message.encode('utf-8') if sys.version_info[0] == 2 else self.message)
+            oprot.writeFieldEnd()
+        if self.is_applied is not None:
+            oprot.writeFieldBegin('is_applied', TType.BOOL, 3)
+            oprot.writeBool(self.is_applied)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 4)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter40 in self.rows:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.is_truncated is not None:
+            oprot.writeFieldBegin('is_truncated', TType.BOOL, 6)
+            oprot.writeBool(self.is_truncated)
+            oprot.writeFieldEnd()
+        if self.partitions is not None:
+            oprot.writeFieldBegin('partitions', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.partitions))
+            for iter41 in self.partitions:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(JobCall)
 JobCall.thrift_spec = (
     None,  # 0
@@ -525,5 +942,38 @@
     (9, TType.LIST, 'workers', (TType.STRUCT, [WorkerLoad, None], False), None, ),  # 9
     (10, TType.BOOL, 'is_owned', None, None, ),  # 10
 )
+all_structs.append(StoredRow)
+StoredRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'partition', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'key', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+    (6, TType.BOOL, 'is_deleted', None, None, ),  # 6
+)
+all_structs.append(StoreCall)
+StoreCall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'operation', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'expected', (TType.STRUCT, [StoredRow, None], False), None, ),  # 2
+    (3, TType.LIST, 'puts', (TType.STRUCT, [StoredRow, None], False), None, ),  # 3
+    (4, TType.LIST, 'removals', (TType.STRUCT, [StoredRow, None], False), None, ),  # 4
+    (5, TType.STRING, 'table', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'partition', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'after', None, None, ),  # 7
+    (8, TType.I32, 'wait_ms', None, None, ),  # 8
+)
+all_structs.append(StoreReply)
+StoreReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'error', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'message', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'is_applied', None, None, ),  # 3
+    (4, TType.I64, 'version', None, None, ),  # 4
+    (5, TType.LIST, 'rows', (TType.STRUCT, [StoredRow, None], False), None, ),  # 5
+    (6, TType.BOOL, 'is_truncated', None, None, ),  # 6
+    (7, TType.LIST, 'partitions', (TType.STRING, 'UTF8', False), None, ),  # 7
+)
 fix_spec(all_structs)
 del all_structs
--- a/skylarktally/entries/_calls.py
+++ b/skylarktally/entries/_calls.py
@@ -26,6 +26,9 @@
 JobReply = ttypes.JobReply
 PoolLoad = ttypes.PoolLoad
 WorkerLoad = ttypes.WorkerLoad
+StoreCall = ttypes.StoreCall
+StoreReply = ttypes.StoreReply
+StoredRow = ttypes.StoredRow
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=0.5)
 # Idle connections that are kept to one entry.
@@ -50,6 +53,9 @@
     def measure(self, pool: str, lendable_millicores: int) -> ttypes.PoolLoad:
         """Tell what the pool would use at once."""
 
+    def carry(self, call: ttypes.StoreCall) -> ttypes.StoreReply:
+        """Make a call to the table service for another entry."""
+
 
 class EntryCalls:
     """Client of other entries."""
@@ -86,6 +92,15 @@
             address, timeout, lambda client: client.reaches_store()
         )
 
+    def carry(
+        self,
+        address: str,
+        call: ttypes.StoreCall,
+        timeout: datetime.timedelta,
+    ) -> result.Result[ttypes.StoreReply, _errors.Failure]:
+        """Have an entry make a call to the table service."""
+        return self._call(address, timeout, lambda client: client.carry(call))
+
     def measure(
         self,
         address: str,
--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -12,6 +12,7 @@
 from skylarktally import _loop
 from skylarktally import _metrics
 from skylarktally.entries import _calls
+from skylarktally.entries import _carriers
 from skylarktally.entries import _desk
 from skylarktally.entries import _directory
 from skylarktally.entries import _isolation
@@ -45,10 +46,16 @@
         self._clock = clock
         self._metrics = _metrics.EntryMetrics(_metrics.create_registry())
         self._incarnation = secrets.token_hex(8)
-        store = platform.TableStore(settings.store_address)
+        self._calls = _calls.EntryCalls()
+        store = _carriers.CarriedStore(
+            platform.TableStore(settings.store_address),
+            self._calls,
+            self._list_peers,
+            clock,
+        )
+        self._store = store
         layout = platform.PlatformLayout()
         self._directory = _directory.Directory(store, layout, clock)
-        self._calls = _calls.EntryCalls()
         self._shards = _shards.Shards(
             _shards.Identity(
                 settings.name, settings.peer_address, self._incarnation
@@ -152,12 +159,16 @@
                     else 'no longer cut off'
                 )
 
-    def _ask_peers(self) -> None:
+    def _list_peers(self) -> list[str]:
+        """Return where the other entries that own shards are reached."""
         own = self._settings.peer_address
         addresses = {
             tenure.term.address for tenure in self._directory.tenures.values()
-        } - {own}
-        for address in sorted(addresses):
+        }
+        return sorted(addresses - {own})
+
+    def _ask_peers(self) -> None:
+        for address in self._list_peers():
             outcome = self._calls.reaches_store(address, _CONTACT_TIMEOUT)
             reaches_store = outcome.value_or(False)
             self._contacts.note_peer(reaches_store)
@@ -202,6 +213,10 @@
             return _calls.PoolLoad(workers=[], is_owned=False)
         return _calls.encode_load(owner.measure(lendable_millicores))
 
+    def carry(self, call: _calls.StoreCall) -> _calls.StoreReply:
+        """Make a call to the table service for another entry."""
+        return self._store.carry(call)
+
     def reaches_store(self) -> bool:
         """Tell whether the store answers this entry."""
         return not self._contacts.lacks_store(self._clock.monotonic())
--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from skylarktally import _clock
+from skylarktally import _errors
 from skylarktally import _loop
 from skylarktally.entries import _claims
 from skylarktally.entries import _directory
@@ -76,6 +77,8 @@
         self._maintenance: _maintenance.Maintenance | None = None
         # Shards whose claim is on its way.
         self._claiming: set[str] = set()
+        # Shards whose last claim had no answer.
+        self._unanswered: set[str] = set()
         self._is_stopping = False
 
     def release_all(self) -> list[str]:
@@ -166,15 +169,10 @@
             self._platform.store, self._clock, shard, term, vacancy.version
         )
         if not isinstance(outcome, result.Success):
-            _LOG.info(
-                'claim without answer',
-                extra={
-                    'shard': shard,
-                    'failure': outcome.failure().kind.value,
-                },
-            )
+            self._note_silence(shard, outcome.failure())
             self._directory.refresh_terms()
             return
+        self._unanswered.discard(shard)
         ledger = outcome.unwrap()
         if ledger is None:
             self._directory.refresh_terms()
@@ -195,6 +193,16 @@
             return
         self._begin(shard, ledger, former)
 
+    def _note_silence(self, shard: str, failure: _errors.Failure) -> None:
+        """Log a claim without an answer, once until there is one."""
+        if shard in self._unanswered:
+            return
+        self._unanswered.add(shard)
+        _LOG.info(
+            'claim without answer',
+            extra={'shard': shard, 'failure': failure.kind.value},
+        )
+
     def _begin(
         self,
         shard: str,
