Take the least that a worker's clock can have gone on by

Cause, by reading: a lease is given on the worker's clock, as it was read at the last report plus the time since. A worker without runs does not report; after a minute its clock, 2 % slow, may be 1.2 s behind what is assumed, so that the lease of its first run lasts that much longer than the owner takes it for. A task could then be started again while the first run goes on.

Change: the time since the reading counts 2 % less.

Test: a clock 2 % slow, read 60 and 600 s ago; both failed before.

--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -122,7 +122,9 @@
         clock, at = self._reading
         now = self._clock.monotonic()
         self.lapse_at = max(self.lapse_at, find_lapse(now))
-        return clock + (now - at) + LEASE
+        # The least that the clock can have gone on by, so that the lease of
+        # a worker that has been idle for long is no longer than others.
+        return clock + (now - at) * (1 - _CLOCK_DRIFT) + LEASE
 
     def exchange(self) -> bool:
         """Hold the leases once; False if there was no report."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -369,3 +369,24 @@
     # What is believed differs from what is wanted, until it is confirmed.
     assert run.pace == pace
     assert fleet.workers['w'].active[run.task.id].percent == percent
+
+
+@pytest.mark.parametrize('idle', [0, 10, 60, 600])
+def test_a_lease_ends_in_time_on_a_slow_clock_that_was_read_long_ago(
+    clock, idle
+):
+    """Guards a task that runs on when it is taken for lapsed (TWICE)."""
+    fleet = leased_workers.WorkerFleet(clock)
+    worker = fleet.add(pools.make_worker('w'))
+    begin = clock.monotonic()
+    worker.read_clock = lambda: (clock.monotonic() - begin) * 0.98
+    pool = Pool(fleet, clock)
+    pool.look()
+    clock.advance(idle)
+    pool.ledger.commit()
+    pool.add('a', pools.make_step(1))
+    assert pool.start()
+    assert worker.until
+    lapse_at = pool.sessions['w'].lapse_at
+    clock.advance((lapse_at - clock.monotonic()).total_seconds())
+    assert worker.read_clock() > worker.until
