Count an upkeep without an answer as down

Cause, by reading: an order to take an instance down that had no answer was forgotten. If the platform carried it out, or did so later, the instance did not count against the limit of its wave, and one more could go down.

Change: an instance counts as down for 13 s after such an order, since orders may be carried out up to 12 s late, and whenever the platform lists it in upkeep. It is ordered again at once, without taking up more of the limit. A rejection of that says nothing of the earlier order.

Tests: tests/test_wave_turns.py (five states; the ones with an upkeep that was not noted failed before), tests/test_maintenance.py.

--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -65,14 +65,6 @@
     at: datetime.timedelta
 
 
-class _Progress(NamedTuple):
-    """How far a wave has come."""
-
-    begun_at: datetime.timedelta
-    # When each instance was ordered down.
-    done: dict[str, datetime.timedelta]
-
-
 class Maintenance:
     """Carries out the waves and moves for the time of one term."""
 
@@ -91,7 +83,7 @@
         self._waves = waves
         self._clock = clock
         self._holder = holder
-        self._progress: dict[int, _Progress] = {}
+        self._progress: dict[int, _waves.Progress] = {}
         self._statuses: dict[int, bool] = {}
         self._lender = _lending.Lender()
         # Pool that each instance goes to, and when that was ordered.
@@ -145,10 +137,11 @@
             return
         now = self._clock.monotonic()
         age = self._clock.now().timestamp() - record.begun_ms / 1000
-        self._progress[wave] = _Progress(
+        self._progress[wave] = _waves.Progress(
             now - datetime.timedelta(seconds=max(age, 0)),
             # Their orders may have been given just now.
             dict.fromkeys(record.done, now),
+            {},
         )
 
     def _take_turn(
@@ -210,9 +203,9 @@
             if id_ not in self._find_progress(wave.id).done
         )
 
-    def _find_progress(self, wave: int) -> _Progress:
+    def _find_progress(self, wave: int) -> _waves.Progress:
         now = self._clock.monotonic()
-        return self._progress.setdefault(wave, _Progress(now, {}))
+        return self._progress.setdefault(wave, _waves.Progress(now, {}, {}))
 
     def _settle_moves(self, listed: Listed) -> None:
         """Forget moves that the platform lists as made, or that failed."""
@@ -266,9 +259,8 @@
         turn = _waves.plan_turn(
             wave,
             listed,
-            progress.done,
+            progress,
             outlook,
-            progress.begun_at,
             self._clock.monotonic(),
         )
         self._report(wave.id, turn.is_completed)
@@ -284,17 +276,16 @@
         """Order an instance down; False if no more orders may be given."""
         if not self.ledger.may_order():
             return False
-        done = self._find_progress(wave.id).done
-        done[record.id] = self._clock.monotonic()
+        progress = self._find_progress(wave.id)
+        # Until there is an answer it may go down at any time.
+        earlier = progress.doubtful.get(record.id)
+        progress.doubtful[record.id] = self._clock.monotonic()
         outcome = self._instances.maintain(
             record.id, wave.id, self._holder, self.ledger.token
         )
         rejection = None
         if isinstance(outcome, result.Success):
             rejection = outcome.unwrap().rejection
-        elif outcome.failure().kind is not _errors.ErrorKind.OUTCOME_UNKNOWN:
-            del done[record.id]
-            return True
         _LOG.info(
             'maintenance ordered',
             extra={
@@ -308,9 +299,15 @@
         if rejection is _orders.Rejection.FENCED:
             self.ledger.end()
             return False
+        if _may_come(outcome):
+            return True
+        del progress.doubtful[record.id]
         if rejection is not None or not isinstance(outcome, result.Success):
-            del done[record.id]
+            # That is not said of an earlier order without an answer.
+            if earlier is not None:
+                progress.doubtful[record.id] = earlier
             return True
+        progress.done[record.id] = self._clock.monotonic()
         self.ledger.write(
             [self._encode_progress(wave.id)], _WRITE_TIMEOUT, _ignore
         )
@@ -378,6 +375,14 @@
     }
 
 
+def _may_come(outcome: _orders.OrderOutcome) -> bool:
+    """Tell whether an order without an answer may be carried out yet."""
+    return (
+        not isinstance(outcome, result.Success)
+        and outcome.failure().kind is _errors.ErrorKind.OUTCOME_UNKNOWN
+    )
+
+
 def _ignore(fate: _ledger.Fate) -> None:
     """Take the fate of a write whose caller waits for it anyway."""
     del fate
--- a/skylarktally/scheduling/_waves.py
+++ b/skylarktally/scheduling/_waves.py
@@ -16,11 +16,14 @@
 
 # The platform may list an instance as up for this long after the order.
 _LIST_LAG = datetime.timedelta(seconds=1)
+# An order without an answer may be carried out for this long.
+_DOUBT = datetime.timedelta(seconds=13)
 # Shares of the time of a wave: up to the first only instances that can be
 # spared go down; by the second all have.
 _BEGIN_SHARE = 0.15
 _END_SHARE = 0.7
 _UP = 'up'
+_UPKEEP = 'upkeep'
 
 
 class Use(NamedTuple):
@@ -43,6 +46,16 @@
     moving: Collection[str]
 
 
+class Progress(NamedTuple):
+    """How far a wave has come."""
+
+    begun_at: datetime.timedelta
+    # When each instance was ordered down.
+    done: dict[str, datetime.timedelta]
+    # When instances were ordered down without an answer so far.
+    doubtful: dict[str, datetime.timedelta]
+
+
 class Turn(NamedTuple):
     """What to do next for a wave."""
 
@@ -56,34 +69,56 @@
 def plan_turn(
     wave: _work.Wave,
     listed: Mapping[str, _work.InstanceRecord],
-    done: Mapping[str, datetime.timedelta],
+    progress: Progress,
     outlook: Outlook,
-    begun_at: datetime.timedelta,
     now: datetime.timedelta,
 ) -> Turn:
     """Return what to do next for a wave.
 
     :param listed: the platform's list of instances by id
-    :param done: when each instance of the wave was ordered down
     """
-    down = 0
-    waiting: list[_work.InstanceRecord] = []
-    is_open = False
-    for id_ in wave.instances:
-        record = listed.get(id_)
-        if id_ in done:
-            is_fresh = now - done[id_] < _LIST_LAG
-            down += is_fresh or (record is not None and record.state != _UP)
-        elif record is not None:
-            is_open = True
-            if record.state == _UP and id_ not in outlook.moving:
-                waiting.append(record)
+    members = [(id_, listed[id_]) for id_ in wave.instances if id_ in listed]
+    open_ones = [
+        (id_, record) for id_, record in members if id_ not in progress.done
+    ]
+    waiting = [
+        record
+        for id_, record in open_ones
+        if record.state == _UP and id_ not in outlook.moving
+    ]
+    doubtful = [
+        record for record in waiting if _is_doubtful(record.id, progress, now)
+    ]
+    down = sum(_is_down(id_, record, progress, now) for id_, record in members)
     allowance = max(wave.limit - down, 0)
-    chosen = _rank(waiting, outlook)
-    forced = count_due(wave, now - begun_at) - len(done)
+    chosen = [item for item in _rank(waiting, outlook) if item not in doubtful]
+    forced = count_due(wave, now - progress.begun_at) - len(progress.done)
     spare = sum(record.id in outlook.spare for record in chosen)
     count = min(max(forced, spare), allowance)
-    return Turn(tuple(chosen[:count]), allowance, not is_open)
+    # An order that may have been carried out is given again; it takes none
+    # of the allowance, since it counts as down already.
+    turn = (*doubtful, *chosen[:count])
+    return Turn(turn, allowance, not open_ones)
+
+
+def _is_down(
+    id_: str,
+    record: _work.InstanceRecord,
+    progress: Progress,
+    now: datetime.timedelta,
+) -> bool:
+    """Tell whether an instance is, or may be, down for the wave."""
+    ordered_at = progress.done.get(id_)
+    if ordered_at is not None:
+        return now - ordered_at < _LIST_LAG or record.state != _UP
+    return record.state == _UPKEEP or _is_doubtful(id_, progress, now)
+
+
+def _is_doubtful(
+    id_: str, progress: Progress, now: datetime.timedelta
+) -> bool:
+    ordered_at = progress.doubtful.get(id_)
+    return ordered_at is not None and now - ordered_at < _DOUBT
 
 
 def count_due(wave: _work.Wave, elapsed: datetime.timedelta) -> int:
--- a/tests/test_wave_turns.py
+++ b/tests/test_wave_turns.py
@@ -15,7 +15,14 @@
 
 
 def plan_turn(
-    listed, done=(), spare=(), uses=None, elapsed=0.0, limit=3, moving=()
+    listed,
+    done=(),
+    spare=(),
+    uses=None,
+    elapsed=0.0,
+    limit=3,
+    moving=(),
+    doubtful=None,
 ):
     """Plan at 100 s for a wave that has 20 s; those done are back."""
     wave = _work.Wave(1, MEMBERS, pools.seconds(20), limit)
@@ -24,9 +31,12 @@
     return _waves.plan_turn(
         wave,
         {record.id: record for record in listed},
-        dict.fromkeys(done, pools.seconds(10)),
+        _waves.Progress(
+            pools.seconds(100 - elapsed),
+            dict.fromkeys(done, pools.seconds(10)),
+            {id_: pools.seconds(at) for id_, at in (doubtful or {}).items()},
+        ),
         _waves.Outlook(uses, spare, moving),
-        pools.seconds(100 - elapsed),
         pools.seconds(100),
     )
 
@@ -115,9 +125,12 @@
     turn = _waves.plan_turn(
         wave,
         listed,
-        {id_: pools.seconds(at) for id_, at in done.items()},
+        _waves.Progress(
+            pools.seconds(0),
+            {id_: pools.seconds(at) for id_, at in done.items()},
+            {},
+        ),
         _waves.Outlook({}, frozenset('abcd'), ()),
-        pools.seconds(0),
         pools.seconds(100),
     )
     assert (turn.allowance, turn.is_completed) == (allowance, is_completed)
@@ -128,3 +141,33 @@
 def test_an_instance_that_is_gone_does_not_hold_up_a_wave():
     listed = [make_instance(id_) for id_ in 'abc']
     assert plan_turn(listed, done='abc').is_completed
+
+
+@pytest.mark.parametrize(
+    'states, doubtful, allowance, expected',
+    [
+        # Carried out, although there was no answer.
+        ({'a': 'upkeep'}, {'a': 99}, 2, ['b', 'c']),
+        # It may be carried out yet; it is ordered again.
+        ({}, {'a': 95}, 2, ['a', 'b', 'c']),
+        ({}, {'a': 95, 'b': 99, 'c': 98}, 0, ['a', 'b', 'c']),
+        # By now it has not been.
+        ({}, {'a': 86}, 3, ['a', 'b', 'c']),
+        # Another duty of the platform took it down.
+        ({'a': 'upkeep'}, {}, 2, ['b', 'c']),
+    ],
+)
+def test_an_order_without_an_answer_counts_as_down(
+    states, doubtful, allowance, expected
+):
+    """Guards the limit while the platform answers late or not (LIMIT).
+
+    Such an order was forgotten, and another instance taken down in its
+    place.
+    """
+    listed = [
+        make_instance(id_, state=states.get(id_, 'up')) for id_ in MEMBERS
+    ]
+    turn = plan_turn(listed, elapsed=19, doubtful=doubtful)
+    assert turn.allowance == allowance
+    assert sorted(list_ids(turn)) == expected
