Make the test of claims fail where they are made one after the other

Five claims of 0.1 s one after the other took less than its bound of 0.8 s, so that it guarded nothing.

Change: the store of the test takes 0.4 s. The bound is still 0.5 s and three times that.

--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -15,7 +15,8 @@
 from tests import pools
 
 POOLS = ('a', 'b', 'c', 'd')
-LATENCY = 0.1
+# In seconds; five claims one after the other take longer than the bound.
+LATENCY = 0.4
 
 
 class Instances:
@@ -101,7 +102,7 @@
     entry.claim_until(lambda: len(entry.shards.list_ledgers()) == 5)
     spent = entry.clock.monotonic() - begin
     # The last one is left to others for up to 0.5 s; a claim after the
-    # other would take as long as all of them.
+    # The last one is left to others for up to 0.5 s.
     assert spent < pools.seconds(0.5 + 3 * LATENCY)
 
 
