Show a late event loop, the time of plans and the calls to workers

Neither logs nor metrics told a process that has more work than its processor from one whose workers or links fail, nor plans from calls. A log line marks when the loop falls behind or catches up, with totals.

--- a/skylarktally/_metrics.py
+++ b/skylarktally/_metrics.py
@@ -74,6 +74,47 @@
             ['method'],
             registry=registry,
         )
+        self.loop_lag_seconds = prometheus_client.Histogram(
+            'skylarktally_entry_loop_lag_seconds',
+            'How late the event loop wakes a green thread.',
+            registry=registry,
+        )
+        self.plan_seconds = prometheus_client.Summary(
+            'skylarktally_entry_plan_seconds',
+            'Duration of the plans of starts and stops of all owned pools.',
+            registry=registry,
+        )
+        self.worker_calls = prometheus_client.Counter(
+            'skylarktally_entry_worker_calls',
+            'Calls to workers by kind.',
+            ['kind'],
+            registry=registry,
+        )
+        self.unanswered_worker_calls = prometheus_client.Counter(
+            'skylarktally_entry_unanswered_worker_calls',
+            'Calls to workers without a usable answer.',
+            registry=registry,
+        )
+
+    def summarise_work(self) -> dict[str, float]:
+        """Return the totals of processor-intensive work since the start."""
+        totals = {
+            'plans': 'skylarktally_entry_plan_seconds_count',
+            'planning_seconds': 'skylarktally_entry_plan_seconds_sum',
+            'unanswered_calls': (
+                'skylarktally_entry_unanswered_worker_calls_total'
+            ),
+        }
+        summary = {
+            name: round(self.registry.get_sample_value(sample) or 0, 3)
+            for name, sample in totals.items()
+        }
+        for kind in ('start', 'stop', 'renew'):
+            value = self.registry.get_sample_value(
+                'skylarktally_entry_worker_calls_total', {'kind': kind}
+            )
+            summary[f'{kind}_calls'] = value or 0
+        return summary
 
 
 def create_registry() -> prometheus_client.CollectorRegistry:
--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -3,10 +3,12 @@
 It claims shards and serves callers and other entry instances.
 """
 
+from collections.abc import Mapping
 import datetime
 import logging
 import secrets
 import signal
+from typing import Any
 
 import prometheus_client
 
@@ -18,6 +20,7 @@
 from skylarktally.entries import _directory
 from skylarktally.entries import _dispatcher
 from skylarktally.entries import _isolation
+from skylarktally.entries import _load
 from skylarktally.entries import _requests
 from skylarktally.entries import _settings
 from skylarktally.entries import _shards
@@ -65,7 +68,9 @@
             ),
             _shards.PlatformClients(
                 store,
-                platform.WorkerCalls(),
+                _load.CountedWorkerClient(
+                    platform.WorkerCalls(), self._metrics
+                ),
                 platform.InstanceCalls(settings.instances_address),
                 layout,
                 platform.decode_job,
@@ -78,6 +83,9 @@
                 settings.peer_address, self, self._directory, self._calls
             ),
             clock,
+            lambda duration: self._metrics.plan_seconds.observe(
+                duration.total_seconds()
+            ),
         )
         self._dispatcher = _dispatcher.JobDispatcher(
             self._shards, self._directory, self._calls, clock
@@ -106,6 +114,8 @@
         self._directory.start()
         self._serve()
         _loop.spawn_logging_errors(self._watch_reachability)
+        watch = _load.LoopWatch(self._clock, self._metrics, self)
+        _loop.spawn_logging_errors(watch.run)
         while not self._is_stopping:
             self._clock.sleep(_CLAIM_INTERVAL)
             self._shards.claim_vacant()
@@ -207,6 +217,11 @@
             self._clock.sleep(_STOP_POLL_INTERVAL)
         _LOG.info('stopped', extra={'in_progress': self._ingress.in_progress})
 
+    def describe_work(self) -> Mapping[str, Any]:
+        """Return the owned shards and the work done so far, for a log line."""
+        shards = [ledger.shard for ledger in self._shards.list_ledgers()]
+        return {'shards': shards, **self._metrics.summarise_work()}
+
     # Handlers of calls from other entry instances.
 
     def handle(self, call: _calls.JobCall) -> _calls.JobReply:
--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -1,5 +1,7 @@
 """Claims shards for an entry instance and runs their owners."""
 
+from collections.abc import Callable
+import datetime
 import logging
 from typing import NamedTuple, Protocol
 
@@ -68,7 +70,9 @@
         directory: _directory.Directory,
         requests: Requests,
         clock: _clock.Clock,
+        note_plan: Callable[[datetime.timedelta], None] = lambda _: None,
     ) -> None:
+        self._note_plan = note_plan
         self._identity = identity
         self._clients = clients
         self._directory = directory
@@ -241,6 +245,7 @@
             self._clock,
             self._clients.decode_job,
             self._clients.advisor,
+            self._note_plan,
         )
         self._owners[shard] = owner
         self._directory.record_ownership(True)
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -63,8 +63,14 @@
         clock: _clock.Clock,
         decode_job: _job_store.JobDecoder,
         advisor: _advice.Advisor | None = None,
+        note_plan: Callable[[datetime.timedelta], None] = lambda _: None,
     ) -> None:
+        """Create the owner of a claimed pool.
+
+        :param note_plan: called with the duration of each plan
+        """
         self.ledger = ledger
+        self._note_plan = note_plan
         self._advisor = advisor
         # Run numbers must increase from one term to the next. Each term
         # has a range of 1000; no task is started that often within a term.
@@ -148,7 +154,9 @@
             self._roster.sync(workers())
             self._block_unresolved_tasks()
             if self.ledger.holds_term():
+                started_at = self._clock.monotonic()
                 self._plan()
+                self._note_plan(self._clock.monotonic() - started_at)
 
     def _await_reports(
         self, workers: Callable[[], Mapping[str, _work.WorkerRecord]]
