Read answers that arrived while the process was busy

Callers saw failed and late jobs, and once a task that ran twice: owners took workers and other entry instances for silent although these had answered in time. After a long round of the event loop, expired timers run before sockets are looked at, so that a read times out although its answer is in the socket.

Sockets to workers, to the store and to other entry instances now look at the descriptor once more before they time out. A server that is really silent is noticed as before.

Ruled out: longer timeouts, which delay the notice of workers that fail.

--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -29,6 +29,7 @@
 import eventlet  # noqa: E402
 from eventlet.green import socket as green_socket  # noqa: E402
 from eventlet.green import ssl as green_ssl  # noqa: E402
+from eventlet import greenio  # noqa: E402
 from eventlet import hubs  # noqa: E402
 from eventlet import patcher  # noqa: E402
 import eventlet.queue  # noqa: E402
@@ -100,6 +101,50 @@
     return connection
 
 
+class PatientSocket(greenio.GreenSocket):
+    """TCP socket that times out only if it is really not ready.
+
+    After a long pause of the process the loop runs expired timers before it
+    looks at the sockets. An answer that arrived in time would then be taken
+    for a timeout.
+    """
+
+    def _trampoline(
+        self,
+        fd: Any,
+        read: bool = False,
+        write: bool = False,
+        timeout: float | None = None,
+        timeout_exc: Any = None,
+    ) -> Any:
+        try:
+            return super()._trampoline(fd, read, write, timeout, timeout_exc)
+        except TimeoutError:
+            events = (read and _UNPATCHED_SELECT.POLLIN) | (
+                write and _UNPATCHED_SELECT.POLLOUT
+            )
+            if not _is_ready(fd.fileno(), events):
+                raise
+            return None
+
+
+def connect_patiently(host: str, port: int, timeout: float) -> PatientSocket:
+    """Open a TCP connection whose timeouts allow for pauses of the process.
+
+    :param timeout: in seconds
+    """
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    connection = PatientSocket(family, socket.SOCK_STREAM)
+    try:
+        connection.settimeout(timeout)
+        connection.connect((host, port))
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError:
+        connection.close()
+        raise
+    return connection
+
+
 class TlsConnection(green_ssl.SSLSocket):
     """TLS connection that can wait for application data.
 
@@ -213,8 +258,13 @@
     """Tell whether a read of a connection or pipe would return at once."""
     if isinstance(connection, TlsConnection):
         return connection.wait_data(0)
+    return _is_ready(connection.fileno(), _UNPATCHED_SELECT.POLLIN)
+
+
+def _is_ready(descriptor: int, events: int) -> bool:
+    """Tell whether one of the events or an error is present, at once."""
     poller = _UNPATCHED_SELECT.poll()
-    poller.register(connection.fileno(), _UNPATCHED_SELECT.POLLIN)
+    poller.register(descriptor, events)
     return bool(poller.poll(0))
 
 
--- a/skylarktally/entries/_calls.py
+++ b/skylarktally/entries/_calls.py
@@ -155,14 +155,14 @@
     def __init__(self, address: str) -> None:
         host, port = address.rsplit(':', 1)
         self._socket = TSocket.TSocket(host, int(port))
-        self.set_timeout(_CONNECT_TIMEOUT)
+        self._socket.setHandle(
+            _loop.connect_patiently(
+                host.strip('[]'), int(port), _CONNECT_TIMEOUT.total_seconds()
+            )
+        )
         transport = TTransport.TBufferedTransport(self._socket)
         protocol = TBinaryProtocol.TBinaryProtocolAccelerated(transport)
         self.client = Entry.Client(protocol)
-        transport.open()
-        self._socket.handle.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
-        )
 
     def set_timeout(self, timeout: datetime.timedelta) -> None:
         self._socket.setTimeout(int(timeout.total_seconds() * 1000))
--- a/skylarktally/platform/_http.py
+++ b/skylarktally/platform/_http.py
@@ -2,6 +2,7 @@
 
 import datetime
 import json
+import socket
 from typing import Any, NamedTuple
 from urllib import parse
 
@@ -9,6 +10,7 @@
 import urllib3
 
 from skylarktally import _errors
+from skylarktally import _loop
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=0.5)
 # Idle connections kept open to each address, and number of addresses with
@@ -27,6 +29,30 @@
 CallOutcome = result.Result[Response, _errors.Failure]
 
 
+class _Connection(urllib3.connection.HTTPConnection):
+    """Connection whose timeouts allow for pauses of this process."""
+
+    def _new_conn(self) -> socket.socket:
+        try:
+            return _loop.connect_patiently(
+                self.host, self.port, _CONNECT_TIMEOUT.total_seconds()
+            )
+        except TimeoutError as error:
+            raise urllib3.exceptions.ConnectTimeoutError(
+                self, 'no connection in time'
+            ) from error
+        except OSError as error:
+            raise urllib3.exceptions.NewConnectionError(
+                self, str(error)
+            ) from error
+
+
+class _ConnectionPool(urllib3.HTTPConnectionPool):
+    """Open connections to one address."""
+
+    ConnectionCls = _Connection
+
+
 class HttpClient:
     """HTTP client with a connection pool for each address.
 
@@ -42,6 +68,7 @@
             maxsize=_IDLE_CONNECTIONS,
             retries=False,
         )
+        self._http.pool_classes_by_scheme = {'http': _ConnectionPool}
 
     def call(
         self,
