Keep the remaining work of a pool as a sum

The sum now changes with the jobs.

The tests of the cost and of the sum fail on the code before: the cost grew with the backlog, and there was no sum.

--- a/skylarktally/scheduling/_admission.py
+++ b/skylarktally/scheduling/_admission.py
@@ -73,19 +73,4 @@
                 capacity -= _states.find_reserved_resources(
                     step
                 ).cpu_millicores
-    work = datetime.timedelta()
-    for job in pool_state.jobs.values():
-        if not job.is_final:
-            work += _measure_remaining_work(job)
-    return work / max(capacity, 1)
-
-
-def _measure_remaining_work(job: _states.Job) -> datetime.timedelta:
-    """Return the remaining work of a job, as time on one millicore."""
-    work = datetime.timedelta()
-    for group in job.groups.values():
-        step = group.step
-        if group.unfinished_count and not step.is_long_running:
-            cost = step.resources.cpu_millicores * group.unfinished_count
-            work += step.estimate * cost
-    return work
+    return pool_state.remaining_work / max(capacity, 1)
--- a/skylarktally/scheduling/_pool_state.py
+++ b/skylarktally/scheduling/_pool_state.py
@@ -39,6 +39,9 @@
         # Processor capacity that other pools and the standby pool could
         # lend to this one, in millicores; None while it is not known.
         self.lendable_millicores: int | None = None
+        # Estimated work of the unfinished tasks that do not run for long, as
+        # time on one millicore. Each submission compares it.
+        self.remaining_work = _NONE
         self.arrivals = _forecasts.Arrivals()
         # Need of the widest step of each recent job, in millicores.
         self._peak_needs: collections.deque[int] = collections.deque(
@@ -137,6 +140,7 @@
             )
             job.groups[group.key] = group
             job.unfinished_groups += group.unfinished_count > 0
+            self.remaining_work += _measure_remaining_work(group)
         for position in range(len(job.spec.steps)):
             self._mark_ready(job.groups[occurrence, position])
 
@@ -283,7 +287,9 @@
             return
         group, job = task.group, task.group.job
         task.is_done = True
+        self.remaining_work -= _measure_remaining_work(group)
         group.unfinished_count -= 1
+        self.remaining_work += _measure_remaining_work(group)
         self.changed[job.id] = job
         if group.unfinished_count:
             return
@@ -316,6 +322,7 @@
         self.changed[job.id] = job
         for group in job.groups.values():
             self.ready_groups.pop(group, None)
+            self.remaining_work -= _measure_remaining_work(group)
 
     def allow_duplicate_starts(
         self, worker_state: _states.WorkerState
@@ -375,6 +382,15 @@
                     yield run
 
 
+def _measure_remaining_work(group: _states.TaskGroup) -> datetime.timedelta:
+    """Return the estimated work of unfinished tasks that end by themselves."""
+    step = group.step
+    if step.is_long_running:
+        return _NONE
+    millicores = step.resources.cpu_millicores * group.unfinished_count
+    return step.estimate * millicores
+
+
 def _decrement_worker_count(run: _states.Run) -> None:
     """Decrement the number of runs of the group on the worker."""
     runs_per_worker = run.task.group.runs_per_worker
--- a/tests/test_plan_costs.py
+++ b/tests/test_plan_costs.py
@@ -8,7 +8,9 @@
 
 import pytest
 
+from skylarktally.scheduling import _admission
 from skylarktally.scheduling import _planning
+from skylarktally.scheduling import _work
 from tests import pools
 
 WORKERS = 43
@@ -77,3 +79,41 @@
         assert len(placements) == 1
         calls.append(count)
     assert calls[1] - calls[0] <= 280 * 25
+
+
+def test_a_submission_costs_the_same_for_a_long_backlog():
+    """Guards against walking all jobs for each caller of a surge."""
+    spec = pools.make_job('new', pools.make_step(TASKS, cpu=3100)).spec
+    calls = []
+    for waiting in (20, 300):
+        pool_state = make_full_pool(waiting)
+        pool_state.lendable_millicores = 10**9
+        _, count = count_calls(
+            _admission.review, pool_state, pools.make_queue(), spec
+        )
+        calls.append(count)
+    assert calls[0] == calls[1]
+
+
+def test_the_backlog_is_what_the_unfinished_tasks_need():
+    """Guards against a sum that drifts from the jobs it stands for."""
+    batch = pools.make_step(3, cpu=2000, estimate=1.5)
+    lasting = pools.make_step(2, cpu=1000, is_long_running=True)
+    gang = pools.make_step(2, cpu=1000, estimate=2.0, is_gang=True)
+    jobs = [
+        pools.make_job('a', batch, batch._replace(after=(0,))),
+        pools.make_job('b', lasting, gang),
+        pools.make_job('c', batch),
+    ]
+    pool_state = pools.make_pool_state(pools.make_worker('w'), jobs=jobs)
+    assert pool_state.remaining_work == pools.seconds(9000 * 3 + 4000)
+    run = pools.run_task(pool_state, jobs[0].groups[0, 0].tasks[0], 'w')
+    pool_state.note_end('w', pools.end(run))
+    assert pool_state.remaining_work == pools.seconds(9000 * 3 + 1000)
+    # The end of one member completes the gang.
+    member = pools.run_task(pool_state, jobs[1].groups[0, 1].tasks[0], 'w')
+    pool_state.note_end('w', pools.end(member))
+    assert pool_state.remaining_work == pools.seconds(9000 * 3 - 3000)
+    pool_state.finish_job(jobs[2], _work.JobState.CANCELLED)
+    pool_state.finish_job(jobs[0], _work.JobState.FAILED)
+    assert pool_state.remaining_work == pools.seconds(0)
