Give shards to the entry instances with the most capacity

A claim looked at the number of owned shards only. It had 322 jobs and 124 workers to look after, and tasks were started again whose ends it had not read.

The settings now carry the share and speed of the processor and the bandwidth of the link. The delay of a claim grows with the owned shards for each core; below one core it starts above the time by which instances may differ in when they see a vacancy. Terms are read when a delay ends.

Ruled out: the order of the claims alone, since reads every 0.35 s mix it. The new cases of tests/test_entries.py fail on the code before, which knows no capacity.

--- a/skylarktally/entries/_claims.py
+++ b/skylarktally/entries/_claims.py
@@ -12,8 +12,12 @@
 class _ClaimDelays(NamedTuple):
     """How long an entry instance waits before it claims a vacant shard."""
 
-    # For each shard that it already owns, so that shards spread evenly.
+    # For each shard that it already owns and each core of its capacity, so
+    # that shards spread by capacity.
     per_shard: datetime.timedelta
+    # For an entry instance of half a core; above the time by which entry
+    # instances may differ in when they see a vacancy.
+    low_capacity: datetime.timedelta
     # Upper bound of a pseudorandom delay, which separates entry instances
     # that own the same number of shards.
     max_jitter: datetime.timedelta
@@ -21,12 +25,30 @@
 
 # First claim of a shard: entry instances start within 0.3 s of each other.
 _FIRST_CLAIM = _ClaimDelays(
-    datetime.timedelta(seconds=0.3), datetime.timedelta(seconds=0.3)
+    datetime.timedelta(seconds=0.3),
+    datetime.timedelta(seconds=0.8),
+    datetime.timedelta(seconds=0.3),
 )
 # Takeover of a shard, shorter because its work stops until it is owned.
 _TAKEOVER = _ClaimDelays(
-    datetime.timedelta(seconds=0.1), datetime.timedelta(seconds=0.1)
+    datetime.timedelta(seconds=0.2),
+    datetime.timedelta(seconds=0.7),
+    datetime.timedelta(seconds=0.1),
 )
+# A busy owner exchanges about this much with workers for each core it uses.
+_LINK_MBPS_PER_CORE = 15
+# An entry instance with at least this capacity can own a busy pool.
+_SUFFICIENT_CORES = 1.0
+_MIN_CORES = 0.05
+
+
+class Limits(NamedTuple):
+    """Limits of an entry instance, from its settings."""
+
+    # Share of a core, and its speed as a multiple of a standard core.
+    processor_share: float
+    processor_speed: float
+    link_mbps: float
 
 
 class Claimant(NamedTuple):
@@ -35,6 +57,8 @@
     name: str
     incarnation: str
     owned_shards: int
+    # What ``measure_capacity`` returns for it.
+    cores: float
 
 
 class Vacancy(NamedTuple):
@@ -93,11 +117,28 @@
 ) -> datetime.timedelta:
     """Return how long the claimant waits before it claims a shard.
 
+    The shard goes to the claimant with the most capacity for each shard that
+    it would own. An entry instance with little capacity waits until those
+    with more have had the time to claim, and claims if none of them does.
     The pseudorandom part is a hash of the claimant and the shard.
     """
     text = f'{claimant.name} {shard}'
     fraction = xxhash.xxh32_intdigest(text.encode()) / 2**32
     delays = _TAKEOVER if vacancy.generation else _FIRST_CLAIM
+    # 0 from one core on, and 1 at half a core.
+    shortfall = max(_SUFFICIENT_CORES / claimant.cores - 1, 0)
     return (
-        claimant.owned_shards * delays.per_shard + fraction * delays.max_jitter
+        claimant.owned_shards * delays.per_shard / claimant.cores
+        + shortfall * delays.low_capacity
+        + fraction * delays.max_jitter
     )
+
+
+def measure_capacity(limits: Limits) -> float:
+    """Return the capacity to own shards, in standard cores.
+
+    A thin link limits it as well as the processor does.
+    """
+    processor_cores = limits.processor_share * limits.processor_speed
+    link_cores = limits.link_mbps / _LINK_MBPS_PER_CORE
+    return max(min(processor_cores, link_cores), _MIN_CORES)
--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -17,6 +17,7 @@
 from skylarktally import _loop
 from skylarktally import _metrics
 from skylarktally.entries import _calls
+from skylarktally.entries import _claims
 from skylarktally.entries import _directory
 from skylarktally.entries import _dispatcher
 from skylarktally.entries import _isolation
@@ -64,7 +65,10 @@
         self._directory = _directory.Directory(store, layout, clock)
         self._shards = _shards.ShardManager(
             _shards.Identity(
-                settings.name, settings.peer_address, self._incarnation
+                settings.name,
+                settings.peer_address,
+                self._incarnation,
+                _measure_capacity(settings),
             ),
             _shards.PlatformClients(
                 store,
@@ -247,3 +251,12 @@
     def reaches_store(self) -> bool:
         """Return whether the store answered lately, directly or relayed."""
         return not self._reachability.is_store_silent(self._clock.monotonic())
+
+
+def _measure_capacity(settings: _settings.EntrySettings) -> float:
+    """Return the capacity of the entry instance to own shards, in cores."""
+    return _claims.measure_capacity(
+        _claims.Limits(
+            settings.processor_share, settings.processor_speed, settings.link
+        )
+    )
--- a/skylarktally/entries/_settings.py
+++ b/skylarktally/entries/_settings.py
@@ -11,6 +11,9 @@
 )
 _ADDRESS = _fields.Address()
 _DELAY = _fields.Seconds(0.1, 600)
+_SHARE = _fields.Number(0.001, 1024, 'cores', False)
+_SPEED = _fields.Number(0.001, 1024, '', False)
+_BANDWIDTH = _fields.Number(0.001, 1000000, 'Mbit/s', False, '_mbps')
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -30,6 +33,11 @@
     instances_address: Annotated[str, _ADDRESS]
     # Time from the stop signal to the forced end of the process.
     stop_limit: Annotated[datetime.timedelta, _DELAY]
+    # Limits of the instance: share of a core, its speed as a multiple of a
+    # standard core, and the bandwidth of the link.
+    processor_share: Annotated[float, _SHARE] = 1.0
+    processor_speed: Annotated[float, _SPEED] = 1.0
+    link: Annotated[float, _BANDWIDTH] = 1000.0
     # Address of the service that advises on workers; empty if there is none.
     advisor_address: Annotated[str, _ADDRESS] = ''
     log_level: Annotated[
--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -34,6 +34,8 @@
     peer_address: str
     # Distinguishes the successive processes of one entry instance.
     incarnation: str
+    # Capacity to own shards, in standard cores.
+    cores: float = 1.0
 
 
 class PlatformClients(NamedTuple):
@@ -118,6 +120,7 @@
         directory.record_ownership(bool(self._owners))
         now = self._clock.monotonic()
         shards = [pool.name for pool in configuration.pools]
+        is_read_due = False
         for shard in (*shards, _maintenance.SHARD):
             if self._owns(shard) or shard in self._claiming:
                 continue
@@ -125,6 +128,7 @@
                 self._identity.name,
                 self._identity.incarnation,
                 len(self.list_ledgers()) + len(self._claiming),
+                self._identity.cores,
             )
             vacancy = _claims.find_vacancy(
                 directory.observed_terms.get(shard),
@@ -136,12 +140,19 @@
             if vacancy is None:
                 continue
             delay = _claims.calculate_delay(claimant, shard, vacancy)
-            # A read after the delay must still show the vacancy.
-            if vacancy.since + delay <= min(now, read_at):
+            due = vacancy.since + delay
+            if due <= min(now, read_at):
                 self._claiming.add(shard)
                 _loop.spawn_logging_errors(
                     self._claim_and_clear, shard, vacancy
                 )
+            elif due <= now:
+                # A read after the delay must still show the vacancy. Its
+                # time must not depend on the interval of reads, which would
+                # change the order of the claimants.
+                is_read_due = True
+        if is_read_due:
+            _loop.spawn_logging_errors(directory.refresh_terms)
 
     def _claim_and_clear(self, shard: str, vacancy: _claims.Vacancy) -> None:
         try:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -17,7 +17,7 @@
 from standins import rows
 from tests import pools
 
-CLAIMANT = _claims.Claimant('me', 'life-2', 0)
+CLAIMANT = _claims.Claimant('me', 'life-2', 0, cores=1.0)
 
 
 def make_observed_term(
@@ -96,6 +96,77 @@
     assert len(set(delays)) == 4
 
 
+SMALL, LARGE = 0.516, 2.15
+
+
+@pytest.mark.parametrize('generation', [0, 1])
+@pytest.mark.parametrize(
+    'first, second',
+    [
+        # Cores and owned shards of the claimants.
+        ((LARGE, 0), (SMALL, 0)),
+        ((LARGE, 1), (SMALL, 0)),
+        ((LARGE, 0), (LARGE, 1)),
+        ((1.07, 0), (1.07, 1)),
+        ((SMALL, 0), (SMALL, 1)),
+        # Small ones share what large ones do not take.
+        ((SMALL, 0), (LARGE, 9)),
+    ],
+)
+def test_shards_go_to_the_capacity(first, second, generation):
+    """Guards against a busy pool on a small instance beside idle large ones.
+
+    Three owners on instances of half a core did 95 of 117 s of all work.
+    """
+    vacancy = _claims.Vacancy(pools.seconds(0), 1, generation)
+
+    def delay(name, cores, owned_shards):
+        claimant = _claims.Claimant(name, 'life', owned_shards, cores)
+        return _claims.calculate_delay(claimant, 'pool', vacancy)
+
+    names = [f'entry-{i}' for i in range(20)]
+    mean_first = sum((delay(n, *first) for n in names), pools.seconds(0))
+    mean_second = sum((delay(n, *second) for n in names), pools.seconds(0))
+    assert mean_first < mean_second
+
+
+@pytest.mark.parametrize('generation', [0, 1])
+def test_small_instances_wait_longer_than_views_of_a_vacancy_differ(
+    generation,
+):
+    """Guards against a small instance that claims since it looked first."""
+    vacancy = _claims.Vacancy(pools.seconds(0), 1, generation)
+    difference = pools.seconds(0.35)
+    large = max(
+        _claims.calculate_delay(
+            _claims.Claimant(f'large-{i}', 'life', 0, LARGE), 'pool', vacancy
+        )
+        for i in range(20)
+    )
+    small = min(
+        _claims.calculate_delay(
+            _claims.Claimant(f'small-{i}', 'life', 0, SMALL), 'pool', vacancy
+        )
+        for i in range(20)
+    )
+    assert small > large + difference
+
+
+@pytest.mark.parametrize(
+    'share, speed, link, cores',
+    [
+        (0.717, 3, 200, 2.151),
+        (0.516, 1, 1000, 0.516),
+        # A thin link limits a fast processor.
+        (0.717, 3, 5, 5 / 15),
+        (0.0, 1, 5, 0.05),
+    ],
+)
+def test_the_capacity_is_the_tighter_limit(share, speed, link, cores):
+    limits = _claims.Limits(share, speed, link)
+    assert _claims.measure_capacity(limits) == pytest.approx(cores)
+
+
 def test_an_entry_instance_is_isolated_if_no_peer_reaches_the_store():
     reachability = _isolation.StoreReachability(pools.seconds(0))
     now = pools.seconds(2)
