Start the delays of first claims when an entry instance can claim

They now run from the moment of the first possible claim, and owned shards count twice as much, since nothing waits for the first claims.

test_a_slow_start_does_not_claim_all_shards_at_once fails on the code before: five claims at once.

--- a/skylarktally/entries/_claims.py
+++ b/skylarktally/entries/_claims.py
@@ -25,7 +25,7 @@
 
 # First claim of a shard: entry instances start within 0.3 s of each other.
 _FIRST_CLAIM = _ClaimDelays(
-    datetime.timedelta(seconds=0.3),
+    datetime.timedelta(seconds=0.6),
     datetime.timedelta(seconds=0.8),
     datetime.timedelta(seconds=0.3),
 )
@@ -75,7 +75,9 @@
 class ReadTimes(NamedTuple):
     """When the claimant read the terms, on its monotonic clock."""
 
-    started_at: datetime.timedelta
+    # Since when the claimant could claim. An earlier time, such as the start
+    # of the process, would let several delays end at the same moment.
+    ready_since: datetime.timedelta
     # Since then, no two reads were so far apart that a renewal by a live
     # holder could have been missed.
     gapless_since: datetime.timedelta
@@ -89,7 +91,7 @@
 ) -> Vacancy | None:
     """Return the vacancy of a shard; None while it has a live owner."""
     if observed is None:
-        return Vacancy(reads.started_at, 0, 0)
+        return Vacancy(reads.ready_since, 0, 0)
     term = observed.term
     vacancy = Vacancy(observed.seen_at, observed.version, term.generation)
     if term.is_released:
--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -80,7 +80,8 @@
         self._directory = directory
         self._requests = requests
         self._clock = clock
-        self._started_at = clock.monotonic()
+        # Since when this entry instance knows what it needs for claims.
+        self._ready_since: datetime.timedelta | None = None
         self._owners: dict[str, _owner.PoolOwner] = {}
         self._maintenance: _maintenance.Maintenance | None = None
         # Shards with a claim in progress.
@@ -119,6 +120,8 @@
         self._drop_ended()
         directory.record_ownership(bool(self._owners))
         now = self._clock.monotonic()
+        if self._ready_since is None:
+            self._ready_since = now
         shards = [pool.name for pool in configuration.pools]
         is_read_due = False
         for shard in (*shards, _maintenance.SHARD):
@@ -134,7 +137,9 @@
                 directory.observed_terms.get(shard),
                 claimant,
                 _claims.ReadTimes(
-                    self._started_at, directory.terms_gapless_since, read_at
+                    self._ready_since,
+                    directory.terms_gapless_since,
+                    read_at,
                 ),
             )
             if vacancy is None:
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -137,3 +137,19 @@
     assert all(
         entry_instance.find_term(shard).generation == 1 for shard in POOLS
     )
+
+
+def test_a_slow_start_does_not_claim_all_shards_at_once():
+    """Guards against one entry instance that owns several busy pools.
+
+    The delays of all claims had passed before it could claim the first one.
+    """
+    entry_instance = EntryInstance()
+    _loop.sleep(1.5)
+    entry_instance.directory.refresh_terms()
+    entry_instance.shards.claim_vacant()
+    assert entry_instance.shards._claiming == set()
+    entry_instance.claim_until(
+        lambda: entry_instance.shards._claiming != set()
+    )
+    assert len(entry_instance.shards._claiming) == 1
