Limit how long the smallest entry instances wait for larger ones

The delay of a claim grew without limit below one core, which a deployment of such instances alone would wait at each takeover. Found by reading. Less than half a core now counts as half a core, which bounds a delay without owned shards by 0.8 s.

--- a/skylarktally/entries/_claims.py
+++ b/skylarktally/entries/_claims.py
@@ -39,7 +39,9 @@
 _LINK_MBPS_PER_CORE = 15
 # An entry instance with at least this capacity can own a busy pool.
 _SUFFICIENT_CORES = 1.0
-_MIN_CORES = 0.05
+# Less counts as this much, so that a deployment that has only smaller entry
+# instances does not wait for others that do not exist.
+_MIN_CORES = 0.5
 
 
 class Limits(NamedTuple):
