--- a/demo/_callers.py
+++ b/demo/_callers.py
@@ -18,12 +18,12 @@
 _MOST_ATTEMPTS = 8
 _PAUSE_SECONDS = 0.2
 _BROKEN = (urllib3.exceptions.HTTPError, _balancer.ConnectionClosed)
-# Errors after which the key tells what became of an earlier attempt.
+# Errors after which the outcome of an earlier attempt is read by its key.
 _ASK_AGAIN = ('connection', 'duplicate_request')
 
 
 class Attempt(NamedTuple):
-    """One sending of a request."""
+    """One attempt to send a request."""
 
     entry: str
     # Since the request's first attempt.
@@ -34,7 +34,7 @@
 
 
 class Call(NamedTuple):
-    """What became of one request."""
+    """The outcome of one request."""
 
     key: str
     pool: str
@@ -175,7 +175,7 @@
             _loop.sleep(_PAUSE_SECONDS * len(attempts))
         spec = job['spec']
         if not spec['idempotent'] and outcome in ('not-run', 'unreachable'):
-            # A refusal does not speak for an earlier attempt.
+            # A refusal says nothing about an earlier attempt.
             if any(x.outcome == 'unknown' for x in attempts):
                 outcome = 'unknown'
         self.calls.append(
--- a/demo/_links.py
+++ b/demo/_links.py
@@ -21,7 +21,7 @@
         _accept(address, target, self._keep, self._is_silent)
 
     def cut(self) -> None:
-        """Swallow all bytes from now on, without closing anything."""
+        """Discard all bytes from now on, without closing a connection."""
         self._silent = True
 
     def heal(self) -> None:
@@ -47,7 +47,7 @@
 
     def __init__(self, entries: tuple[_deployment.Entry, ...]) -> None:
         self.cut: set[tuple[str, str]] = set()
-        # Pieces of connections that were held back.
+        # Number of pieces of data that were withheld.
         self.held = 0
         for entry in entries:
             self._start(entry)
--- a/demo/_operator.py
+++ b/demo/_operator.py
@@ -1,4 +1,4 @@
-"""The operator of the demo, who uses the command line as people do."""
+"""The operator of the demo, who uses the command line."""
 
 import json
 import pathlib
--- a/demo/_surge.py
+++ b/demo/_surge.py
@@ -1,4 +1,4 @@
-"""A surge of one pool: what moves to it, how soon, and what comes back."""
+"""A surge of one pool: which instances move to it, when, and which return."""
 
 import datetime
 import time
@@ -28,7 +28,7 @@
     source: str
     target: str
     begun: float
-    # None while the instance has not come to serve its new pool.
+    # None until the instance serves its new pool.
     served: float | None
 
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -64,7 +64,7 @@
         self.running: list[tasks.Task] = []
 
     def _reboot(self) -> None:
-        """Comes back unfenced, with no lease and no task."""
+        """Restart: clear the fence, all leases and all tasks."""
         self.up = False
         for task in self.running:
             task.stopped = True
@@ -72,7 +72,7 @@
         _loop.spawn_after(self.reboot_seconds, self._boot)
 
     def count_free_slots(self) -> int:
-        """Count the slots under no live lease and no running task."""
+        """Return the number of slots that no lease or running task uses."""
         now = time.monotonic()
         live = [x for x in self.leases.values() if x.expiry > now]
         promised = sum(max(x.slots, x.running) for x in live)
@@ -133,7 +133,7 @@
         return Reply('409 Conflict', {'reason': reason, 'fence': fence})
 
     def renew_lease(self, data: dict[str, Any], lease_id: str) -> Reply:
-        """Extend a lease that is still live."""
+        """Extend a lease that has not expired."""
         lease = self.find_lease(lease_id)
         if lease is None:
             return self._refuse_lease('unknown_lease')
@@ -147,7 +147,7 @@
         return Reply('200 OK', {})
 
     def raise_fence(self, data: dict[str, Any]) -> Reply:
-        """Void all leases under an older epoch."""
+        """Revoke all leases of older epochs."""
         wanted = (int(data['epoch']), str(data['pool']))
         if data.get('if_match', self._build_etag()) != self._build_etag():
             return Reply('412 Precondition Failed', self._describe_fence())
@@ -173,7 +173,7 @@
         return Reply('200 OK', body, (('ETag', self._build_etag()),))
 
     def read_usage(self, _data: dict[str, Any]) -> Reply:
-        """Return the number of running tasks as it was some time ago."""
+        """Return a delayed value of the number of running tasks."""
         limit = time.monotonic() - _USAGE_LAG_SECONDS
         past = [n for when, n in self._usage if when <= limit]
         usage = {'running': past[-1] if past else 0, 'slots': self.slots}
@@ -219,7 +219,7 @@
         return Reply('200 OK', data)
 
     def reboot(self, data: dict[str, Any]) -> Reply:
-        """Reboot after the answer, down for the settable time."""
+        """Restart after the response; the down time is configurable."""
         if 'delay_seconds' in data:
             self.reboot_seconds = float(data['delay_seconds'])
         _loop.spawn_after(0, self._reboot)
@@ -261,7 +261,7 @@
         deadline = float(environ.get('HTTP_TIMEOUT_MS', 3600000)) / 1000
         try:
             body = environ['wsgi.input'].read()
-            # The echo of the key lets a router tell its answer from others.
+            # A router matches the response to its request by the key.
             echo = ('Request-Key', task.key)
 
             def answer(status: str, headers: list[tuple[str, str]]) -> None:
@@ -312,7 +312,7 @@
 
 
 def _rest(task: tasks.Task, seconds: float, deadline: float) -> None:
-    """Spend the run time in short steps, so that a stop takes effect."""
+    """Sleep for the run time in short steps, so that a stop takes effect."""
     end = time.monotonic() + min(seconds, deadline)
     while (left := end - time.monotonic()) > 0:
         if task.stopped:
@@ -364,7 +364,7 @@
 
 
 class _Connections:
-    """Green threads of open connections, whose highest number is noted."""
+    """Green threads of open connections; records their highest number."""
 
     def __init__(self, worker: Worker) -> None:
         self._worker = worker
