--- a/skylarktally/entries/_claims.py
+++ b/skylarktally/entries/_claims.py
@@ -35,7 +35,8 @@
     datetime.timedelta(seconds=0.7),
     datetime.timedelta(seconds=0.1),
 )
-# A busy owner exchanges about this much with workers for each core it uses.
+# A core that is busy with calls to workers moves more than this, so that a
+# thinner link limits the owner before its processor does.
 _LINK_MBPS_PER_CORE = 15
 # An entry instance with at least this capacity can own a busy pool.
 _SUFFICIENT_CORES = 1.0
