Count a term from the first attempt of a renewal whose answer was lost

Cause: a transaction that was applied without an answer is sent again, and the store answers 412 with the row of the first attempt. The owner took that for a renewal at the time of the second attempt. Others count from the time they saw the row, and may claim while the owner gives orders and leases for up to 1.5 s more, of which the successor does not know (TWICE, ONE). A late process takes answers for lost, so that overload leads there without a fault of the store. Ruled out: attempts that are applied themselves (their own start counts), and delays within the store (the start of an attempt is before its application). Evidence: found by reading; test_a_lost_answer_renews_from_the_first_attempt fails on (a term held 1.6 s after its row was written, limit 1.5 s) and passes now, with the 12 other tests of the file.

--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -295,6 +295,7 @@
     ) -> bool:
         """Retry until the outcome is known; False when the term is lost."""
         failures = 0
+        first_started_at = self._clock.monotonic()
         while not self.is_over:
             started_at = self._clock.monotonic()
             outcome = self._store.commit(transaction)
@@ -304,9 +305,12 @@
                         'store commit succeeded after retries',
                         extra={'shard': self.shard, 'failures': failures},
                     )
-                return self._conclude_commit(
-                    outcome.unwrap(), term, started_at
-                )
+                committed = outcome.unwrap()
+                if not committed.is_applied:
+                    # An earlier attempt may have been applied; others count
+                    # the term from the first time they saw its row.
+                    started_at = first_started_at
+                return self._conclude_commit(committed, term, started_at)
             if not failures:
                 _LOG.warning(
                     'store commit failed, retrying',
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -172,6 +172,29 @@
     assert not shard.ledger.holds_term()
 
 
+def test_a_lost_answer_renews_from_the_first_attempt(shard):
+    """Guards against orders after another entry instance may claim (TWICE).
+
+    The first attempt was applied. Others saw its row, and their wait for the
+    expiry of the term began then, not with the attempt that was answered.
+    """
+    commit = shard.table.commit
+
+    def commit_slowly(transaction):
+        outcome = commit(transaction)
+        shard.clock.advance(0.8)
+        return outcome
+
+    shard.table.commit = commit_slowly
+    shard.table.faults = [Fault.LOSE_RESPONSE]
+    applied_at = shard.clock.monotonic()
+    shard.ledger.commit()
+    assert not shard.ledger.is_over
+    elapsed = shard.clock.monotonic() - applied_at
+    assert elapsed >= _ledger.TERM_VALIDITY
+    assert not shard.ledger.holds_term()
+
+
 def test_a_released_term_ends_and_its_row_says_so(shard):
     shard.ledger.release()
     assert not shard.ledger.holds_term()
