Wait for a call without an answer before tasks of a silent worker start

Cause: a successor started the tasks of a worker out of contact once the last lease had expired by its clock, also if a report was on its way or it had not asked since. Change: tasks of loaded jobs wait until each such worker has reported, or has left a request unanswered that was sent after the expiry, or is not listed. The time stays as a forecast for moves. Ruled out: a longer time (a process may be later than any), and asking in the plan (the session asks every 0.2 s anyway, so this costs 0.6 s at most).

--- a/skylarktally/scheduling/_pool_state.py
+++ b/skylarktally/scheduling/_pool_state.py
@@ -178,6 +178,8 @@
         self, group: _states.TaskGroup, now: datetime.timedelta
     ) -> list[_states.Task]:
         """Return the tasks of a ready group that may be started."""
+        if group.job.awaits_reports:
+            return []
         return [
             task
             for task in group.tasks
--- a/skylarktally/scheduling/_roster.py
+++ b/skylarktally/scheduling/_roster.py
@@ -60,6 +60,7 @@
 
     def list_unreported(self) -> dict[str, UnresolvedLease]:
         """Return unresolved leases of workers that have not reported."""
+        self._drop_expired_leases()
         worker_states = self._pool_state.worker_states
         return {
             worker: lease
@@ -68,6 +69,25 @@
             or not worker_states[worker].has_reported
         }
 
+    def _drop_expired_leases(self) -> None:
+        """Drop expired leases of workers that have reported or are silent."""
+        now = self._clock.monotonic()
+        for id_, lease in list(self._unresolved_leases.items()):
+            if lease.expires_at <= now and self._is_settled(id_, lease):
+                del self._unresolved_leases[id_]
+
+    def _is_settled(self, id_: str, lease: UnresolvedLease) -> bool:
+        """Tell whether nothing more can be learned of an expired lease.
+
+        A worker that is not listed cannot be asked. Any other has to report,
+        or to leave a request unanswered that was sent after the expiry.
+        """
+        session = self._sessions.get(id_)
+        if session is None or session.worker_state.has_reported:
+            return True
+        failed_at = session.last_failure_at
+        return failed_at is not None and failed_at >= lease.expires_at
+
     def has_all_reports(self) -> bool:
         """Tell whether listed workers with unresolved leases have reported."""
         return all(
@@ -122,7 +142,8 @@
         since = self._missing_since.setdefault(id_, now)
         worker_state = self._pool_state.worker_states[id_]
         worker_state.backoff_until = now + _MISSING_TIMEOUT
-        if now - since >= _MISSING_TIMEOUT or not worker_state.runs:
+        is_lost = now - since >= _MISSING_TIMEOUT
+        if is_lost or not worker_state.runs:
             del self._missing_since[id_]
             self._remove(id_, self._sessions[id_].leases_expire_at)
 
@@ -152,9 +173,7 @@
     def list_lease_holders(self) -> tuple[str, ...]:
         """Return the workers that may hold a lease."""
         now = self._clock.monotonic()
-        for id_, lease in list(self._unresolved_leases.items()):
-            if lease.expires_at <= now:
-                del self._unresolved_leases[id_]
+        self._drop_expired_leases()
         holders = dict.fromkeys(
             id_ for id_ in self._unresolved_leases if id_ not in self._sessions
         )
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -77,6 +77,10 @@
         self.is_over = False
         # When the last lease that was sent has certainly expired.
         self.leases_expire_at = clock.monotonic()
+        # When the last request for a report that failed was sent. Only a
+        # failure after the leases have expired shows that the worker is
+        # silent; before, an answer may be waiting in a process that is late.
+        self.last_failure_at: datetime.timedelta | None = None
         self._host = host
         self._calls = calls
         self._clock = clock
@@ -165,14 +169,16 @@
         if self.is_over or self._host.ledger.is_over:
             return True
         if not isinstance(outcome, result.Success):
+            self.last_failure_at = sent_at
             self._mark_unresponsive(outcome.failure())
-            self._release_expired()
+            self._release_expired(sent_at)
             return False
         answer = outcome.unwrap()
         if isinstance(answer, _work.WorkerReport):
             self._mark_responsive()
             self._apply_report(answer, sent_at)
             return True
+        self.last_failure_at = sent_at
         self._handle_rejection(answer)
         return False
 
@@ -191,12 +197,12 @@
             },
         )
 
-    def _release_expired(self) -> None:
-        """Remove the runs of an unresponsive worker once its leases expire."""
-        if (
-            self._clock.monotonic() < self.leases_expire_at
-            or not self.worker_state.runs
-        ):
+    def _release_expired(self, sent_at: datetime.timedelta) -> None:
+        """Remove the runs of an unresponsive worker once its leases expire.
+
+        :param sent_at: when the request for a report that failed was sent
+        """
+        if sent_at < self.leases_expire_at or not self.worker_state.runs:
             return
         _LOG.info(
             'leases of an unresponsive worker expired',
--- a/skylarktally/scheduling/_takeover.py
+++ b/skylarktally/scheduling/_takeover.py
@@ -61,7 +61,8 @@
                 if lease.generation >= job.generation
             ]
             _block_job(job, max(expiries, default=datetime.timedelta()))
-        self._jobs = [job for job in self._jobs if job.blocked_until]
+            job.awaits_reports = bool(expiries)
+        self._jobs = [job for job in self._jobs if job.awaits_reports]
         return len(self._jobs)
 
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -54,8 +54,16 @@
             id_: worker.record for id_, worker in self.fleet.workers.items()
         }
 
-    def start_owner(self, lease_holders=(), last_contact_generation=None):
-        """Claim the pool and return its new owner."""
+    def start_owner(
+        self,
+        lease_holders=(),
+        last_contact_generation=None,
+        lease_time=None,
+    ):
+        """Claim the pool and return its new owner.
+
+        :param lease_time: until the leases of the holders have expired
+        """
         place = _records.make_term_key('pool')
         row = self.table.rows.get(place)
         generation = 1
@@ -76,6 +84,9 @@
             self.advisor,
         )
         now = self.clock.monotonic()
+        expires_at = _sessions.compute_lease_expiry(now)
+        if lease_time is not None:
+            expires_at = now + lease_time
         _loop.spawn(
             owner.run,
             {self.queue.name: self.queue},
@@ -83,8 +94,7 @@
             _takeover.TakeoverState(
                 {
                     name: _roster.UnresolvedLease(
-                        _sessions.compute_lease_expiry(now),
-                        last_contact_generation or generation - 1,
+                        expires_at, last_contact_generation or generation - 1
                     )
                     for name in lease_holders
                 },
@@ -368,6 +378,56 @@
     assert len(deployment.list_starts(JOB)) == 2
 
 
+def find_active(deployment):
+    """Return the only worker with active runs."""
+    (worker,) = (
+        worker for worker in deployment.fleet.workers.values() if worker.active
+    )
+    return worker
+
+
+def test_a_late_successor_reads_a_report_before_it_starts_tasks(deployment):
+    """Guards against a second run of a task that is done (TWICE).
+
+    The successor was late: the report with the ends was on its way when the
+    lease expired, and tasks were started by the time alone.
+    """
+    owner = deployment.start_owner()
+    wait_until(lambda: owner.is_ready)
+    deployment.submit(owner, JOB)
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    holder = find_active(deployment)
+    deployment.fleet.unresponsive.add(holder.record.id)
+    for task in list(holder.active):
+        holder.end(task, _work.EndKind.DONE)
+    renew = deployment.fleet.renew_leases
+
+    def renew_late(worker, token, order):
+        if worker.id == holder.record.id and token == second.ledger.token:
+            _loop.sleep(1.5)
+        return renew(worker, token, order)
+
+    second = deployment.start_owner(('w', 'x'), lease_time=pools.seconds(0.7))
+    deployment.fleet.renew_leases = renew_late
+    deployment.fleet.unresponsive.clear()
+    completed = result.Success(_work.JobState.COMPLETED)
+    wait_until(lambda: second.is_ready)
+    wait_until(lambda: second.show(JOB) == completed, limit=4)
+    assert len(deployment.list_starts(JOB)) == 2
+
+
+def test_tasks_of_a_worker_start_after_a_call_without_an_answer(deployment):
+    """Guards against tasks that wait for a worker that never answers."""
+    owner = deployment.start_owner()
+    wait_until(lambda: owner.is_ready)
+    deployment.submit(owner, JOB)
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    deployment.fleet.unresponsive.add(find_active(deployment).record.id)
+    second = deployment.start_owner(('w', 'x'), lease_time=pools.seconds(0.7))
+    wait_until(lambda: second.is_ready)
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 4, limit=4)
+
+
 def test_a_worker_that_is_listed_late_blocks_no_task(deployment):
     """Replays a new owner whose list of workers is slightly out of date.
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -370,6 +370,36 @@
     assert not fleet.workers[lost].active
 
 
+def test_a_call_before_the_expiry_does_not_show_that_a_worker_is_silent(
+    pool, fleet, clock
+):
+    """Guards against a second run of a task whose end is on its way (TWICE).
+
+    The call was sent before the leases expired and failed after that.
+    """
+    pool.add('a', pools.make_step(1))
+    (run,) = pool.start()
+    pool.exchange_all()
+    fleet.unresponsive.add('w')
+    pool.exchange_all()
+    # From now on the leases are not extended.
+    expires_at = pool.sessions['w'].leases_expire_at
+    clock.advance((expires_at - clock.monotonic()).total_seconds() - 0.1)
+    pool.ledger.commit()
+    renew = fleet.renew_leases
+
+    def renew_slowly(worker, token, order):
+        clock.advance(0.4)
+        return renew(worker, token, order)
+
+    fleet.renew_leases = renew_slowly
+    pool.exchange_all()
+    assert clock.monotonic() > expires_at
+    assert run.task.run is run
+    pool.exchange_all()
+    assert run.task.run is None
+
+
 @pytest.mark.parametrize(
     'fault, pace, percent',
     [
