Name a worker in the term row until the ends of its runs are stored

Cause: a worker without runs that fails, drains or does not answer was left out of the term row at once. A successor did not wait for that worker, had no stored progress, and could start the task again before the worker reported the end (TWICE). Ruled out: workers that can get new runs (they are named anyway), and ends within the same transaction (they and the row are stored together).

--- a/skylarktally/scheduling/_roster.py
+++ b/skylarktally/scheduling/_roster.py
@@ -143,13 +143,13 @@
         worker_state = self._pool_state.worker_states[id_]
         worker_state.backoff_until = now + _MISSING_TIMEOUT
         is_lost = now - since >= _MISSING_TIMEOUT
-        if is_lost or not worker_state.runs:
+        if is_lost or not worker_state.has_open_runs:
             del self._missing_since[id_]
             self._remove(id_, self._sessions[id_].leases_expire_at)
 
     def _remove(self, id_: str, expires_at: datetime.timedelta) -> None:
         self._sessions.pop(id_).end()
-        if self._pool_state.worker_states[id_].runs:
+        if self._pool_state.worker_states[id_].has_open_runs:
             self._unresolved_leases[id_] = self._make_unresolved_lease(
                 expires_at
             )
@@ -192,7 +192,7 @@
             if (
                 worker_state.has_reported
                 and worker_state.is_unresponsive
-                and worker_state.runs
+                and worker_state.has_open_runs
             ):
                 expires_at = self._sessions[id_].leases_expire_at
                 leases[id_] = self._make_unresolved_lease(expires_at)
@@ -218,7 +218,7 @@
         now: datetime.timedelta,
     ) -> bool:
         """Tell whether a worker has a run, or can be given one at any time."""
-        if worker_state.runs:
+        if worker_state.has_open_runs:
             return True
         if not worker_state.has_reported:
             # Only an earlier owner can have given this worker a lease.
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -270,8 +270,10 @@
         pool_state = self._host.pool_state
         is_urgent = any(job.is_final for job in pool_state.changed.values())
         has_changes = bool(pool_state.changed)
+        self.worker_state.has_unstored_ends = True
         if not self._host.ledger.flush(has_changes, is_urgent):
             return
+        self.worker_state.has_unstored_ends = False
         self._acknowledged = max(end.sequence for end in ended)
 
     def _track_failures(
--- a/skylarktally/scheduling/_states.py
+++ b/skylarktally/scheduling/_states.py
@@ -203,6 +203,9 @@
     has_reported: bool = False
     # Whether the last request to the worker got no response.
     is_unresponsive: bool = False
+    # Whether it has reported ends of runs whose effect is not stored. Until
+    # then, the next owner has to learn of them from the worker.
+    has_unstored_ends: bool = False
     # Whether the stored term lists the worker, so that the next owner
     # knows that it may hold a lease.
     is_persisted: bool = False
@@ -212,6 +215,11 @@
         """Resources that are not reserved by runs."""
         return self.record.capacity.minus(self.used)
 
+    @property
+    def has_open_runs(self) -> bool:
+        """Whether it has runs, or ended runs whose end is not stored."""
+        return bool(self.runs) or self.has_unstored_ends
+
     @property
     def is_schedulable(self) -> bool:
         """Whether new runs may be sent to the worker."""
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -428,6 +428,31 @@
     wait_until(lambda: len(deployment.list_starts(JOB)) == 4, limit=4)
 
 
+def test_a_worker_is_named_until_the_ends_of_its_runs_are_stored(deployment):
+    """Guards against a successor that starts a task that is done (TWICE).
+
+    The term row no longer named a draining worker without runs, although a
+    transaction with its ends was still to come.
+    """
+    owner = deployment.start_owner()
+    wait_until(lambda: owner.is_ready)
+    deployment.submit(owner, JOB)
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    holder = find_active(deployment)
+    id_ = holder.record.id
+    worker_state = owner.pool_state.worker_states[id_]
+    deployment.table.is_down = True
+    deployment.listed[id_] = holder.record._replace(is_draining=True)
+    for task in list(holder.active):
+        holder.end(task, _work.EndKind.DONE)
+    wait_until(
+        lambda: worker_state.record.is_draining and not worker_state.runs
+    )
+    assert id_ in owner.list_lease_holders()
+    deployment.table.is_down = False
+    wait_until(lambda: id_ not in owner.list_lease_holders())
+
+
 def test_a_worker_that_is_listed_late_blocks_no_task(deployment):
     """Replays a new owner whose list of workers is slightly out of date.
 
