Start new jobs after a takeover before all workers have reported

Change: jobs loaded from the store are blocked from the beginning and unblocked report by report, as for a worker that reports later; nothing else waits. A worker that has just left the list is asked for as long as any other (2.5 s, before: 0.5 s). Log lines name at most 8 silent workers and their number. Test: test_a_new_owner_starts_new_jobs_before_all_workers_have_reported fails before (0.35 s are over) and passes now.

--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -41,11 +41,8 @@
 # After a plan the owner pauses for this multiple of its duration, so that
 # plans take at most a fifth of the processor however often runs end.
 _PAUSE_FACTOR = 4
-# Time that workers have to report to a new owner before it starts tasks.
-_REPORT_TIMEOUT = datetime.timedelta(seconds=0.5)
-# The list of workers is read again at least this often.
-_LISTING_TIMEOUT = datetime.timedelta(seconds=0.15)
-_REPORT_POLL_INTERVAL = datetime.timedelta(seconds=0.02)
+# Number of silent workers that a log line names; their number is unbounded.
+_MAX_LOGGED_WORKERS = 8
 
 StateResult = result.Result[_work.JobState, _errors.Failure]
 
@@ -97,6 +94,7 @@
         # Blocks tasks of jobs loaded from the store while workers with
         # unresolved leases may run them; None once no job is blocked.
         self._start_blocker: _takeover.StartBlocker | None = None
+        # Workers for which they are blocked at present.
         self._unreported: set[str] = set()
         ledger.set_source(self)
 
@@ -135,15 +133,14 @@
             if id_ in takeover.unresolved_leases
         }
 
-        def list_all() -> Mapping[str, _work.WorkerRecord]:
-            return {**departed, **workers()}
-
-        self._roster.sync(list_all())
-        loaded = list(self.pool_state.jobs.values())
-        # Accept jobs while the workers are still asked for reports.
+        self._roster.sync({**departed, **workers()})
+        # Jobs that are accepted from now on run on the workers that have
+        # reported; only the loaded ones wait for the other workers.
+        self._start_blocker = _takeover.StartBlocker(
+            self.pool_state.jobs.values()
+        )
+        self._block_unresolved_tasks()
         self.is_ready = True
-        self._await_reports(list_all)
-        self._start_blocker = _takeover.StartBlocker(loaded)
         _LOG.info(
             'owner ready',
             extra={
@@ -166,27 +163,6 @@
             self._note_plan(duration)
             self._clock.sleep(min(duration * _PAUSE_FACTOR, _MAX_PAUSE))
 
-    def _await_reports(
-        self, workers: Callable[[], Mapping[str, _work.WorkerRecord]]
-    ) -> None:
-        """Wait until workers with unresolved leases have reported.
-
-        Those that are not listed within ``_LISTING_TIMEOUT`` are not waited
-        for, and ``_REPORT_TIMEOUT`` bounds the wait for the others.
-        """
-        started_at = self._clock.monotonic()
-        while not self.ledger.is_over:
-            self._roster.sync(workers())
-            if not self._roster.list_unreported():
-                return
-            elapsed = self._clock.monotonic() - started_at
-            is_listed = elapsed >= _LISTING_TIMEOUT
-            if is_listed and self._roster.has_all_reports():
-                return
-            if elapsed >= _REPORT_TIMEOUT:
-                return
-            self._clock.sleep(_REPORT_POLL_INTERVAL)
-
     def _block_unresolved_tasks(self) -> None:
         """Block tasks that may run on workers that have not reported."""
         if self._start_blocker is None:
@@ -206,12 +182,14 @@
             'tasks blocked' if blocked else 'no tasks blocked any more',
             extra={
                 'shard': self.ledger.shard,
-                'silent': list(unreported),
+                'silent_count': len(unreported),
+                'silent': list(unreported)[:_MAX_LOGGED_WORKERS],
                 'jobs': blocked,
             },
         )
         if not blocked:
             self._start_blocker = None
+            self._unreported = set()
 
     def _shut_down(self) -> None:
         self._roster.end()
@@ -257,6 +235,9 @@
         if is_upkeep_due:
             self._upkeep_due = now + _UPKEEP_INTERVAL
             self._roster.sync(workers())
+        if is_upkeep_due or self._unreported:
+            # Reports arrive one after the other, and each plan may be the
+            # first after the last one.
             self._block_unresolved_tasks()
         if not self.ledger.holds_term():
             return
--- a/skylarktally/scheduling/_roster.py
+++ b/skylarktally/scheduling/_roster.py
@@ -88,14 +88,6 @@
         failed_at = session.last_failure_at
         return failed_at is not None and failed_at >= lease.expires_at
 
-    def has_all_reports(self) -> bool:
-        """Tell whether listed workers with unresolved leases have reported."""
-        return all(
-            worker_state.has_reported
-            for id_, worker_state in self._pool_state.worker_states.items()
-            if id_ in self._unresolved_leases
-        )
-
     def find_session(self, worker: str) -> _sessions.Session | None:
         """Return the session with a worker."""
         return self._sessions.get(worker)
@@ -143,7 +135,9 @@
         worker_state = self._pool_state.worker_states[id_]
         worker_state.backoff_until = now + _MISSING_TIMEOUT
         is_lost = now - since >= _MISSING_TIMEOUT
-        if is_lost or not worker_state.has_open_runs:
+        # A worker that left the list just before may still be reachable.
+        is_awaited = id_ in self._unresolved_leases
+        if is_lost or not (worker_state.has_open_runs or is_awaited):
             del self._missing_since[id_]
             self._remove(id_, self._sessions[id_].leases_expire_at)
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -473,6 +473,22 @@
     assert not second.pool_state.jobs[JOB].blocked_until
 
 
+def test_a_new_owner_starts_new_jobs_before_all_workers_have_reported(
+    deployment,
+):
+    """Replays a cut zone whose workers do not answer the new owner (SHORT).
+
+    All jobs waited half a second for reports that could not come.
+    """
+    owner = deployment.start_owner()
+    wait_until(lambda: owner.is_ready)
+    deployment.fleet.unresponsive.add('w')
+    second = deployment.start_owner(('w', 'x'))
+    wait_until(lambda: second.is_ready)
+    assert deployment.submit(second, JOB) == result.Success(None)
+    wait_until(lambda: len(deployment.list_starts(JOB)) == 2, limit=0.35)
+
+
 def test_a_worker_that_leaves_after_its_report_blocks_no_task(deployment):
     """Replays moves of instances in the seconds after a takeover (SHORT).
 
