Read the terms at the moment when one may have expired

Instances that looked late also lost the claim to one with more pools. Change: the terms are read when a term may have expired, and claims follow the read at once. Not while reads are more than 0.7 s apart, so that a store that does not answer gets no more reads. Test: test_an_expired_term_is_read_when_it_expires fails before (no claim 0.2 s after the expiry) and passes now; test_a_store_that_does_not_answer_is_not_ read_more_often bounds the reads.

--- a/skylarktally/entries/_claims.py
+++ b/skylarktally/entries/_claims.py
@@ -35,6 +35,9 @@
     datetime.timedelta(seconds=0.7),
     datetime.timedelta(seconds=0.1),
 )
+# While reads are further apart, the store may not answer, and further reads
+# would only add to its load.
+_MAX_READ_AGE = datetime.timedelta(seconds=0.7)
 # A core that is busy with calls to workers moves more than this, so that a
 # thinner link limits the owner before its processor does.
 _LINK_MBPS_PER_CORE = 15
@@ -108,15 +111,35 @@
         # the current process that gets here was claimed by a transaction
         # whose answer was lost; it has to expire like any other.
         return vacancy
-    # During a store outage the holder could not renew its term either, so
-    # the time before the outage does not count.
-    observed_since = max(observed.seen_at, reads.gapless_since)
-    expired_at = observed_since + _ledger.TERM_EXPIRY
+    expired_at = _find_expiry(observed, reads)
     if reads.last_read_at < expired_at:
         return None
     return vacancy._replace(since=expired_at)
 
 
+def _find_expiry(
+    observed: _directory.ObservedTerm, reads: ReadTimes
+) -> datetime.timedelta:
+    """Return when a term expires unless it is renewed.
+
+    During a store outage the holder could not renew its term either, so the
+    time before the outage does not count.
+    """
+    observed_since = max(observed.seen_at, reads.gapless_since)
+    return observed_since + _ledger.TERM_EXPIRY
+
+
+def is_read_due(
+    observed: _directory.ObservedTerm | None,
+    reads: ReadTimes,
+    now: datetime.timedelta,
+) -> bool:
+    """Tell whether a read now could show that a term has expired."""
+    if observed is None or now - reads.last_read_at > _MAX_READ_AGE:
+        return False
+    return reads.last_read_at < _find_expiry(observed, reads) <= now
+
+
 def calculate_delay(
     claimant: Claimant, shard: str, vacancy: Vacancy
 ) -> datetime.timedelta:
--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -122,6 +122,9 @@
         now = self._clock.monotonic()
         if self._ready_since is None:
             self._ready_since = now
+        reads = _claims.ReadTimes(
+            self._ready_since, directory.terms_gapless_since, read_at
+        )
         shards = [pool.name for pool in configuration.pools]
         is_read_due = False
         for shard in (*shards, _maintenance.SHARD):
@@ -133,16 +136,10 @@
                 len(self.list_ledgers()) + len(self._claiming),
                 self._identity.cores,
             )
-            vacancy = _claims.find_vacancy(
-                directory.observed_terms.get(shard),
-                claimant,
-                _claims.ReadTimes(
-                    self._ready_since,
-                    directory.terms_gapless_since,
-                    read_at,
-                ),
-            )
+            observed = directory.observed_terms.get(shard)
+            vacancy = _claims.find_vacancy(observed, claimant, reads)
             if vacancy is None:
+                is_read_due |= _claims.is_read_due(observed, reads, now)
                 continue
             delay = _claims.calculate_delay(claimant, shard, vacancy)
             due = vacancy.since + delay
@@ -157,7 +154,12 @@
                 # change the order of the claimants.
                 is_read_due = True
         if is_read_due:
-            _loop.spawn_logging_errors(directory.refresh_terms)
+            _loop.spawn_logging_errors(self._read_and_claim)
+
+    def _read_and_claim(self) -> None:
+        """Read the terms and claim at once what they show as vacant."""
+        if self._directory.refresh_terms():
+            self.claim_vacant()
 
     def _claim_and_clear(self, shard: str, vacancy: _claims.Vacancy) -> None:
         try:
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -5,9 +5,11 @@
 
 from skylarktally import _clock
 from skylarktally import _loop
+from skylarktally.entries import _claims
 from skylarktally.entries import _directory
 from skylarktally.entries import _shards
 from skylarktally import platform
+from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _work
 from standins import leased_workers
@@ -153,3 +155,40 @@
         lambda: entry_instance.shards._claiming != set()
     )
     assert len(entry_instance.shards._claiming) == 1
+
+
+def test_an_expired_term_is_read_when_it_expires(entry_instance):
+    """Guards against pools without an owner until the next interval of reads.
+
+    The last read was just before the expiry. Reads are up to 0.35 s apart.
+    """
+    clock = entry_instance.clock
+    for shard in ('', *POOLS):
+        term = _records.Term('gone', 'gone:1', 'life', 1, 1)
+        value = _records.encode_term(term)
+        entry_instance.table.put(_records.make_term_key(shard), value)
+    entry_instance.directory.refresh_terms()
+    expired_at = clock.monotonic() + _ledger.TERM_EXPIRY
+    while clock.monotonic() < expired_at - pools.seconds(0.1):
+        entry_instance.directory.refresh_terms()
+        _loop.sleep(0.05)
+    assert entry_instance.shards._claiming == set()
+    while clock.monotonic() < expired_at + pools.seconds(0.2):
+        entry_instance.shards.claim_vacant()
+        assert not entry_instance.shards._claiming or (
+            clock.monotonic() >= expired_at
+        )
+        _loop.sleep(0.02)
+    assert entry_instance.shards._claiming
+
+
+def test_a_store_that_does_not_answer_is_not_read_more_often():
+    """Guards against more reads by all entry instances in an outage."""
+    reads = _claims.ReadTimes(*map(pools.seconds, (0, 0, 10)))
+    term = _records.Term('gone', 'gone:1', 'life', 1, 1)
+    observed = _directory.ObservedTerm(term, 1, pools.seconds(8.5))
+    due = [
+        _claims.is_read_due(observed, reads, pools.seconds(10 + age))
+        for age in (0.2, 0.4, 0.8, 5)
+    ]
+    assert due == [False, True, False, False]
