Catch all that decoders raise for malformed data from outside

Callers could see: pools whose owner never learns of another worker, and a worker that is never asked again, after one malformed row or report. Cause: the green threads that follow the tables and talk to workers caught ValueError, KeyError and TypeError; decoders also raise AttributeError (a null capacity), IndexError (a short row) and OverflowError (a huge number), which ended the thread. A job with a huge time got an internal error instead of 400. Change: one tuple, _errors.DECODING_ERRORS, used wherever such data is decoded.

--- a/skylarktally/_errors.py
+++ b/skylarktally/_errors.py
@@ -5,6 +5,17 @@
 from typing import NamedTuple
 
 
+# What decoders raise for malformed data from outside. One that is not caught
+# ends the green thread that follows a table or talks to a worker.
+DECODING_ERRORS = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
+
+
 class Outcome(enum.Enum):
     """What is known about the execution of a request."""
 
--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from skylarktally import _clock
+from skylarktally import _errors
 from skylarktally import _loop
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _rows
@@ -53,13 +54,13 @@
         """Return whether the key is that of a maintenance wave."""
 
     def decode_configuration(self, value: bytes) -> _work.Configuration:
-        """Decode the configuration; ValueError or KeyError if damaged."""
+        """Decode the configuration; one of DECODING_ERRORS if damaged."""
 
     def decode_worker(self, id_: str, value: bytes) -> _work.WorkerRecord:
-        """Decode a worker's row; ValueError or KeyError if damaged."""
+        """Decode a worker's row; one of DECODING_ERRORS if damaged."""
 
     def decode_wave(self, value: bytes) -> _work.Wave:
-        """Decode a maintenance wave; ValueError or KeyError if damaged."""
+        """Decode a maintenance wave; one of DECODING_ERRORS if damaged."""
 
 
 class ObservedTerm(NamedTuple):
@@ -220,7 +221,7 @@
     def _apply_configuration(self, row: _rows.Row) -> None:
         try:
             found = self._layout.decode_configuration(row.value)
-        except (ValueError, KeyError, TypeError) as error:
+        except _errors.DECODING_ERRORS as error:
             _log_unreadable_row(row, error)
             return
         known = self.configuration
@@ -237,7 +238,7 @@
             return
         try:
             wave = self._layout.decode_wave(row.value)
-        except (ValueError, KeyError, TypeError) as error:
+        except _errors.DECODING_ERRORS as error:
             _log_unreadable_row(row, error)
             return
         self.waves[wave.id] = wave
@@ -265,7 +266,7 @@
             return
         try:
             record = self._layout.decode_worker(id_, row.value)
-        except (ValueError, KeyError, TypeError) as error:
+        except _errors.DECODING_ERRORS as error:
             _log_unreadable_row(row, error)
             return
         self.workers[id_] = record
@@ -316,7 +317,7 @@
             return
         try:
             term = _records.decode_term(row.value)
-        except (ValueError, TypeError) as error:
+        except _errors.DECODING_ERRORS as error:
             _log_unreadable_row(row, error)
             return
         now = self._clock.monotonic()
--- a/skylarktally/platform/_advisor.py
+++ b/skylarktally/platform/_advisor.py
@@ -51,7 +51,7 @@
     if response.status == 200:
         try:
             return result.Success(_decoding.decode_advice(response.body))
-        except (KeyError, ValueError, TypeError) as error:
+        except _errors.DECODING_ERRORS as error:
             message = f'unreadable advice: {error!r}'
             kind = ErrorKind.OUTCOME_UNKNOWN
             return result.Failure(_errors.Failure(kind, message))
--- a/skylarktally/platform/_decoding.py
+++ b/skylarktally/platform/_decoding.py
@@ -1,8 +1,8 @@
 """Decodes data from the platform, workers, the operator and callers.
 
-Malformed content raises ValueError, a missing required key KeyError. Some
-values of a wrong type raise TypeError or AttributeError, and numbers out of
-range OverflowError.
+Malformed content raises one of ``_errors.DECODING_ERRORS``: mostly ValueError,
+KeyError for a missing key, TypeError or AttributeError for some values of a
+wrong type, and OverflowError for numbers out of range.
 """
 
 import datetime
--- a/skylarktally/platform/_workers.py
+++ b/skylarktally/platform/_workers.py
@@ -221,7 +221,7 @@
     if response.status == 200:
         try:
             return result.Success(_decoding.decode_report(response.body))
-        except (KeyError, ValueError, TypeError) as error:
+        except _errors.DECODING_ERRORS as error:
             message = f'unreadable report: {error!r}'
             kind = ErrorKind.OUTCOME_UNKNOWN
             return result.Failure(_errors.Failure(kind, message))
--- a/skylarktally/scheduling/_job_store.py
+++ b/skylarktally/scheduling/_job_store.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from skylarktally import _clock
+from skylarktally import _errors
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _pool_state
 from skylarktally.scheduling import _records
@@ -90,7 +91,7 @@
         for row in progress_rows:
             try:
                 progress = _records.decode_progress(row.row_key.key, row.value)
-            except (ValueError, TypeError) as error:
+            except _errors.DECODING_ERRORS as error:
                 _log_unreadable(row, error)
                 continue
             progress_by_job[row.row_key.key] = progress
@@ -104,7 +105,7 @@
                 self._restore_job(
                     queues, row, progress_by_job.get(row.row_key.key)
                 )
-            except (ValueError, TypeError, KeyError) as error:
+            except _errors.DECODING_ERRORS as error:
                 _log_unreadable(row, error)
 
     def _restore_job(
--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -132,7 +132,7 @@
         try:
             record = _records.decode_wave(row.value)
             wave = int(row.row_key.key)
-        except (ValueError, TypeError) as error:
+        except _errors.DECODING_ERRORS as error:
             _LOG.error(
                 'unreadable row',
                 extra={'row': row.row_key, 'reason': str(error)},
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -238,6 +238,53 @@
     assert fixture.directory.find_address('b') is None
 
 
+WORKER_ROW = {
+    'service': 'pool',
+    'address': '10.0.0.1:80',
+    'zone': 'z1',
+    'state': 'ready',
+    'capacity': {'cpu': 16000, 'mem_mb': 32768},
+}
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'capacity': None},
+        {'capacity': 3},
+        {'labels': 5},
+        {'remaining_ms': 1e308},
+        {'address': None},
+        {'zone': None},
+    ],
+)
+def test_a_malformed_row_of_a_worker_does_not_hide_later_rows(change):
+    """Guards against a list of workers that is never read again.
+
+    Some rows raised an error that ended the green thread of the table.
+    """
+    fixture = DirectoryFixture()
+    fixture.directory = _directory.Directory(
+        fixture.table, platform.PlatformLayout(), _clock.SystemClock()
+    )
+    fixture.directory.record_ownership(True)
+    follow = fixture.table.follow
+
+    def follow_slowly(table, after, wait):
+        _loop.sleep(wait.total_seconds())
+        return follow(table, after, wait)
+
+    fixture.table.follow = follow_slowly
+    fixture.put('servers', 'i-1', {**WORKER_ROW, **change})
+    fixture.directory.start()
+    _loop.sleep(0.1)
+    fixture.put('servers', 'i-2', WORKER_ROW)
+    with _loop.Timeout(2):
+        while 'i-2' not in fixture.directory.workers:
+            _loop.sleep(0.02)
+    assert list(fixture.directory.workers) == ['i-2']
+
+
 def test_an_entry_instance_without_pools_reads_workers_less_often():
     """Guards against store load that grows with idle entry instances.
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -152,6 +152,16 @@
     assert _rows.RowKey('jobs', 'pool', JOB) not in deployment.table.rows
 
 
+def test_a_job_with_a_time_out_of_range_is_invalid(deployment):
+    """Guards against a caller that is told of an internal error instead."""
+    owner = deployment.start_owner()
+    wait_until(lambda: owner.is_ready)
+    step = {'task_count': 1, 'estimate_ms': 500}
+    body = {'steps': [step], 'repeat_count': 1, 'first_run_ms': 1e300}
+    refused = deployment.submit(owner, JOB, json.dumps(body).encode())
+    assert refused.failure().kind is ErrorKind.INVALID_REQUEST
+
+
 def test_the_same_job_twice_at_once_is_one_job(deployment):
     owner = deployment.start_owner()
     wait_until(lambda: owner.is_ready)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -11,7 +11,9 @@
 from skylarktally import _metrics
 from skylarktally import platform
 from skylarktally.platform import _decoding
+from skylarktally.platform import _http
 from skylarktally.platform import _ingress
+from skylarktally.platform import _workers
 from skylarktally.scheduling import _work
 from tests import pools
 
@@ -134,6 +136,29 @@
         platform.decode_job(encode(job))
 
 
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'active_runs': [[5, 1, '', 0]]},
+        {'active_runs': [['j.0.0.0']]},
+        {'active_runs': [['j.0.0', 1, '', 0]]},
+        {'ended_runs': [[1, 'j.0.0.0', 1, 'other', '']]},
+        {'ended_runs': [[1, None, 1, 'done', '']]},
+        {'ended_runs': 4},
+        {'clock_ms': 1e308},
+        {'clock_ms': None},
+    ],
+)
+def test_a_malformed_report_is_an_unknown_outcome(change):
+    """Guards against a worker that is never asked again after one report.
+
+    Some reports raised an error that ended the green thread of its session.
+    """
+    report = {'clock_ms': 5, 'born': 1, 'active_runs': [], 'ended_runs': []}
+    read = _workers._read_report(_http.Response(200, {**report, **change}))
+    assert read.failure().kind is ErrorKind.OUTCOME_UNKNOWN
+
+
 def test_a_job_with_occurrences_is_decoded():
     job = {
         'task_spec': 's',
