Look up queues and the workers of a pool without going through all

Change: indexes by name, by host and prefix, and by pool. The configuration is a frozen dataclass now, since a named tuple cannot hold an index. Ruled out: a trie of prefixes; a configuration has few lengths of prefixes.

--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -4,7 +4,8 @@
 decoded is logged and does not affect other rows.
 """
 
-from collections.abc import Callable
+import collections
+from collections.abc import Callable, Mapping
 import datetime
 import logging
 from typing import NamedTuple, Protocol
@@ -87,6 +88,10 @@
     ) -> None:
         self.configuration: _work.Configuration | None = None
         self.workers: dict[str, _work.WorkerRecord] = {}
+        # The same by pool, since owners ask ten times a second.
+        self._workers_by_pool: dict[str, dict[str, _work.WorkerRecord]] = (
+            collections.defaultdict(dict)
+        )
         self._departed: dict[str, DepartedWorker] = {}
         self.waves: dict[int, _work.Wave] = {}
         self.observed_terms: dict[str, ObservedTerm] = {}
@@ -134,13 +139,9 @@
             self._ownership_gained.set()
         self._owns_pools = owns_pools
 
-    def list_workers(self, pool: str) -> dict[str, _work.WorkerRecord]:
-        """Return the workers of a pool by id."""
-        return {
-            id_: record
-            for id_, record in self.workers.items()
-            if record.pool == pool
-        }
+    def list_workers(self, pool: str) -> Mapping[str, _work.WorkerRecord]:
+        """Return the present workers of a pool by id; it is no copy."""
+        return self._workers_by_pool.get(pool, {})
 
     def list_departed_workers(
         self, pool: str
@@ -253,6 +254,10 @@
         record = self.workers.pop(id_, None)
         if record is None:
             return
+        pool_workers = self._workers_by_pool[record.pool]
+        del pool_workers[id_]
+        if not pool_workers:
+            del self._workers_by_pool[record.pool]
         now = self._clock.monotonic()
         self._departed[id_] = DepartedWorker(record, now)
         for known, departed in list(self._departed.items()):
@@ -270,6 +275,7 @@
             _log_unreadable_row(row, error)
             return
         self.workers[id_] = record
+        self._workers_by_pool[record.pool][id_] = record
         self._departed.pop(id_, None)
 
     def _poll_terms(self) -> None:
--- a/skylarktally/entries/_dispatcher.py
+++ b/skylarktally/entries/_dispatcher.py
@@ -206,10 +206,7 @@
         configuration = self._directory.configuration
         if configuration is None:
             return None
-        return next(
-            (item for item in configuration.queues if item.name == name),
-            None,
-        )
+        return configuration.find_queue(name)
 
 
 def decode_reply(reply: _calls.JobReply) -> Reply:
--- a/skylarktally/platform/_ingress.py
+++ b/skylarktally/platform/_ingress.py
@@ -124,7 +124,7 @@
             )
         host = environment.get('HTTP_HOST', '')
         path = environment.get('PATH_INFO', '')
-        queue = find_queue(configuration, host, path)
+        queue = configuration.match_queue(host, path)
         if queue is None:
             message = f'no queue for {host}{path}'
             return _create_refusal(Failure(ErrorKind.NOT_FOUND, message), '')
@@ -197,18 +197,6 @@
         return _create_refusal(accepted.failure(), job)
 
 
-def find_queue(
-    configuration: _work.Configuration, host: str, path: str
-) -> _work.Queue | None:
-    """Return the queue with this host and the longest matching prefix."""
-    matches = [
-        queue
-        for queue in configuration.queues
-        if queue.host == host and path.startswith(queue.prefix)
-    ]
-    return max(matches, key=lambda queue: len(queue.prefix), default=None)
-
-
 def _read_timeout(environment: Environment) -> datetime.timedelta:
     text = environment.get(_DEADLINE_HEADER, '')
     deadline = _DEFAULT_DEADLINE
--- a/skylarktally/scheduling/_work.py
+++ b/skylarktally/scheduling/_work.py
@@ -1,7 +1,9 @@
 """Data types for jobs, tasks, queues, workers and maintenance waves."""
 
+import dataclasses
 import datetime
 import enum
+import functools
 from typing import NamedTuple
 
 _NONE = datetime.timedelta()
@@ -118,14 +120,49 @@
     is_standby: bool
 
 
-class Configuration(NamedTuple):
-    """Queues, pools and limits that the operator has declared."""
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """Queues, pools and limits that the operator has declared.
+
+    Queues are looked up with each request, at a cost that does not grow with
+    their number. The indexes are made with the first look-up.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     pools: tuple[Pool, ...]
     body_limit_bytes: int
 
+    def find_queue(self, name: str) -> Queue | None:
+        """Return the queue with this name."""
+        return self._queues_by_name.get(name)
+
+    def match_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with this host and the longest matching prefix."""
+        queues = self._queues_by_location
+        for length in self._prefix_lengths:
+            queue = queues.get((host, path[:length]))
+            if queue is not None:
+                return queue
+        return None
+
+    @functools.cached_property
+    def _queues_by_name(self) -> dict[str, Queue]:
+        # Reversed, so that the first of several equal ones remains.
+        return {queue.name: queue for queue in reversed(self.queues)}
+
+    @functools.cached_property
+    def _queues_by_location(self) -> dict[tuple[str, str], Queue]:
+        return {
+            (queue.host, queue.prefix): queue
+            for queue in reversed(self.queues)
+        }
+
+    @functools.cached_property
+    def _prefix_lengths(self) -> tuple[int, ...]:
+        lengths = {len(queue.prefix) for queue in self.queues}
+        return tuple(sorted(lengths, reverse=True))
+
 
 class WorkerRecord(NamedTuple):
     """Address, capacity and state that a worker has registered."""
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -315,3 +315,18 @@
     assert first_reads >= 1
     _loop.sleep(1)
     assert reads.count('servers') >= first_reads + 2
+
+
+def test_the_workers_of_a_pool_follow_the_table():
+    """Guards against a list by pool that differs from the table."""
+    fixture = DirectoryFixture()
+    directory = fixture.directory
+    for key, pool in (('i-1', 'pool'), ('i-2', 'pool'), ('i-1', 'other')):
+        fixture.put('servers', key, {**WORKER_ROW, 'service': pool})
+        row = fixture.table.rows[_rows.RowKey('servers', '', key)]
+        directory._apply_worker(row)
+    assert list(directory.list_workers('pool')) == ['i-2']
+    assert list(directory.list_workers('other')) == ['i-1']
+    directory._reset_workers()
+    assert not directory.list_workers('pool')
+    assert not directory.workers
