Let requests wait for a successor that comes in time

Cause: the entry instance did not use what it knows. A term that has not been renewed for 0.75 s expires at a known time, and its successor serves about 0.4 s later. Change: a request waits for a takeover within its timeout. If that comes later it is refused at once, with the time of the takeover as Retry-After. While the store does not answer, or the takeover is 1 s late, nothing changes. Ruled out: a longer wait in every case (callers of a pool without any possible owner would wait for nothing). Test: test_a_request_waits_for_a_successor_that_comes_in_time, 4 of its 5 cases fail before and pass now; test_without_an_owner_a_job_is_refused_soon still holds.

--- a/skylarktally/entries/_claims.py
+++ b/skylarktally/entries/_claims.py
@@ -38,6 +38,14 @@
 # While reads are further apart, the store may not answer, and further reads
 # would only add to its load.
 _MAX_READ_AGE = datetime.timedelta(seconds=0.7)
+# A term that no entry instance has seen renewed for this long has probably
+# lost its holder: renewals are 0.4 s apart, and reads of the terms 0.35 s.
+_SUSPECT_TERM_AGE = datetime.timedelta(seconds=0.75)
+# From the expiry of a term until a successor accepts jobs.
+_TAKEOVER_TIME = datetime.timedelta(seconds=0.4)
+# A takeover that has not happened this long after its expected time depends on
+# something else, such as a zone without any other entry instance.
+_TAKEOVER_DELAY_LIMIT = datetime.timedelta(seconds=1)
 # A core that is busy with calls to workers moves more than this, so that a
 # thinner link limits the owner before its processor does.
 _LINK_MBPS_PER_CORE = 15
@@ -140,6 +148,30 @@
     return reads.last_read_at < _find_expiry(observed, reads) <= now
 
 
+def estimate_takeover(
+    observed: _directory.ObservedTerm | None,
+    reads: ReadTimes,
+    now: datetime.timedelta,
+) -> datetime.timedelta | None:
+    """Return how long until a shard without a live holder has a successor.
+
+    None if the holder seems to be alive, or if nothing is known: while the
+    store does not answer, nobody can claim.
+    """
+    if observed is None or now - reads.last_read_at > _MAX_READ_AGE:
+        return None
+    if observed.term.is_released:
+        vacant_at = observed.seen_at
+    elif now - observed.seen_at >= _SUSPECT_TERM_AGE:
+        vacant_at = _find_expiry(observed, reads)
+    else:
+        return None
+    left = vacant_at + _TAKEOVER_TIME - now
+    if left < -_TAKEOVER_DELAY_LIMIT:
+        return None
+    return max(left, datetime.timedelta())
+
+
 def calculate_delay(
     claimant: Claimant, shard: str, vacancy: Vacancy
 ) -> datetime.timedelta:
--- a/skylarktally/entries/_dispatcher.py
+++ b/skylarktally/entries/_dispatcher.py
@@ -9,6 +9,7 @@
 from skylarktally import _clock
 from skylarktally import _errors
 from skylarktally.entries import _calls
+from skylarktally.entries import _claims
 from skylarktally.entries import _directory
 from skylarktally.scheduling import _owner
 from skylarktally.scheduling import _work
@@ -23,7 +24,8 @@
 # again.
 _ATTEMPT_TIMEOUT = datetime.timedelta(seconds=1.2)
 _RETRY_DELAY = datetime.timedelta(seconds=0.1)
-# A request for a pool without a known owner is refused after this long.
+# A request for a pool without a known owner is refused after this long, unless
+# a new owner is expected.
 _OWNER_WAIT = datetime.timedelta(seconds=0.6)
 _RETRY_AFTER = datetime.timedelta(seconds=2)
 
@@ -146,15 +148,33 @@
                 may_arrive or failure.kind is ErrorKind.OUTCOME_UNKNOWN
             )
             elapsed = self._clock.monotonic() - started_at + _RETRY_DELAY
+            takeover = self._estimate_takeover(call.pool)
             if elapsed >= (
-                timeout if may_arrive else min(timeout, _OWNER_WAIT)
+                timeout
+                if may_arrive
+                else _limit_wait(timeout, elapsed, takeover)
             ):
                 return result.Failure(
-                    _create_final_failure(failure, may_arrive)
+                    _create_final_failure(failure, may_arrive, takeover)
                 )
             self._clock.sleep(_RETRY_DELAY)
             self._directory.refresh_terms()
 
+    def _estimate_takeover(self, pool: str) -> datetime.timedelta | None:
+        """Return how long until a pool without a live owner has a new one."""
+        directory = self._directory
+        if directory.terms_read_at is None:
+            return None
+        return _claims.estimate_takeover(
+            directory.observed_terms.get(pool),
+            _claims.ReadTimes(
+                directory.terms_gapless_since,
+                directory.terms_gapless_since,
+                directory.terms_read_at,
+            ),
+            self._clock.monotonic(),
+        )
+
     def _attempt(self, call: _calls.JobCall) -> Reply:
         owner = self._owners.find_owner(call.pool)
         if owner is not None:
@@ -246,9 +266,35 @@
     return failure
 
 
-def _create_final_failure(failure: Failure, may_arrive: bool) -> Failure:
+def _limit_wait(
+    timeout: datetime.timedelta,
+    elapsed: datetime.timedelta,
+    takeover: datetime.timedelta | None,
+) -> datetime.timedelta:
+    """Return how long a request waits for an owner of its pool.
+
+    It waits for an expected takeover that leaves time for the call, since the
+    caller would come back later than that, and not at all for one that comes
+    after its timeout.
+
+    :param elapsed: how long it has waited
+    :param takeover: how long until a new owner is expected, if one is
+    """
+    if takeover is None:
+        return min(timeout, _OWNER_WAIT)
+    return timeout if elapsed + takeover < timeout else elapsed
+
+
+def _create_final_failure(
+    failure: Failure,
+    may_arrive: bool,
+    takeover: datetime.timedelta | None,
+) -> Failure:
     """Return the failure that the caller gets after the last attempt."""
     if may_arrive:
         return failure._replace(kind=ErrorKind.OUTCOME_UNKNOWN)
     message = f'no owner of the pool answers: {failure.message}'
-    return Failure(ErrorKind.LEASE_LOST, message, _RETRY_AFTER)
+    retry_after = _RETRY_AFTER if takeover is None else takeover
+    return Failure(
+        ErrorKind.LEASE_LOST, message, max(retry_after, _RETRY_DELAY)
+    )
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -7,7 +7,9 @@
 
 from skylarktally import _errors
 from skylarktally.entries import _calls
+from skylarktally.entries import _directory
 from skylarktally.entries import _dispatcher
+from skylarktally.scheduling import _records
 from skylarktally.scheduling import _work
 from tests import pools
 
@@ -21,6 +23,10 @@
 
     def __init__(self, address='owner:1'):
         self.address = address
+        # No term is known.
+        self.observed_terms = {}
+        self.terms_read_at = None
+        self.terms_gapless_since = None
         self.configuration = _work.Configuration(
             1,
             (pools.make_queue(),),
@@ -121,6 +127,78 @@
     assert elapsed < datetime.timedelta(seconds=1)
 
 
+class Takeover(Directory):
+    """A directory that shows a term without renewals, and its successor."""
+
+    def __init__(self, clock, age, takeover_at, released=False):
+        super().__init__(address='gone:1')
+        self.clock = clock
+        self.takeover_at = pools.seconds(takeover_at)
+        term = _records.Term('gone', 'gone:1', 'x', 3, 7, released)
+        seen_at = clock.monotonic() - pools.seconds(age)
+        self.observed_terms = {
+            'pool': _directory.ObservedTerm(term, 42, seen_at)
+        }
+        self.terms_gapless_since = seen_at
+        self.refresh_terms()
+
+    def refresh_terms(self):
+        self.terms_read_at = self.clock.monotonic()
+        if self.clock.monotonic() >= self.takeover_at:
+            self.address = 'new:1'
+        return True
+
+
+class Zones:
+    """Client of owners of which the former one cannot be reached."""
+
+    def __init__(self, clock):
+        self.clock = clock
+
+    def handle(self, address, call):
+        if address == 'new:1':
+            return result.Success(_calls.JobReply('', '', 0, '', 0))
+        self.clock.advance(0.5)
+        kind = Kind.PEER_UNREACHABLE
+        return result.Failure(_errors.Failure(kind, 'no route'))
+
+
+@pytest.mark.parametrize(
+    'age, takeover_at, timeout, expected, retry_after',
+    [
+        # The term expires after 1.8 s; the successor accepts jobs 0.4 s later.
+        (1.1, 1.1, 3, None, None),
+        (0.3, 1.9, 3, None, None),
+        (1.9, 0.3, 1, None, None),
+        # The takeover comes after the timeout of the request.
+        (1.1, 1.1, 0.7, Kind.LEASE_LOST, 0.6),
+        # Nobody has taken over within a second of the expected time.
+        (4, 9, 3, Kind.LEASE_LOST, 2),
+    ],
+)
+def test_a_request_waits_for_a_successor_that_comes_in_time(
+    age, takeover_at, timeout, expected, retry_after
+):
+    """Replays a cut zone, whose owners are replaced after two seconds (SHORT).
+
+    Requests were refused after 0.6 s and came back two seconds later, up to
+    1.6 s after the new owner was ready.
+    """
+    clock = pools.ManualClock()
+    dispatcher = _dispatcher.JobDispatcher(
+        NoOwners(), Takeover(clock, age, takeover_at), Zones(clock), clock
+    )
+    found = dispatcher.submit(
+        pools.make_queue(), JOB, b'{}', pools.seconds(timeout)
+    )
+    if expected is None:
+        assert isinstance(found, result.Success)
+        return
+    assert found.failure().kind is expected
+    assert found.failure().retry_after == pools.seconds(retry_after)
+    assert clock.monotonic() <= pools.seconds(1.3)
+
+
 @pytest.mark.parametrize(
     'answers, expected, asked',
     [
