Answer callers at once in a cut zone, and notice the cut after 0.6 s

Change: peers are asked at the same time once the store is silent for 0.6 s. If none reaches the store and one does not answer at all, the network fails and not the store. An isolated entry instance makes one attempt, and its Retry-After is the time until the balancer has noticed. An attempt lasts 0.6 s at most; the owner knows a repeated request. Requests have the terms read without waiting for the store, and not more often than every 0.05 s. Ruled out: not ready after 0.6 s of silence alone (a slow store answers with pauses of 0.85 s, test_a_slow_store_isolates_nobody); a refusal without an attempt (an owner in the same zone can still show a job).

--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -29,6 +29,8 @@
 # for the next change would return at once.
 _WORKERS_INTERVAL = datetime.timedelta(seconds=0.4)
 _TERMS_INTERVAL = datetime.timedelta(seconds=0.35)
+# Requests that wait for a new owner do not cause reads more often than this.
+_MIN_TERMS_INTERVAL = datetime.timedelta(seconds=0.05)
 # An entry instance that owns no pool reads workers less often, to limit the
 # growth of the store's load with the number of entry instances.
 _IDLE_WORKERS_INTERVAL = datetime.timedelta(seconds=2)
@@ -107,6 +109,7 @@
         self._is_refreshing = False
         self._owns_pools = False
         self._ownership_gained = _signals.Signal()
+        self._terms_requested = _signals.Signal()
         self._terms_version: int | None = None
 
     def start(self) -> None:
@@ -281,7 +284,12 @@
     def _poll_terms(self) -> None:
         while True:
             self.refresh_terms()
-            self._clock.sleep(_TERMS_INTERVAL)
+            self._clock.sleep(_MIN_TERMS_INTERVAL)
+            self._terms_requested.wait(_TERMS_INTERVAL - _MIN_TERMS_INTERVAL)
+
+    def request_terms(self) -> None:
+        """Have the terms read soon, without waiting for the store."""
+        self._terms_requested.set()
 
     def refresh_terms(self) -> bool:
         """Read the changed terms; return whether that succeeded."""
--- a/skylarktally/entries/_dispatcher.py
+++ b/skylarktally/entries/_dispatcher.py
@@ -21,8 +21,8 @@
 Reply = result.Result[_calls.JobReply, Failure]
 
 # An attempt without an answer by then is retried, with the owner looked up
-# again.
-_ATTEMPT_TIMEOUT = datetime.timedelta(seconds=1.2)
+# again. A slow store may take longer; the owner knows a repeated request.
+_ATTEMPT_TIMEOUT = datetime.timedelta(seconds=0.6)
 _RETRY_DELAY = datetime.timedelta(seconds=0.1)
 # A request for a pool without a known owner is refused after this long, unless
 # a new owner is expected.
@@ -49,6 +49,20 @@
         """Return the owner of a pool; None if it is not in this process."""
 
 
+class Reachability(Protocol):
+    """Whether this entry instance is isolated."""
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether neither the store nor a peer that reaches it answers."""
+
+    def estimate_diversion(self) -> datetime.timedelta | None:
+        """Return how long until callers are sent to other entry instances.
+
+        None if that is not expected.
+        """
+
+
 class JobDispatcher:
     """Sends each request to the owner of its pool, with retries."""
 
@@ -57,11 +71,13 @@
         owners: LocalOwners,
         directory: _directory.Directory,
         calls: _calls.EntryCalls,
+        reachability: Reachability,
         clock: _clock.Clock,
     ) -> None:
         self._owners = owners
         self._directory = directory
         self._calls = calls
+        self._reachability = reachability
         self._clock = clock
 
     def submit(
@@ -147,6 +163,13 @@
             may_arrive = (
                 may_arrive or failure.kind is ErrorKind.OUTCOME_UNKNOWN
             )
+            if self._reachability.is_isolated:
+                # Further attempts would keep the caller from an entry
+                # instance that can serve it.
+                diversion = self._reachability.estimate_diversion()
+                return result.Failure(
+                    _create_final_failure(failure, may_arrive, diversion)
+                )
             elapsed = self._clock.monotonic() - started_at + _RETRY_DELAY
             takeover = self._estimate_takeover(call.pool)
             if elapsed >= (
@@ -157,8 +180,8 @@
                 return result.Failure(
                     _create_final_failure(failure, may_arrive, takeover)
                 )
+            self._directory.request_terms()
             self._clock.sleep(_RETRY_DELAY)
-            self._directory.refresh_terms()
 
     def _estimate_takeover(self, pool: str) -> datetime.timedelta | None:
         """Return how long until a pool without a live owner has a new one."""
@@ -288,13 +311,17 @@
 def _create_final_failure(
     failure: Failure,
     may_arrive: bool,
-    takeover: datetime.timedelta | None,
+    served_after: datetime.timedelta | None,
 ) -> Failure:
-    """Return the failure that the caller gets after the last attempt."""
+    """Return the failure that the caller gets after the last attempt.
+
+    :param served_after: how long until another attempt can succeed, if that
+        is known
+    """
     if may_arrive:
         return failure._replace(kind=ErrorKind.OUTCOME_UNKNOWN)
     message = f'no owner of the pool answers: {failure.message}'
-    retry_after = _RETRY_AFTER if takeover is None else takeover
+    retry_after = _RETRY_AFTER if served_after is None else served_after
     return Failure(
         ErrorKind.LEASE_LOST, message, max(retry_after, _RETRY_DELAY)
     )
--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -20,8 +20,8 @@
 from skylarktally.entries import _claims
 from skylarktally.entries import _directory
 from skylarktally.entries import _dispatcher
-from skylarktally.entries import _isolation
 from skylarktally.entries import _load
+from skylarktally.entries import _reachability
 from skylarktally.entries import _requests
 from skylarktally.entries import _settings
 from skylarktally.entries import _shards
@@ -31,8 +31,6 @@
 _LOG = logging.getLogger(__name__)
 
 _CLAIM_INTERVAL = datetime.timedelta(seconds=0.1)
-_PEER_CHECK_INTERVAL = datetime.timedelta(seconds=0.25)
-_PEER_CHECK_TIMEOUT = datetime.timedelta(seconds=0.3)
 # The balancer takes up to two seconds to notice that an entry instance is
 # not ready; callers with open connections are served meanwhile.
 _BALANCER_DELAY = datetime.timedelta(seconds=2.5)
@@ -91,8 +89,18 @@
                 duration.total_seconds()
             ),
         )
+        self._reachability = _reachability.ReachabilityWatch(
+            lambda: self._directory.terms_read_at,
+            self._calls,
+            self._list_peers,
+            clock,
+        )
         self._dispatcher = _dispatcher.JobDispatcher(
-            self._shards, self._directory, self._calls, clock
+            self._shards,
+            self._directory,
+            self._calls,
+            self._reachability,
+            clock,
         )
         self._ingress = platform.Ingress(
             self._dispatcher,
@@ -101,7 +109,6 @@
             self._metrics,
             clock,
         )
-        self._reachability = _isolation.StoreReachability(clock.monotonic())
         self._is_stopping = False
 
     def run(self) -> None:
@@ -117,7 +124,7 @@
         )
         self._directory.start()
         self._serve()
-        _loop.spawn_logging_errors(self._watch_reachability)
+        _loop.spawn_logging_errors(self._reachability.run)
         watch = _load.LoopWatch(self._clock, self._metrics, self)
         _loop.spawn_logging_errors(watch.run)
         while not self._is_stopping:
@@ -153,35 +160,9 @@
         return (
             not self._is_stopping
             and self._directory.configuration is not None
-            and not self._reachability.is_isolated(self._clock.monotonic())
+            and not self._reachability.is_isolated
         )
 
-    def _watch_reachability(self) -> None:
-        """Track whether this entry instance is isolated.
-
-        While the store does not answer, other entry instances are asked
-        whether they reach it.
-        """
-        was_isolated = False
-        while True:
-            self._clock.sleep(_PEER_CHECK_INTERVAL)
-            now = self._clock.monotonic()
-            read_at = self._directory.terms_read_at
-            if read_at is not None:
-                self._reachability.record_store_answer(read_at)
-            if self._reachability.is_store_silent(now):
-                self._ask_peers()
-            is_isolated = self._reachability.is_isolated(
-                self._clock.monotonic()
-            )
-            if is_isolated != was_isolated:
-                was_isolated = is_isolated
-                _LOG.info(
-                    'isolated: no reachable entry instance reaches the store'
-                    if is_isolated
-                    else 'no longer isolated'
-                )
-
     def _list_peers(self) -> list[str]:
         """Return the addresses of the other last known owners of shards."""
         own = self._settings.peer_address
@@ -191,14 +172,6 @@
         }
         return sorted(addresses - {own})
 
-    def _ask_peers(self) -> None:
-        for address in self._list_peers():
-            outcome = self._calls.reaches_store(address, _PEER_CHECK_TIMEOUT)
-            reaches_store = outcome.value_or(False)
-            self._reachability.record_peer_answer(reaches_store)
-            if reaches_store:
-                return
-
     def _request_stop(self, number: int, frame: object) -> None:
         del number, frame
         self._is_stopping = True
@@ -250,7 +223,7 @@
 
     def reaches_store(self) -> bool:
         """Return whether the store answered lately, directly or relayed."""
-        return not self._reachability.is_store_silent(self._clock.monotonic())
+        return self._reachability.reaches_store()
 
 
 def _measure_capacity(settings: _settings.EntrySettings) -> float:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -42,8 +42,29 @@
     def find_address(self, pool):
         return self.address
 
-    def refresh_terms(self):
-        return True
+    def request_terms(self):
+        pass
+
+
+class Connected:
+    """An entry instance that is not isolated."""
+
+    is_isolated = False
+
+    def estimate_diversion(self):
+        return None
+
+
+class Isolated:
+    """An isolated entry instance, which the balancer may take out."""
+
+    is_isolated = True
+
+    def __init__(self, diversion):
+        self.diversion = diversion
+
+    def estimate_diversion(self):
+        return self.diversion
 
 
 class Calls:
@@ -88,7 +109,7 @@
 def submit(calls, directory=None):
     clock = pools.ManualClock()
     dispatcher = _dispatcher.JobDispatcher(
-        NoOwners(), directory or Directory(), calls, clock
+        NoOwners(), directory or Directory(), calls, Connected(), clock
     )
     started_at = clock.monotonic()
     found = dispatcher.submit(pools.make_queue(), JOB, b'{}', TIMEOUT)
@@ -140,13 +161,12 @@
             'pool': _directory.ObservedTerm(term, 42, seen_at)
         }
         self.terms_gapless_since = seen_at
-        self.refresh_terms()
+        self.request_terms()
 
-    def refresh_terms(self):
+    def request_terms(self):
         self.terms_read_at = self.clock.monotonic()
         if self.clock.monotonic() >= self.takeover_at:
             self.address = 'new:1'
-        return True
 
 
 class Zones:
@@ -186,7 +206,11 @@
     """
     clock = pools.ManualClock()
     dispatcher = _dispatcher.JobDispatcher(
-        NoOwners(), Takeover(clock, age, takeover_at), Zones(clock), clock
+        NoOwners(),
+        Takeover(clock, age, takeover_at),
+        Zones(clock),
+        Connected(),
+        clock,
     )
     found = dispatcher.submit(
         pools.make_queue(), JOB, b'{}', pools.seconds(timeout)
@@ -199,6 +223,48 @@
     assert clock.monotonic() <= pools.seconds(1.3)
 
 
+@pytest.mark.parametrize(
+    'first, diversion, expected, retry_after',
+    [
+        (Kind.PEER_UNREACHABLE, 1.7, Kind.LEASE_LOST, 1.7),
+        (Kind.LEASE_LOST, 1.7, Kind.LEASE_LOST, 1.7),
+        # The store is away for all, and no entry instance is better.
+        (Kind.LEASE_LOST, None, Kind.LEASE_LOST, 2),
+        # It may arrive once the zone is reachable again.
+        (Kind.OUTCOME_UNKNOWN, 1.7, Kind.OUTCOME_UNKNOWN, None),
+        # Another entry instance of the zone owns the pool and knows the job.
+        (None, 1.7, None, None),
+    ],
+)
+@pytest.mark.parametrize('operation', ['submit', 'show', 'cancel'])
+def test_an_isolated_entry_instance_answers_after_one_attempt(
+    operation, first, diversion, expected, retry_after
+):
+    """Replays a cut zone, whose callers were held for 2.85 s each (SHORT).
+
+    The balancer sends them elsewhere two seconds after the cut is noticed.
+    """
+    clock = pools.ManualClock()
+    calls = Pools(pool='running') if first is None else Calls(first)
+    dispatcher = _dispatcher.JobDispatcher(
+        NoOwners(),
+        Directory(),
+        calls,
+        Isolated(None if diversion is None else pools.seconds(diversion)),
+        clock,
+    )
+    body = (b'{}',) if operation == 'submit' else ()
+    ask = getattr(dispatcher, operation)
+    found = ask(pools.make_queue(), JOB, *body, TIMEOUT)
+    assert clock.monotonic() == pools.seconds(0)
+    if expected is None:
+        assert isinstance(found, result.Success)
+        return
+    assert found.failure().kind is expected
+    if retry_after is not None:
+        assert found.failure().retry_after == pools.seconds(retry_after)
+
+
 @pytest.mark.parametrize(
     'answers, expected, asked',
     [
@@ -224,7 +290,7 @@
     calls = Pools(**answers)
     clock = pools.ManualClock()
     dispatcher = _dispatcher.JobDispatcher(
-        NoOwners(), Directory(), calls, clock
+        NoOwners(), Directory(), calls, Connected(), clock
     )
     ask = getattr(dispatcher, operation)
     found = ask(pools.make_queue(), JOB, TIMEOUT)
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -182,17 +182,36 @@
     assert max(delays) <= pools.seconds(1)
 
 
-def test_an_entry_instance_is_isolated_if_no_peer_reaches_the_store():
+@pytest.mark.parametrize(
+    'age, reach_store, has_silent_peer, isolated',
+    [
+        # The store is silent for this entry instance only.
+        (5, True, False, False),
+        (5, True, True, False),
+        # It is silent for all: this takes longer to tell from a slow store.
+        (0.7, False, False, False),
+        (1.3, False, False, True),
+        # The network fails.
+        (0.7, False, True, True),
+        # A peer has ended, and the reads of the terms are 0.35 s apart.
+        (0.5, False, True, False),
+    ],
+)
+def test_an_entry_instance_is_isolated_if_no_peer_reaches_the_store(
+    age, reach_store, has_silent_peer, isolated
+):
+    """Guards against callers that a cut zone keeps longer than it has to.
+
+    The other way, a slow store must not make all entry instances unready.
+    """
     reachability = _isolation.StoreReachability(pools.seconds(0))
-    now = pools.seconds(2)
-    reachability.record_peer_answer(reaches_store=True)
-    assert reachability.is_store_silent(now)
-    # The store is silent for this entry instance only.
-    assert not reachability.is_isolated(now)
-    reachability.record_peer_answer(reaches_store=False)
-    assert reachability.is_isolated(now)
+    reachability.record_peer_answers(
+        _isolation.PeerAnswers(reach_store, has_silent_peer)
+    )
+    now = pools.seconds(age)
+    assert reachability.is_isolated(now) is isolated
     reachability.record_store_answer(now)
-    assert not reachability.is_isolated(now)
+    assert not reachability.is_isolated(now + pools.seconds(5))
 
 
 class DirectoryFixture:
@@ -229,6 +248,27 @@
     assert fixture.directory.observed_terms['b'].seen_at == pools.seconds(1)
 
 
+def test_waiting_requests_do_not_multiply_the_reads_of_the_terms():
+    """Guards against reads by each request that waits for a new owner.
+
+    They also waited for the store, which does not answer in a cut zone.
+    """
+    clock = _clock.SystemClock()
+    table = rows.RowTable()
+    directory = _directory.Directory(table, platform.PlatformLayout(), clock)
+    reads = []
+    directory.refresh_terms = lambda: reads.append(clock.monotonic())
+    poll = _loop.spawn(directory._poll_terms)
+    started_at = clock.monotonic()
+    while clock.monotonic() - started_at < pools.seconds(0.3):
+        for _ in range(100):
+            directory.request_terms()
+        _loop.sleep(0.01)
+    poll.kill()
+    # A new owner is found within the delay of a retry.
+    assert 3 <= len(reads) <= 7
+
+
 def test_a_damaged_term_does_not_affect_the_others():
     fixture = DirectoryFixture()
     fixture.claim('a', 'one')
