Prefer one zone for the tasks of a batch step

In a replay of a surge 74 % of the running jobs had a task in any one of three zones; such a task can start elsewhere only when its lease has ended, 6.6 s after the cut. Where the tasks of a group are is found once for each placement, not for each worker.

--- a/skylarktally/scheduling/_placing.py
+++ b/skylarktally/scheduling/_placing.py
@@ -1,5 +1,6 @@
 """Placement of the tasks of a step on workers."""
 
+import collections
 from collections.abc import Iterable, Iterator
 import datetime
 from typing import NamedTuple
@@ -16,6 +17,13 @@
     worker_state: _states.WorkerState
 
 
+class _Locations(NamedTuple):
+    """Where the tasks of a group run or have been placed."""
+
+    zones: frozenset[str]
+    racks: frozenset[str]
+
+
 class CapacityTracker:
     """Available capacity of workers, reduced by the placements of a plan."""
 
@@ -30,7 +38,10 @@
             if worker_state.is_schedulable
             and worker_state.backoff_until <= now
         }
-        self._placed_counts: dict[tuple[_states.TaskGroup, str], int] = {}
+        # Number of placed tasks by group and worker.
+        self._placed_counts: collections.defaultdict[
+            _states.TaskGroup, collections.Counter[str]
+        ] = collections.defaultdict(collections.Counter)
         self._now = now
         # Each amount is at least what any worker has available.
         self._upper_bound = _find_maximum(
@@ -71,6 +82,7 @@
         """Reserve capacity on the best worker; None if none fits."""
         group = task.group
         need = _states.find_reserved_resources(group.step)
+        locations = self._find_locations(group)
         best = None
         has_room = False
         for worker_state, available in self._available.values():
@@ -79,7 +91,7 @@
             has_room = True
             if not self._allows(task, worker_state):
                 continue
-            score = self._score(group, worker_state, available)
+            score = _score(group.step, worker_state, available, locations)
             if best is None or score > best[0]:
                 best = score, worker_state
         if best is None:
@@ -115,43 +127,18 @@
         self, group: _states.TaskGroup, worker_state: _states.WorkerState
     ) -> int:
         id_ = worker_state.record.id
-        return group.runs_per_worker.get(id_, 0) + self._placed_counts.get(
-            (group, id_), 0
-        )
-
-    def _score(
-        self,
-        group: _states.TaskGroup,
-        worker_state: _states.WorkerState,
-        available: _work.Resources,
-    ) -> tuple[bool, bool, int, float]:
-        step = group.step
-        capacity = worker_state.record.capacity.cpu_millicores
-        is_near_data = (
-            bool(step.data_rack) and step.data_rack == worker_state.record.rack
-        )
-        is_on_same_rack = step.is_tightly_coupled and self._shares_rack(
-            group, worker_state
-        )
-        # Best fit: of the workers with the fewest failures, prefer the one
-        # with the least capacity left. Others then become empty, so that
-        # they can be lent, maintained or turned off.
-        free = available.cpu_millicores / max(capacity, 1)
-        return is_near_data, is_on_same_rack, -worker_state.failures, -free
+        placed = self._placed_counts[group][id_]
+        return group.runs_per_worker.get(id_, 0) + placed
 
-    def _shares_rack(
-        self, group: _states.TaskGroup, worker_state: _states.WorkerState
-    ) -> bool:
-        used_workers = {
-            id_
-            for placed_group, id_ in self._placed_counts
-            if placed_group is group
-        }
-        used_workers.update(group.runs_per_worker)
-        return any(
-            self._available[id_][0].record.rack == worker_state.record.rack
-            for id_ in used_workers
+    def _find_locations(self, group: _states.TaskGroup) -> _Locations:
+        records = [
+            self._available[id_][0].record
+            for id_ in (*group.runs_per_worker, *self._placed_counts[group])
             if id_ in self._available
+        ]
+        return _Locations(
+            frozenset(record.zone for record in records),
+            frozenset(record.rack for record in records),
         )
 
     def _reserve(
@@ -165,25 +152,56 @@
             worker_state,
             self._available[id_][1].minus(need),
         )
-        key = group, id_
-        self._placed_counts[key] = self._placed_counts.get(key, 0) + 1
+        self._placed_counts[group][id_] += 1
 
     def place_all(self, tasks: list[_states.Task]) -> list[Placement]:
         """Place all tasks of a gang; if one does not fit, place none."""
+        group = tasks[0].group
         available, placed_counts, rejected_needs = (
             dict(self._available),
-            dict(self._placed_counts),
+            self._placed_counts[group].copy(),
             self._rejected_needs,
         )
         results = [self.place(task) for task in tasks]
         placements = [item for item in results if item is not None]
         if len(placements) == len(tasks):
             return placements
-        self._available, self._placed_counts = available, placed_counts
+        self._available = available
+        self._placed_counts[group] = placed_counts
         self._rejected_needs = rejected_needs
         return []
 
 
+def _score(
+    step: _work.Step,
+    worker_state: _states.WorkerState,
+    available: _work.Resources,
+    locations: _Locations,
+) -> tuple[bool, bool, int, bool, float]:
+    """Return how well a worker suits a task; the highest score is best."""
+    record = worker_state.record
+    is_near_data = bool(step.data_rack) and step.data_rack == record.rack
+    is_on_same_rack = (
+        step.is_tightly_coupled and record.rack in locations.racks
+    )
+    # A batch step ends with its last task, so that the loss of any zone in
+    # which it runs delays it. Long-running tasks count one by one.
+    is_in_same_zone = (
+        not step.is_long_running and record.zone in locations.zones
+    )
+    # Best fit: of the workers with the fewest failures, prefer the one
+    # with the least capacity left. Others then become empty, so that
+    # they can be lent, maintained or turned off.
+    free = available.cpu_millicores / max(record.capacity.cpu_millicores, 1)
+    return (
+        is_near_data,
+        is_on_same_rack,
+        -worker_state.failures,
+        is_in_same_zone,
+        -free,
+    )
+
+
 def _find_maximum(amounts: Iterable[_work.Resources]) -> _work.Resources:
     """Return the largest amount of each resource."""
     maximum = _work.Resources()
