Notice a lost answer of the store while the term is valid

Callers would see: a pool that stands still for 1.5 s and more whenever an answer of the store is lost, when the store is silent for its owner, or when open connections have gone silent. Change: timeouts follow the response times (between 0.35 and 1.5 s, separately for reads and transactions), grow with each loss, and a loss closes the idle connections to the address, for workers as well.

--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -53,7 +53,7 @@
         self._incarnation = secrets.token_hex(8)
         self._calls = _calls.EntryCalls()
         store = _store_relay.RelayedStore(
-            platform.TableStore(settings.store_address),
+            platform.TableStore(settings.store_address, clock),
             self._calls,
             self._list_peers,
             clock,
--- a/skylarktally/platform/_http.py
+++ b/skylarktally/platform/_http.py
@@ -149,6 +149,7 @@
             response = reader.decode()
         except (OSError, ValueError, httptools.HttpParserError) as error:
             connection.close()
+            self._close_idle(address)
             kind = _errors.ErrorKind.OUTCOME_UNKNOWN
             return _fail(kind, f'{address}: {error}')
         self._keep(address, connection, reader.keeps_connection)
@@ -169,11 +170,18 @@
         idle = self._idle.setdefault(address, [])
         self._idle.move_to_end(address)
         if len(self._idle) > _MAX_ADDRESSES:
-            _, unused = self._idle.popitem(last=False)
-            for connection in unused:
-                connection.close()
+            self._close_idle(next(iter(self._idle)))
         return idle
 
+    def _close_idle(self, address: str) -> None:
+        """Close the idle connections to an address.
+
+        All that go through a device which has lost their state are silent,
+        and each would cost another timeout.
+        """
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
     def _keep(
         self, address: str, connection: _Connection, is_reusable: bool
     ) -> None:
--- a/skylarktally/platform/_store.py
+++ b/skylarktally/platform/_store.py
@@ -11,24 +11,37 @@
 
 from returns import result
 
+from skylarktally import _clock
 from skylarktally import _errors
 from skylarktally.platform import _http
+from skylarktally.platform import _timeouts
 from skylarktally.scheduling import _rows
 
 ErrorKind = _errors.ErrorKind
 
-# The store answers within some ms, and within half a second when it is slow.
-_WRITE_TIMEOUT = datetime.timedelta(seconds=1.5)
-_READ_TIMEOUT = datetime.timedelta(seconds=1.5)
+# The store answers within some ms, and within half a second or more when slow.
+# With the lower limit, the owner of a pool notices two lost answers in a row,
+# or one of a store that has just turned slow, while its term is valid.
+_MIN_TIMEOUT = datetime.timedelta(seconds=0.35)
+_MAX_TIMEOUT = datetime.timedelta(seconds=1.5)
 _PAGE_ROWS = 500
+_NO_WAIT = datetime.timedelta()
 
 
 class TableStore:
     """Client of the table service."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, clock: _clock.Clock) -> None:
         self._address = address
+        self._clock = clock
         self._client = _http.HttpClient(ErrorKind.PLATFORM_UNAVAILABLE)
+        # A transaction takes longer than a read.
+        self._write_timeout = _timeouts.AdaptiveTimeout(
+            _MIN_TIMEOUT, _MAX_TIMEOUT
+        )
+        self._read_timeout = _timeouts.AdaptiveTimeout(
+            _MIN_TIMEOUT, _MAX_TIMEOUT
+        )
 
     def commit(
         self, transaction: _rows.Transaction
@@ -50,8 +63,8 @@
                 _encode_row_key(row_key) for row_key in transaction.removals
             ],
         }
-        outcome = self._client.call(
-            'POST', self._address, '/-/rows-tx', _WRITE_TIMEOUT, body
+        outcome = self._call(
+            self._write_timeout, 'POST', '/-/rows-tx', body=body
         )
         return outcome.bind(_read_commit)
 
@@ -70,7 +83,7 @@
             'limit': _PAGE_ROWS,
         }
         while True:
-            outcome = self._get('/-/rows-get', _READ_TIMEOUT, query)
+            outcome = self._get('/-/rows-get', query)
             if not isinstance(outcome, result.Success):
                 return result.Failure(outcome.failure())
             body = outcome.unwrap().body
@@ -89,7 +102,7 @@
         names: list[str] = []
         query = {'table': table}
         while True:
-            outcome = self._get('/-/rows-parts', _READ_TIMEOUT, query)
+            outcome = self._get('/-/rows-parts', query)
             if not isinstance(outcome, result.Success):
                 return result.Failure(outcome.failure())
             body = outcome.unwrap().body
@@ -111,7 +124,7 @@
             'after': after,
             'wait_ms': int(wait.total_seconds() * 1000),
         }
-        outcome = self._get('/-/rows-feed', wait + _READ_TIMEOUT, query)
+        outcome = self._get('/-/rows-feed', query, wait)
         if not isinstance(outcome, result.Success):
             return result.Failure(outcome.failure())
         status, body = outcome.unwrap()
@@ -122,13 +135,45 @@
         )
 
     def _get(
-        self, path: str, timeout: datetime.timedelta, query: dict[str, Any]
+        self,
+        path: str,
+        query: dict[str, Any],
+        wait: datetime.timedelta = _NO_WAIT,
     ) -> _http.CallOutcome:
-        outcome = self._client.call(
-            'GET', self._address, path, timeout, query=query
+        outcome = self._call(
+            self._read_timeout, 'GET', path, wait, query=query
         )
         return outcome.bind(_check_read)
 
+    def _call(
+        self,
+        timeout: _timeouts.AdaptiveTimeout,
+        method: str,
+        path: str,
+        wait: datetime.timedelta = _NO_WAIT,
+        *,
+        body: dict[str, Any] | None = None,
+        query: dict[str, Any] | None = None,
+    ) -> _http.CallOutcome:
+        """Call the store, and learn how long its answers take.
+
+        :param wait: how long the store may hold back its answer
+        """
+        sent_at = self._clock.monotonic()
+        outcome = self._client.call(
+            method,
+            self._address,
+            path,
+            wait + timeout.current,
+            body,
+            query=query,
+        )
+        if not isinstance(outcome, result.Success):
+            timeout.record_loss()
+        elif not wait:
+            timeout.record_answer(self._clock.monotonic() - sent_at)
+        return outcome
+
 
 def _check_read(response: _http.Response) -> _http.CallOutcome:
     if response.status in (200, 410):
