--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -353,6 +353,14 @@
         """Stop a run that may still start, unless a report shows it."""
         if run.state is _states.RunState.ACTIVE:
             return
+        _LOG.info(
+            'start without answer',
+            extra={
+                'task': run.task.id,
+                'run': run.number,
+                'worker': run.worker,
+            },
+        )
         run.state = _states.RunState.UNCONFIRMED
         self._host.pool_state.allow_duplicate_start(run)
         self._host.request_planning()
