Order moves of instances at the same time

Callers would see: a surge whose instances arrive up to 1.5 s later for each order of a move without an answer, since moves were ordered one by one. Change: four moves at a time. Orders end for the cycle when the platform refuses one for its rate, and workers are evacuated only when their move is about to be ordered. Ruled out: the same for waves, whose orders store the progress of the wave in one row each. Test: test_a_move_without_an_answer_does_not_hold_up_the_others (the loop before would have taken 1.5 s for the first move), and two for orders after a refusal.

--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -33,6 +33,8 @@
 _WRITE_TIMEOUT = datetime.timedelta(seconds=3)
 # A move that the platform does not list after this time has failed.
 _MOVE_TIMEOUT = datetime.timedelta(seconds=5)
+# The platform accepts some tens of orders a second and answers within some ms.
+_CONCURRENT_MOVES = 4
 _UP = 'up'
 
 InstancesById = Mapping[str, _work.InstanceRecord]
@@ -186,12 +188,7 @@
             self._list_remaining(waves),
         )
         self._spare_instances = plan.spare
-        for instance, target in plan.moves:
-            is_empty = not instance.worker or dependencies.vacate(
-                instance.pool, instance.worker
-            )
-            if is_empty and not self._order_move(instance, target):
-                return
+        self._order_moves(plan.moves, dependencies.vacate)
         fleet_usage = _waves.FleetUsage(
             _find_usage(listed, loads), plan.spare, self._pending_moves
         )
@@ -226,8 +223,31 @@
             if is_there or now - move.at >= _MOVE_TIMEOUT:
                 del self._pending_moves[id_]
 
+    def _order_moves(
+        self,
+        moves: Iterable[_lending.Move],
+        vacate: Callable[[str, str], bool],
+    ) -> None:
+        """Evacuate and move instances, several at the same time.
+
+        An order whose answer is lost would otherwise hold up the others.
+        Those that the platform does not accept now are left for the next
+        cycle, and their workers are not evacuated before.
+        """
+        may_continue = True
+
+        def order(move: _lending.Move) -> None:
+            nonlocal may_continue
+            instance = move.instance
+            if not may_continue:
+                return
+            if not instance.worker or vacate(instance.pool, instance.worker):
+                may_continue &= self._order_move(instance, move.pool)
+
+        list(_loop.GreenPool(_CONCURRENT_MOVES).imap(order, moves))
+
     def _order_move(self, instance: _work.InstanceRecord, pool: str) -> bool:
-        """Order a move; False if no further orders may be sent."""
+        """Order a move; False if no further orders should be sent now."""
         if not self.ledger.holds_term():
             return False
         outcome = self._instances.move(
@@ -249,10 +269,12 @@
         )
         if rejection is _orders.Rejection.FENCED:
             self.ledger.end()
-            return False
-        if rejection is None:
+        elif rejection is None:
             self._pending_moves[instance.id] = _PendingMove(pool, now)
-        return True
+        return rejection not in (
+            _orders.Rejection.FENCED,
+            _orders.Rejection.UNHEALTHY,
+        )
 
     def _advance_wave(
         self,
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -4,8 +4,10 @@
 from returns import result
 
 from skylarktally import _errors
+from skylarktally import _loop
 from skylarktally import platform
 from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _lending
 from skylarktally.scheduling import _maintenance
 from skylarktally.scheduling import _orders
 from skylarktally.scheduling import _records
@@ -117,3 +119,76 @@
     assert run.run_cycle() == ['a']
     # Without the earlier order, another instance would go down beside b.
     assert run.run_cycle() == ['a']
+
+
+class Moves(Instances):
+    """Instances of which the first move gets no answer for a long time."""
+
+    # How long a client waits for an answer, in seconds.
+    TIMEOUT = 1.5
+
+    def move(self, instance, pool, holder, token):
+        self.ordered.append(instance)
+        if len(self.ordered) == 1:
+            _loop.sleep(self.TIMEOUT)
+            failure = _errors.Failure(Kind.OUTCOME_UNKNOWN, 'no answer')
+            return result.Failure(failure)
+        _loop.sleep(0.01)
+        return result.Success(_orders.OrderResult(None))
+
+
+def test_a_move_without_an_answer_does_not_hold_up_the_others():
+    """Guards against a surge whose instances arrive seconds later.
+
+    Moves were ordered one after the other, also while an answer was missing.
+    """
+    run = MaintenanceRun()
+    run.instances = run.maintenance._instances = Moves()
+    moves = [
+        _lending.Move(record, 'surging')
+        for record in run.instances.list_instances().unwrap()
+    ]
+    ordering = _loop.spawn(
+        run.maintenance._order_moves, moves, lambda pool, worker: True
+    )
+    with _loop.Timeout(Moves.TIMEOUT / 2):
+        while len(run.instances.ordered) < len(moves):
+            _loop.sleep(0.01)
+    ordering.wait()
+    # The move without an answer may have been made as well.
+    assert set(run.maintenance._pending_moves) == set(WAVE.instances)
+
+
+@pytest.mark.parametrize(
+    'rejection, is_over',
+    [
+        # Guards against orders of a former holder (ONE).
+        (Rejection.FENCED, True),
+        # Guards against calls beyond the rate that the platform accepts.
+        (Rejection.UNHEALTHY, False),
+    ],
+)
+def test_no_move_is_ordered_after_one_that_is_refused(rejection, is_over):
+    run = MaintenanceRun()
+    ordered = []
+    evacuated = []
+
+    def move(instance, pool, holder, token):
+        ordered.append(instance)
+        return result.Success(_orders.OrderResult(rejection))
+
+    def vacate(pool, worker):
+        evacuated.append(worker)
+        return True
+
+    run.instances.move = move
+    records = [
+        record._replace(worker=f'worker of {record.id}')
+        for record in run.instances.list_instances().unwrap()
+    ]
+    run.maintenance._order_moves(
+        [_lending.Move(record, 'surging') for record in records], vacate
+    )
+    assert ordered == ['a']
+    assert evacuated == ['worker of a']
+    assert run.ledger.is_over is is_over
