Decide on moves in one pass over the instances

The owner of maintenance went through all instances for each pool, twice, five times a second. Change: counts of all pools in one pass.

--- a/skylarktally/scheduling/_lending.py
+++ b/skylarktally/scheduling/_lending.py
@@ -6,6 +6,7 @@
 Instances that no pool needs are parked in the standby pool.
 """
 
+import collections
 from collections.abc import Collection, Iterable, Mapping
 import datetime
 import math
@@ -138,15 +139,10 @@
         ordered = sorted(instances, key=lambda item: item.id in due)
         stationary = [item for item in ordered if item.id not in moving]
         instance_size = _find_median_size(ordered)
+        supplies = _find_supplies(loads, stationary, moving)
         self._record_first_demand(loads, now)
         balances = {
-            pool: self._balance(
-                pool,
-                load,
-                instance_size,
-                _find_supply(pool, load, stationary, moving),
-                now,
-            )
+            pool: self._balance(pool, load, instance_size, supplies[pool], now)
             for pool, load in loads.items()
             if pool not in standby
         }
@@ -311,20 +307,25 @@
     return load.long_running_millicores + arriving + int(catch_up)
 
 
-def _find_supply(
-    pool: str,
-    load: PoolLoad,
+def _find_supplies(
+    loads: Mapping[str, PoolLoad],
     stationary: list[_work.InstanceRecord],
     moving: Mapping[str, str],
-) -> Supply:
-    leaving = {item.worker for item in load.workers if item.is_leaving}
-    present = sum(
-        item.pool == pool and item.state == 'up' and item.worker not in leaving
+) -> dict[str, Supply]:
+    """Return the supply of each pool, in one pass over the instances."""
+    leaving = {
+        item.worker
+        for load in loads.values()
+        for item in load.workers
+        if item.is_leaving
+    }
+    present = collections.Counter(
+        item.pool
         for item in stationary
+        if item.state == 'up' and item.worker not in leaving
     )
-    return Supply(
-        present, sum(destination == pool for destination in moving.values())
-    )
+    arriving = collections.Counter(moving.values())
+    return {pool: Supply(present[pool], arriving[pool]) for pool in loads}
 
 
 def _list_parked(
@@ -380,21 +381,29 @@
 
 
 def count_lendable(
-    pool: str,
+    pools: Iterable[str],
     instances: Iterable[_work.InstanceRecord],
     spare: Collection[str],
     moving: Mapping[str, str],
-) -> int:
-    """Return the processor capacity that a pool can borrow.
+) -> dict[str, int]:
+    """Return the processor capacity that each pool can borrow.
 
-    Instances that are already on their way to the pool count as well.
+    Instances that are already on their way to the pool count as well. The
+    instances are gone through once, whatever the number of pools.
 
     :param spare: ids of instances that no pool needs
-    :return: in millicores
+    :return: in millicores, by pool
     """
-    return sum(
-        item.cpu_millicores
-        for item in instances
-        if moving.get(item.id) == pool
-        or (item.id in spare and item.pool != pool)
-    )
+    total = 0
+    # Spare capacity of a pool itself, and other capacity on its way to it.
+    own: collections.Counter[str] = collections.Counter()
+    arriving: collections.Counter[str] = collections.Counter()
+    for item in instances:
+        destination = moving.get(item.id)
+        is_spare = item.id in spare
+        if is_spare:
+            total += item.cpu_millicores
+            own[item.pool] += item.cpu_millicores
+        if destination and (not is_spare or destination == item.pool):
+            arriving[destination] += item.cpu_millicores
+    return {pool: total - own[pool] + arriving[pool] for pool in pools}
--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -168,17 +168,14 @@
         standby = frozenset(
             pool.name for pool in configuration.pools if pool.is_standby
         )
-        pools = [item.name for item in configuration.pools]
         moving = {id_: item.pool for id_, item in self._pending_moves.items()}
-        loads = _measure_all(
-            [pool for pool in pools if pool not in standby],
-            lambda pool: dependencies.measure(
-                pool,
-                _lending.count_lendable(
-                    pool, listed.values(), self._spare_instances, moving
-                ),
-            ),
+        lendable = _lending.count_lendable(
+            [pool.name for pool in configuration.pools if not pool.is_standby],
+            listed.values(),
+            self._spare_instances,
+            moving,
         )
+        loads = _measure_all(lendable, dependencies.measure)
         plan = self._lender.plan(
             loads,
             listed.values(),
@@ -368,18 +365,21 @@
 
 
 def _measure_all(
-    pools: Iterable[str],
-    measure: Callable[[str], _lending.PoolLoad | None],
+    lendable: Mapping[str, int],
+    measure: Callable[[str, int], _lending.PoolLoad | None],
 ) -> dict[str, _lending.PoolLoad]:
-    """Ask the owners of all pools at the same time."""
+    """Ask the owners of all pools at the same time.
+
+    :param lendable: millicores that each pool could be lent
+    """
     loads: dict[str, _lending.PoolLoad] = {}
 
-    def ask(pool: str) -> None:
-        load = measure(pool)
+    def ask(pool: str, millicores: int) -> None:
+        load = measure(pool, millicores)
         if load is not None:
             loads[pool] = load
 
-    threads = [_loop.spawn(ask, pool) for pool in pools]
+    threads = [_loop.spawn(ask, *item) for item in lendable.items()]
     for thread in threads:
         thread.wait()
     return loads
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -1,11 +1,14 @@
 """Tests of moves of instances between pools, without I/O."""
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from skylarktally.scheduling import _forecasts
 from skylarktally.scheduling import _lending
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _work
+from tests import costs
 from tests import pools
 
 SIZE = 32000
@@ -234,8 +237,56 @@
 def test_spare_and_arriving_instances_are_lendable():
     instances = make_instances(a=2, b=2, spare=2)
     moving = {'spare1': 'a', 'b1': 'b'}
-    found = _lending.count_lendable('a', instances, {'a1', 'b0'}, moving)
-    assert found == 2 * SIZE
+    found = _lending.count_lendable(
+        ['a', 'b', 'c'], instances, {'a1', 'b0'}, moving
+    )
+    assert found == {'a': 2 * SIZE, 'b': 2 * SIZE, 'c': 2 * SIZE}
+
+
+@hypothesis.given(
+    spare=strategies.sets(strategies.integers(0, 7)),
+    moving=strategies.dictionaries(
+        strategies.integers(0, 7), strategies.sampled_from('abc')
+    ),
+)
+def test_lendable_capacity_matches_a_count_for_each_pool(spare, moving):
+    """Guards against the shortcut that goes through the instances once."""
+    instances = make_instances(a=3, b=3, spare=2)
+    ids = [item.id for item in instances]
+    spare = {ids[index] for index in spare}
+    moving = {ids[index]: pool for index, pool in moving.items()}
+    expected = {
+        pool: sum(
+            item.cpu_millicores
+            for item in instances
+            if moving.get(item.id) == pool
+            or (item.id in spare and item.pool != pool)
+        )
+        for pool in 'abc'
+    }
+    found = _lending.count_lendable('abc', instances, spare, moving)
+    assert found == expected
+
+
+def test_the_cost_of_moves_does_not_follow_pools_times_instances():
+    """Guards against a maintenance owner that is late in a large fleet.
+
+    At 264 pools and 3,432 instances its decisions took 0.23 s, and it makes
+    them five times a second.
+    """
+
+    def decide(pool_count):
+        names = [f'p{number}-' for number in range(pool_count)]
+        instances = make_instances(**dict.fromkeys(names, 10))
+        loads = dict.fromkeys(names, make_load())
+        now = pools.seconds(1)
+        _lending.count_lendable(names, instances, {'p0-1'}, {})
+        _lending.Lender().plan(loads, instances, STANDBY, {}, now)
+
+    few = costs.count_lines(lambda: decide(10))
+    many = costs.count_lines(lambda: decide(100))
+    # Ten times the pools and instances; half as much again for sorting.
+    assert many < 1.5 * 10 * few
 
 
 @pytest.mark.parametrize(
--- a/tests/test_plan_costs.py
+++ b/tests/test_plan_costs.py
@@ -1,16 +1,14 @@
 """Replays the load of a long surge: a full pool and a growing backlog.
 
-Costs are counted as calls of Python functions, which do not depend on the
-speed of the machine.
+Costs are counted as calls of Python functions.
 """
 
-import sys
-
 import pytest
 
 from skylarktally.scheduling import _admission
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _work
+from tests import costs
 from tests import pools
 
 WORKERS = 43
@@ -34,22 +32,6 @@
     return pool_state
 
 
-def count_calls(function, *arguments):
-    """Return the result of a function and the number of calls it makes."""
-    count = 0
-
-    def note(frame, event, argument):
-        nonlocal count
-        count += event == 'call'
-
-    sys.setprofile(note)
-    try:
-        outcome = function(*arguments)
-    finally:
-        sys.setprofile(None)
-    return outcome, count
-
-
 @pytest.mark.parametrize('waiting', [20, 300])
 def test_a_plan_for_a_full_pool_does_not_ask_each_worker_for_each_job(
     waiting,
@@ -61,7 +43,9 @@
     """
     pool_state = make_full_pool(waiting)
     now = pools.seconds(0)
-    placements, calls = count_calls(_planning.plan_starts, pool_state, now)
+    placements, calls = costs.count_calls(
+        _planning.plan_starts, pool_state, now
+    )
     assert placements == []
     assert calls <= 10 * WORKERS + 10 * waiting
 
@@ -73,7 +57,7 @@
         pool_state = make_full_pool(waiting)
         run = next(iter(pool_state.worker_states['w7'].runs.values()))
         pool_state.note_end('w7', pools.end(run))
-        placements, count = count_calls(
+        placements, count = costs.count_calls(
             _planning.plan_starts, pool_state, pools.seconds(0)
         )
         assert len(placements) == 1
@@ -88,7 +72,7 @@
     for waiting in (20, 300):
         pool_state = make_full_pool(waiting)
         pool_state.lendable_millicores = 10**9
-        _, count = count_calls(
+        _, count = costs.count_calls(
             _admission.review, pool_state, pools.make_queue(), spec
         )
         calls.append(count)
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -2,46 +2,24 @@
 
 import collections
 import datetime
-import gc
-import sys
 
 import pytest
 
+from tests import costs
 from tools import bench_serving
 
 # Executed lines per choice; pools of 10 to 1,000 workers take 66 to 76.
 _MAX_LINES = 100
 
 
-def count_lines(function):
-    """Count the lines of Python that a call executes."""
-    count = 0
-
-    def trace(_frame, event, _argument):
-        nonlocal count
-        count += event == 'line'
-        return trace
-
-    # Garbage collection could run finalizers of other tests in the trace.
-    gc.collect()
-    gc.disable()
-    sys.settrace(trace)
-    try:
-        function()
-    finally:
-        sys.settrace(None)
-        gc.enable()
-    return count
-
-
 @pytest.mark.parametrize('size', [10, 100, 1000])
 def test_choice_costs_the_same_in_every_pool(size):
     """Guards against a choice that scans all workers for each request."""
     selection = bench_serving.create_selection(size)
-    max_lines = max(count_lines(selection.choose) for _ in range(50))
+    max_lines = max(costs.count_lines(selection.choose) for _ in range(50))
     assert max_lines <= _MAX_LINES
     names = list(selection.workers)
-    scan = count_lines(
+    scan = costs.count_lines(
         lambda: min(names, key=lambda x: selection.workers[x].running)
     )
     assert (scan > _MAX_LINES) == (size > 10)
