End requests of the demo that have not been sent yet

Cause: the balancer of the demo ends the requests to an entry instance that stopped; eventlet needs all three parts of an exception to end a green thread that has not started yet. Test: test_requests_end_when_their_entry_stops, the case of a request that has not started fails before with that IndexError and passes now.

--- a/demo/_balancer.py
+++ b/demo/_balancer.py
@@ -95,4 +95,8 @@
         self._ready.discard(entry.name)
         if status == 0:
             for thread in list(self._running[entry.name]):
-                thread.kill(ConnectionClosed(entry.name))
+                # A green thread that has not started yet can only be ended
+                # with all three parts of an exception.
+                thread.kill(
+                    ConnectionClosed, ConnectionClosed(entry.name), None
+                )
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -9,6 +9,9 @@
 
 import pytest
 
+from demo import _balancer
+from demo import _deployment
+from skylarktally import _loop
 
 # The spare pool takes back after seconds in place of a minute.
 SURGE = (
@@ -55,3 +58,23 @@
         assert done.returncode == 0, done.stdout + done.stderr
     assert not wrong, done.stdout + done.stderr
     assert expected in done.stdout
+
+
+@pytest.mark.parametrize('has_started', [False, True])
+def test_requests_end_when_their_entry_stops(has_started):
+    """Guards against a demo that ends with a traceback.
+
+    An entry instance stopped in the moment in which a request to it was about
+    to be sent.
+    """
+    entry = _deployment.Entry(
+        **dict.fromkeys(_deployment.Entry._fields, 'entry:1')
+    )
+    balancer = _balancer.Balancer([entry])
+    request = _loop.spawn(_loop.sleep, 5)
+    if has_started:
+        _loop.sleep(0)
+    balancer._running[entry.name].add(request)
+    _loop.spawn(balancer._change, entry, 0).wait()
+    with pytest.raises(_balancer.ConnectionClosed):
+        request.wait()
