Say plainly what the measuring tools do

Texts only, and awake -> is_running of a simulated router, as of a process. Left as they are: the names of resources and metrics that the tools print.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -183,7 +183,7 @@
     network = peer_network.Network(seed, loss)
     network.add_nodes('abcdefgh', 3)
     network.run(20)
-    network.find('c1').awake = False
+    network.find('c1').is_running = False
     network.run(7)
     assert DEAD not in network.list_states('c1')
     network.run(DETECTION_SECONDS - 7)
@@ -196,10 +196,10 @@
     network.add_nodes('abc', 3)
     network.run(10)
     paused = network.find('b1')
-    paused.awake = False
+    paused.is_running = False
     network.run(300)
     assert set(network.list_states('b1')) == {DEAD}
-    paused.awake = True
+    paused.is_running = True
     network.run(10)
     assert set(network.list_states('b1')) == {ALIVE}
     assert paused.membership.count_states()['alive'] == 8
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -100,7 +100,7 @@
 
     def step(self, node, number):
         self.network.clock.advance(0.1 + number % 9 / 10)
-        if node.awake:
+        if node.is_running:
             node.gossip.step()
 
     def poll(self, node, _number, shown=None):
@@ -147,7 +147,7 @@
         node.restart()
 
     def pause(self, node, number):
-        node.awake = not node.awake
+        node.is_running = not node.is_running
         self.network.clock.advance(number % 100)
 
     def trim(self, _node, number):
@@ -171,7 +171,7 @@
         """Check that all reach the newest version once one has read it."""
         self.network.cuts.clear()
         for node in self.nodes:
-            node.awake = True
+            node.is_running = True
         self.poll(self.nodes[0], 0)
         self.network.run(10)
         self.check()
--- a/tools/bench_serving.py
+++ b/tools/bench_serving.py
@@ -40,9 +40,9 @@
     'tls',
     '',
     'Folder with server.pem, server.key and ca.pem; puts the router, or with '
-    '--tls_workers also the workers, below TLS.',
+    '--tls_workers also the workers use TLS.',
 )
-_TLS_WORKERS = flags.DEFINE_bool('tls_workers', False, 'Workers below TLS.')
+_TLS_WORKERS = flags.DEFINE_bool('tls_workers', False, 'Workers use TLS.')
 
 _CHOICES = flags.DEFINE_integer('choices', 20000, 'Choices to measure.')
 
@@ -71,7 +71,7 @@
 
 
 def find_server() -> _certificates.Certificates | None:
-    """Return the certificate of listeners, if any are below TLS."""
+    """Return the certificate of the listeners if they use TLS."""
     if not _TLS.value:
         return None
     folder = pathlib.Path(_TLS.value)
--- a/tools/counting.py
+++ b/tools/counting.py
@@ -9,7 +9,7 @@
 
 
 class Endpoints:
-    """Workers that only answer for their fence, and a relay, in a thread.
+    """Workers that answer only probes of their fence, and a relay.
 
     All workers share a port and differ in address. Bytes are those of the
     streams in both directions, without TCP/IP headers.
@@ -30,7 +30,7 @@
         self._run(asyncio.start_server(self._answer, listed, port))
 
     def relay(self, address: str, target: str) -> None:
-        """Pass the connections to an address on to another one."""
+        """Relay the connections to an address to another one."""
         host, port = address.split(':')
 
         async def connect(
--- a/tools/gossip_traffic.py
+++ b/tools/gossip_traffic.py
@@ -53,7 +53,7 @@
 
 
 def _run(network: peer_network.Network, changes: float, seconds: int) -> None:
-    """Let random routers read the changes of the table first."""
+    """Run the network, with changes that random routers read first."""
     nodes = list(network.nodes.values())
     version = 0
     for _ in range(seconds):
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -241,7 +241,7 @@
 
 
 def _write_other_beats(deployment: cluster.Cluster, own: int) -> None:
-    """Write the beat rows that controllers of other zones would have."""
+    """Write the heartbeat rows of the controllers of other zones."""
     limits = _limits.PlatformLimits(_clock.SystemClock(), 200, 200)
     table = _table.HttpTable(
         deployment.platform_address, _clock.SystemClock(), limits
--- a/tools/measure_drain.py
+++ b/tools/measure_drain.py
@@ -28,7 +28,9 @@
 
 _REPEATS = flags.DEFINE_integer('repeats', 5, 'Drains of a scenario.', 1, 999)
 _PLATFORMS = flags.DEFINE_list(
-    'platforms', ['up', 'stopped', 'silent'], 'The platform after the mark.'
+    'platforms',
+    ['up', 'stopped', 'silent'],
+    'State of the platform after the drain was written.',
 )
 _SEED = flags.DEFINE_integer('seed', 0, 'Seed of the pauses.')
 
@@ -45,15 +47,15 @@
 class Drain(NamedTuple):
     """Seconds after the drain was sent to the resource API."""
 
-    # The API has answered that the mark is written.
+    # The API has answered that the drain is written.
     accepted: float
     # The worker refuses what comes under the old epoch.
     fenced: float
-    # The slowest router has the mark in force.
+    # The drain is in force at the slowest router.
     informed: float
     # The last task started; None when none started after the request.
     last_start: float | None
-    # Tasks that started on the other workers after the mark.
+    # Tasks that started on the other workers after the drain was written.
     others: int
 
     @property
--- a/tools/measure_state.py
+++ b/tools/measure_state.py
@@ -109,7 +109,7 @@
 
 
 def run_author() -> None:
-    """Propose changes as fast as the limits allow and print what happened."""
+    """Propose changes as fast as the limits allow and print the results."""
     clock = _clock.SystemClock()
     limits = _limits.PlatformLimits(clock, _WRITES.value, _READS.value)
     table = CountingTable(_PLATFORM.value, clock, limits)
--- a/tools/measure_waves.py
+++ b/tools/measure_waves.py
@@ -58,7 +58,7 @@
 def run_wave(
     workers: int, pools: int, max_parallel: int, seed: int = 1
 ) -> Result:
-    """Carry out a wave to its end, with failures of an ordinary day."""
+    """Run a wave to its end, with the failures of an ordinary day."""
     rng = random.Random(seed)
     fleet = {i.name: i for i in build_fleet(workers, pools)}
     names = tuple(sorted({i.pool for i in fleet.values()}))
--- a/tools/peer_network.py
+++ b/tools/peer_network.py
@@ -35,11 +35,11 @@
         self.address = f'127.0.0.1:{len(network.nodes) + 1}'
         self.fleet_type = fleet_type
         self.limits = _gossip.GossipLimits(**limits)
-        self.awake = True
+        self.is_running = True
         self.restart()
 
     def restart(self):
-        """Lose everything, as a process does that starts anew."""
+        """Discard all state, as a restart of the process does."""
         network = self.network
         network.incarnations += 1
         self.incarnation = network.incarnations
@@ -162,17 +162,17 @@
         return next(n for n in self.nodes.values() if n.name == name)
 
     def spawn(self, function, *arguments):
-        """Keep a function for the next call of settle."""
+        """Queue a call, to be made by ``settle``."""
         self._tasks.append((function, arguments))
 
     def settle(self):
-        """Run everything that was spawned."""
+        """Make all queued calls."""
         while self._tasks:
             function, arguments = self._tasks.popleft()
             function(*arguments)
 
     def run(self, seconds, observe=lambda node: None):
-        """Let every node that is awake gossip with jitter."""
+        """Let each running node gossip at its interval, with jitter."""
         end = self.clock.elapsed.total_seconds() + seconds
         while self._due[0][0] <= end:
             moment, address = heapq.heappop(self._due)
@@ -180,7 +180,7 @@
             self.clock.elapsed = datetime.timedelta(seconds=moment)
             node = self.nodes[address]
             observe(node)
-            if node.awake:
+            if node.is_running:
                 node.gossip.step()
                 self.settle()
             jitter = self.random.uniform(0.75, 1.25)
@@ -202,17 +202,17 @@
             (sender.name, receiver.name),
         )
         return (
-            receiver.awake
+            receiver.is_running
             and not self.cuts.intersection(ends)
             and self.random.random() >= self.loss
         )
 
     def list_states(self, name):
-        """Return what the awake nodes believe of a member."""
+        """Return the state of a member, as each running node knows it."""
         return [
             node.membership.find_state(name)
             for node in self.nodes.values()
-            if node.awake and node.name != name
+            if node.is_running and node.name != name
         ]
 
 
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -106,11 +106,11 @@
         self.late = 0
         self.waited = 0
         self.worst = 0
-        # Urgent work of the last step, in slots.
+        # Urgent work in the last step, in slots.
         self.offered = 0.0
 
     def step(self, now: int, slots: int, rng: random.Random) -> int:
-        """Run one step on so many slots; return the idle ones."""
+        """Run one step on this number of slots; return how many stay idle."""
         self.urgent.popleft() if len(self.urgent) == URGENT_STEPS else None
         self.fixed.popleft() if len(self.fixed) == FIXED_STEPS else None
         free = max(slots - sum(self.urgent) - sum(self.fixed), 0)
@@ -140,7 +140,7 @@
         return free - filled
 
     def arrive(self, now: int, slots: float, rng: random.Random) -> None:
-        """Add urgent work that would fill so many slots."""
+        """Add urgent work that fills this number of slots."""
         rate = slots / URGENT_STEPS
         count = int(rate) + (rng.random() < rate % 1)
         self.offered = slots
@@ -301,7 +301,7 @@
             load.fixed_backlog += share / 4
             load.filler_backlog += share * 3 / 4
             self.idle += load.step(step, serving[pool] * SLOTS, self.rng)
-        # What drains towards another pool serves nobody meanwhile.
+        # An instance that drains for a move serves no pool.
         self.idle += SLOTS * sum(
             i.target_pool is not None for i in self.fleet.values()
         )
