--- a/demo/_checks.py
+++ b/demo/_checks.py
@@ -225,7 +225,7 @@
     return (
         before['status'].get('phase') == 'serving'
         and after['status'].get('phase') == 'draining'
-        # What the platform takes away is lost, whatever is decided here.
+        # Instances that the platform removes are lost, whatever is decided.
         and not after['status'].get('departing')
     )
 
--- a/demo/_faults.py
+++ b/demo/_faults.py
@@ -1,4 +1,4 @@
-"""Faults that the demo brings about while callers send requests."""
+"""Faults that the demo injects while callers send requests."""
 
 from collections.abc import Callable
 import signal
--- a/demo/_surge.py
+++ b/demo/_surge.py
@@ -22,7 +22,7 @@
 
 
 class Moved(NamedTuple):
-    """A move as the log has it; times are in Unix seconds."""
+    """A move as recorded in the log; times are in Unix seconds."""
 
     instance: str
     source: str
