Take the rate of a busy queue from all its arrivals

Change: all arrivals of the last 0.25 s count, and at least the last twelve. Ruled out: the last twelve over the time that they really took (two that arrive together would count as a high rate); a longer time for all (the first second of a surge would be averaged with the time before).

--- a/skylarktally/scheduling/_forecasts.py
+++ b/skylarktally/scheduling/_forecasts.py
@@ -9,9 +9,9 @@
 import datetime
 import math
 
-# The arrival rate is taken from at most this many recent arrivals, none of
-# them older than the window.
-_MAX_ARRIVALS = 12
+# The arrival rate is taken from this many recent arrivals, none of them older
+# than the window, or from all within the shortest time if those are more.
+_USUAL_ARRIVALS = 12
 _WINDOW = datetime.timedelta(seconds=2.5)
 # Lower bound of the time over which the rate is calculated, so that two
 # arrivals at almost the same time do not count as a high rate.
@@ -29,7 +29,7 @@
 
     def __init__(self) -> None:
         self._arrivals: collections.deque[datetime.timedelta] = (
-            collections.deque(maxlen=_MAX_ARRIVALS)
+            collections.deque()
         )
         self._work_samples: collections.deque[datetime.timedelta] = (
             collections.deque(maxlen=_MAX_WORK_SAMPLES)
@@ -44,6 +44,18 @@
         """
         self._arrivals.append(now)
         self._work_samples.append(work)
+        self._drop_old(now)
+
+    def _drop_old(self, now: datetime.timedelta) -> None:
+        """Drop the arrivals that the rate is not taken from any more."""
+        arrivals = self._arrivals
+        while arrivals and arrivals[0] < now - _WINDOW:
+            arrivals.popleft()
+        while (
+            len(arrivals) > _USUAL_ARRIVALS
+            and arrivals[0] < now - _MIN_ELAPSED
+        ):
+            arrivals.popleft()
 
     def forecast(self, now: datetime.timedelta) -> int:
         """Return the capacity that jobs use at the current arrival rate.
@@ -56,8 +68,7 @@
 
         :return: in millicores
         """
-        while self._arrivals and self._arrivals[0] < now - _WINDOW:
-            self._arrivals.popleft()
+        self._drop_old(now)
         count = len(self._arrivals) - 1
         if count < 1:
             return 0
