Take the rate of a busy queue over half a second

Cause: over 0.25 s a rate of 75 jobs a second has a deviation of 23 %, and an outage ends with a burst of callers that return, which the rate then took for a surge four times as long. Instances are ordered for the highest of several estimates, so that noise turns into moves. Ruled out: the rate of 0.5 s alone (too low in the first half second of a surge).

--- a/skylarktally/scheduling/_forecasts.py
+++ b/skylarktally/scheduling/_forecasts.py
@@ -10,18 +10,22 @@
 import math
 
 # The arrival rate is taken from this many recent arrivals, none of them older
-# than the window, or from all within the shortest time if those are more.
-_USUAL_ARRIVALS = 12
+# than the window, so that a burst shows its rate early.
+_RECENT_ARRIVALS = 12
 _WINDOW = datetime.timedelta(seconds=2.5)
 # Lower bound of the time over which the rate is calculated, so that two
 # arrivals at almost the same time do not count as a high rate.
 _MIN_ELAPSED = datetime.timedelta(seconds=0.25)
+# All arrivals within this time are counted as well. The recent ones alone span
+# less than the shortest time at more than 48 jobs a second.
+_BUSY_WINDOW = datetime.timedelta(seconds=0.5)
 # The count is reduced by this many standard deviations, since it may be above
 # its mean by chance.
 _DEVIATIONS = 0.25
 # Number of recent jobs whose mean work is expected of the next jobs.
 _MAX_WORK_SAMPLES = 30
 _NONE = datetime.timedelta()
+_SECOND = datetime.timedelta(seconds=1)
 
 
 class Arrivals:
@@ -52,8 +56,8 @@
         while arrivals and arrivals[0] < now - _WINDOW:
             arrivals.popleft()
         while (
-            len(arrivals) > _USUAL_ARRIVALS
-            and arrivals[0] < now - _MIN_ELAPSED
+            len(arrivals) > _RECENT_ARRIVALS
+            and arrivals[0] < now - _BUSY_WINDOW
         ):
             arrivals.popleft()
 
@@ -61,18 +65,32 @@
         """Return the capacity that jobs use at the current arrival rate.
 
         By Little's law that is the arrival rate times the mean work of a
-        job. The rate is measured from the first arrival in the window, which
-        itself is not counted, so that a burst shows its rate before the
-        window is full. The rate is estimated cautiously, since a few large
-        jobs may arrive together by chance.
+        job.
 
         :return: in millicores
         """
         self._drop_old(now)
-        count = len(self._arrivals) - 1
-        if count < 1:
+        if not self._arrivals:
             return 0
-        cautious_count = count - _DEVIATIONS * math.sqrt(count)
-        elapsed = max(now - self._arrivals[0], _MIN_ELAPSED)
+        arrivals = list(self._arrivals)
+        jobs_per_second = max(
+            _estimate_rate(arrivals, now),
+            _estimate_rate(arrivals[-_RECENT_ARRIVALS:], now),
+        )
         mean_work = sum(self._work_samples, _NONE) / len(self._work_samples)
-        return int(cautious_count * mean_work / elapsed)
+        return int(jobs_per_second * (mean_work / _SECOND))
+
+
+def _estimate_rate(
+    arrivals: list[datetime.timedelta], now: datetime.timedelta
+) -> float:
+    """Return the number of jobs per second.
+
+    It is measured from the first arrival, which itself is not counted, so
+    that a burst shows its rate before the window is full. The rate is
+    estimated cautiously, since a few large jobs may arrive together by chance.
+    """
+    count = len(arrivals) - 1
+    cautious_count = count - _DEVIATIONS * math.sqrt(count)
+    elapsed = max(now - arrivals[0], _MIN_ELAPSED)
+    return cautious_count / (elapsed / _SECOND)
