--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -288,7 +288,7 @@
             self._terms_requested.wait(_TERMS_INTERVAL - _MIN_TERMS_INTERVAL)
 
     def request_terms(self) -> None:
-        """Have the terms read soon, without waiting for the store."""
+        """Request a read of the terms, and do not wait for it."""
         self._terms_requested.set()
 
     def refresh_terms(self) -> bool:
--- a/skylarktally/entries/_isolation.py
+++ b/skylarktally/entries/_isolation.py
@@ -54,8 +54,8 @@
     def is_isolated(self, now: datetime.timedelta) -> bool:
         """Return whether the store answers neither this process nor peers.
 
-        A peer that does not answer either shows that the network fails, and
-        not the store.
+        If a peer does not answer either, the network has failed and not the
+        store, and no longer silence is needed to tell.
         """
         answers = self._peer_answers
         if answers.reach_store:
--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -241,6 +241,7 @@
             if not instance.worker or vacate(instance.pool, instance.worker):
                 may_continue &= self._order_move(instance, move.pool)
 
+        # Waits for all of them, and raises what one of them raises.
         list(_loop.GreenPool(_CONCURRENT_MOVES).imap(order, moves))
 
     def _order_move(self, instance: _work.InstanceRecord, pool: str) -> bool:
