Take the rate of a busy queue over a second

Cause, inferred: callers that return together look like a surge, for which all free instances are ordered; the queues that surge then have none. Change: all arrivals of the last second. In the first half second of a surge the last twelve still show 41 jobs a second, and no more instances than for these can be ordered in that time (64 a second).

--- a/skylarktally/scheduling/_forecasts.py
+++ b/skylarktally/scheduling/_forecasts.py
@@ -17,8 +17,9 @@
 # arrivals at almost the same time do not count as a high rate.
 _MIN_ELAPSED = datetime.timedelta(seconds=0.25)
 # All arrivals within this time are counted as well. The recent ones alone span
-# less than the shortest time at more than 48 jobs a second.
-_BUSY_WINDOW = datetime.timedelta(seconds=0.5)
+# less than the shortest time at more than 48 jobs a second. In less time than
+# this, callers that return together after an outage look like a surge.
+_BUSY_WINDOW = datetime.timedelta(seconds=1)
 # The count is reduced by this many standard deviations, since it may be above
 # its mean by chance.
 _DEVIATIONS = 0.25
