Divide the arrivals of a busy queue by the whole second

The rate of the last second was still measured from its first arrival, so that callers who return after a time without any looked like a surge all the same. Forty callers within 0.2 s are 325 cores now, as the last twelve alone show.

--- a/skylarktally/scheduling/_forecasts.py
+++ b/skylarktally/scheduling/_forecasts.py
@@ -13,12 +13,13 @@
 # than the window, so that a burst shows its rate early.
 _RECENT_ARRIVALS = 12
 _WINDOW = datetime.timedelta(seconds=2.5)
-# Lower bound of the time over which the rate is calculated, so that two
+# Lower bound of the time over which their rate is calculated, so that two
 # arrivals at almost the same time do not count as a high rate.
 _MIN_ELAPSED = datetime.timedelta(seconds=0.25)
-# All arrivals within this time are counted as well. The recent ones alone span
-# less than the shortest time at more than 48 jobs a second. In less time than
-# this, callers that return together after an outage look like a surge.
+# The rate of all arrivals within this time counts as well, if it is higher. The
+# recent ones alone span less than the shortest time at more than 48 jobs a
+# second. In less time than this, callers that return together after an outage
+# look like a surge.
 _BUSY_WINDOW = datetime.timedelta(seconds=1)
 # The count is reduced by this many standard deviations, since it may be above
 # its mean by chance.
@@ -75,23 +76,27 @@
             return 0
         arrivals = list(self._arrivals)
         jobs_per_second = max(
-            _estimate_rate(arrivals, now),
-            _estimate_rate(arrivals[-_RECENT_ARRIVALS:], now),
+            _estimate_rate(arrivals, now, _BUSY_WINDOW),
+            _estimate_rate(arrivals[-_RECENT_ARRIVALS:], now, _MIN_ELAPSED),
         )
         mean_work = sum(self._work_samples, _NONE) / len(self._work_samples)
         return int(jobs_per_second * (mean_work / _SECOND))
 
 
 def _estimate_rate(
-    arrivals: list[datetime.timedelta], now: datetime.timedelta
+    arrivals: list[datetime.timedelta],
+    now: datetime.timedelta,
+    min_elapsed: datetime.timedelta,
 ) -> float:
     """Return the number of jobs per second.
 
     It is measured from the first arrival, which itself is not counted, so
     that a burst shows its rate before the window is full. The rate is
     estimated cautiously, since a few large jobs may arrive together by chance.
+
+    :param min_elapsed: shortest time over which the rate is calculated
     """
     count = len(arrivals) - 1
     cautious_count = count - _DEVIATIONS * math.sqrt(count)
-    elapsed = max(now - arrivals[0], _MIN_ELAPSED)
+    elapsed = max(now - arrivals[0], min_elapsed)
     return cautious_count / (elapsed / _SECOND)
