--- a/skylarktally/scheduling/_forecasts.py
+++ b/skylarktally/scheduling/_forecasts.py
@@ -16,10 +16,10 @@
 # Lower bound of the time over which their rate is calculated, so that two
 # arrivals at almost the same time do not count as a high rate.
 _MIN_ELAPSED = datetime.timedelta(seconds=0.25)
-# The rate of all arrivals within this time counts as well, if it is higher. The
-# recent ones alone span less than the shortest time at more than 48 jobs a
-# second. In less time than this, callers that return together after an outage
-# look like a surge.
+# The rate of all arrivals within this time counts as well, if it is higher:
+# the recent ones alone span less than the shortest time at more than 48 jobs
+# a second. In less time than this, callers that return together after an
+# outage look like a surge.
 _BUSY_WINDOW = datetime.timedelta(seconds=1)
 # The count is reduced by this many standard deviations, since it may be above
 # its mean by chance.
