--- a/skylarktally/entries/_dispatcher.py
+++ b/skylarktally/entries/_dispatcher.py
@@ -21,8 +21,11 @@
 Reply = result.Result[_calls.JobReply, Failure]
 
 # An attempt without an answer by then is retried, with the owner looked up
-# again. A slow store may take longer; the owner knows a repeated request.
-_ATTEMPT_TIMEOUT = datetime.timedelta(seconds=0.6)
+# again. With a slow store an owner may need a second, and after an attempt
+# without an answer no refusal can be passed on.
+_ATTEMPT_TIMEOUT = datetime.timedelta(seconds=1.2)
+# Of an isolated entry instance; an owner in its zone answers within this time.
+_ISOLATED_ATTEMPT_TIMEOUT = datetime.timedelta(seconds=0.3)
 _RETRY_DELAY = datetime.timedelta(seconds=0.1)
 # A request for a pool without a known owner is refused after this long, unless
 # a new owner is expected.
@@ -152,7 +155,7 @@
         may_arrive = False
         while True:
             elapsed = self._clock.monotonic() - started_at
-            remaining = min(timeout - elapsed, _ATTEMPT_TIMEOUT)
+            remaining = min(timeout - elapsed, self._limit_attempt())
             call.timeout_ms = max(int(remaining.total_seconds() * 1000), 1)
             outcome = self._attempt(call)
             if isinstance(outcome, result.Success):
@@ -183,6 +186,12 @@
             self._directory.request_terms()
             self._clock.sleep(_RETRY_DELAY)
 
+    def _limit_attempt(self) -> datetime.timedelta:
+        """Return how long an attempt may take."""
+        if self._reachability.is_isolated:
+            return _ISOLATED_ATTEMPT_TIMEOUT
+        return _ATTEMPT_TIMEOUT
+
     def _estimate_takeover(self, pool: str) -> datetime.timedelta | None:
         """Return how long until a pool without a live owner has a new one."""
         directory = self._directory
