Decode the row of a worker only if it says something new

Cause: each worker writes its row every 1.5 s, and each entry instance reads and decodes all of these rows, also if it owns no pool.

Rows that differ in nothing else are now recognised by comparison.

--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -62,6 +62,9 @@
     def decode_worker(self, id_: str, value: bytes) -> _work.WorkerRecord:
         """Decode a worker's row; one of DECODING_ERRORS if damaged."""
 
+    def strip_heartbeat(self, value: bytes) -> bytes:
+        """Return a worker's row without what each heartbeat changes."""
+
     def decode_wave(self, value: bytes) -> _work.Wave:
         """Decode a maintenance wave; one of DECODING_ERRORS if damaged."""
 
@@ -94,6 +97,8 @@
         self._workers_by_pool: dict[str, dict[str, _work.WorkerRecord]] = (
             collections.defaultdict(dict)
         )
+        # What the rows of these workers say apart from their heartbeats.
+        self._worker_values: dict[str, bytes] = {}
         self._departed: dict[str, DepartedWorker] = {}
         self.waves: dict[int, _work.Wave] = {}
         self.observed_terms: dict[str, ObservedTerm] = {}
@@ -257,6 +262,7 @@
         record = self.workers.pop(id_, None)
         if record is None:
             return
+        del self._worker_values[id_]
         pool_workers = self._workers_by_pool[record.pool]
         del pool_workers[id_]
         if not pool_workers:
@@ -269,6 +275,11 @@
 
     def _apply_worker(self, row: _rows.Row) -> None:
         id_ = row.row_key.key
+        value = self._layout.strip_heartbeat(row.value)
+        if not row.is_deleted and self._worker_values.get(id_) == value:
+            # Nearly all rows are heartbeats: each worker of the fleet sends
+            # one every 1.5 s, also to entry instances that own no pool.
+            return
         self._remove_worker(id_)
         if row.is_deleted:
             return
@@ -278,6 +289,7 @@
             _log_unreadable_row(row, error)
             return
         self.workers[id_] = record
+        self._worker_values[id_] = value
         self._workers_by_pool[record.pool][id_] = record
         self._departed.pop(id_, None)
 
--- a/skylarktally/platform/_layout.py
+++ b/skylarktally/platform/_layout.py
@@ -1,11 +1,18 @@
 """Tables and keys of the rows of the operator and of workers."""
 
+import re
+
 from skylarktally.platform import _decoding
 from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _work
 
 _CONFIGURATION = 'config'
 _WAVE_PREFIX = 'wave/'
+# Number of the heartbeat, clock of the worker, and how long it is still slow
+# after its start; none of them is decoded.
+_HEARTBEAT_FIELDS = re.compile(
+    rb'"(?:sequence|clock_ms|cold_left_ms)": ?[0-9.]+'
+)
 
 
 class PlatformLayout:
@@ -30,6 +37,10 @@
         """Decode the row of a worker; ValueError or KeyError if damaged."""
         return _decoding.decode_worker(id_, value)
 
+    def strip_heartbeat(self, value: bytes) -> bytes:
+        """Return a worker's row without what each heartbeat changes."""
+        return _HEARTBEAT_FIELDS.sub(b'', value)
+
     def decode_wave(self, value: bytes) -> _work.Wave:
         """Decode a maintenance wave; ValueError or KeyError if damaged."""
         return _decoding.decode_wave(value)
