Give two tests on a busy machine the time that they do not check

test_silent_connections_are_replaced gave an answer of 0.1 s a timeout of 0.3 s, and failed with a read timeout at load averages of 12 to 25. It checks which connections are used and what each call returns, and no time; the timeout is 2 s now, with the same calls and outcomes.

test_first_response_is_not_delayed_by_session_tickets took the least of 20 times, and failed at 0.035 and 0.037 s with a bound of 0.03 s. The bound stays; up to 200 connections are tried instead of 20. With the fault each of them is delayed by 40 ms, so that the check catches it as before: without TCP_NODELAY in wrap_tls the test fails.

--- a/tests/test_slow_platform.py
+++ b/tests/test_slow_platform.py
@@ -105,7 +105,8 @@
                 return
 
     clock = _clock.SystemClock()
-    timeout = datetime.timedelta(seconds=0.3)
+    # Far above the time of an answer, also on a busy machine.
+    timeout = datetime.timedelta(seconds=2)
     limits = _limits.PlatformLimits(clock, 100, 100, timeout, timeout)
     table = _table.HttpTable(serve(handle), clock, limits)
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -320,8 +320,9 @@
         assert serving.call(address, 'GET', PATH).status == 200
         return time.monotonic() - start
 
-    # The minimum of many runs excludes delays by other processes.
-    assert min(measure() for _ in range(20)) < 0.03
+    # With the fault each connection is delayed. Other processes can delay
+    # many of them as well, but not all of so many.
+    assert any(measure() < 0.03 for _ in range(200))
 
 
 def test_slow_tasks_on_new_connections_do_not_time_out(cell):
