Prove at-most-once and fencing across a handover of a pool

Two tests with entry processes over one table: what ran before is completed by the successor without a second start, and the former owner, which lives on, refuses jobs that it can no longer store; tasks on a worker that is cut off just after the release are not started elsewhere.

The row of a worker stands once for all tests.

--- a/tests/pools.py
+++ b/tests/pools.py
@@ -8,6 +8,22 @@
 from tools import clocks
 
 WALL = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+# What a worker writes about itself, in the names of the platform.
+WORKER_FIELDS = {
+    'service': 'pool',
+    'address': '10.0.0.1:80',
+    'zone': 'z1',
+    'version': 'v1',
+    'slot_count': 8,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'capacity': {'cpu': 16000, 'mem_mb': 32768, 'gpu': 0},
+    'labels': ['a', 'r1-3'],
+    'clock_ms': 482113,
+    'sequence': 4,
+    'born': 1700000000000,
+    'machine': 'm-1',
+}
 
 
 def seconds(value):
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -1,18 +1,23 @@
 """Tests of shards that an overloaded entry instance hands over."""
 
 import datetime
+import json
 
 import pytest
 from returns import result
 
 from skylarktally import _clock
+from skylarktally import _errors
 from skylarktally import _loop
 from skylarktally.entries import _claims
 from skylarktally.entries import _handovers
 from skylarktally.entries import _load
 from skylarktally.entries import _process
 from skylarktally.entries import _settings
+from skylarktally import platform
+from skylarktally.scheduling import _owner
 from skylarktally.scheduling import _records
+from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _work
 from standins import leased_workers
 from standins import rows
@@ -42,6 +47,10 @@
         return super().follow(table, after, wait)
 
 
+JOBS = ('5c0e7a21d94b36f8', '5c0e7a21d94b36f9')
+BODY = json.dumps({'steps': [{'task_count': 2, 'estimate_ms': 500}]}).encode()
+
+
 class Instances:
     """A platform without instances."""
 
@@ -55,11 +64,12 @@
     def __init__(self, monkeypatch):
         self.table = SharedTable()
         self.threads = []
-        self.count = 0
-        platform = _process.platform
-        fleet = leased_workers.WorkerFleet(_clock.SystemClock())
+        self.processes = {}
+        self.fleet = leased_workers.WorkerFleet(
+            _clock.SystemClock(), long_polls=True
+        )
         monkeypatch.setattr(platform, 'TableStore', lambda *_: self.table)
-        monkeypatch.setattr(platform, 'WorkerCalls', lambda: fleet)
+        monkeypatch.setattr(platform, 'WorkerCalls', lambda: self.fleet)
         monkeypatch.setattr(platform, 'InstanceCalls', lambda _: Instances())
         monkeypatch.setattr(_process.signal, 'signal', lambda *_: None)
         monkeypatch.setattr(_process.EntryProcess, '_serve', lambda _: None)
@@ -72,9 +82,8 @@
     def add(self, name):
         """Start an entry instance and return its clock."""
         clock = LateClock()
-        self.count += 1
         # Nothing listens there.
-        address = f'127.0.0.1:{self.count}'
+        address = f'127.0.0.1:{len(self.processes) + 1}'
         entry_process = _process.EntryProcess(
             _settings.EntrySettings(
                 name=name,
@@ -92,9 +101,22 @@
         entry_process._directory.configuration = _work.Configuration(
             1, (), (_work.Pool(POOL, False),), 1000
         )
+        self.processes[name] = entry_process
         self.spawn(entry_process.run)
         return clock
 
+    def add_worker(self, id_):
+        """Add a worker and its row to the table."""
+        fields = {**pools.WORKER_FIELDS, 'service': POOL}
+        key = _rows.RowKey('servers', '', id_)
+        self.table.put(key, json.dumps(fields).encode())
+        layout = platform.PlatformLayout()
+        value = self.table.rows[key].value
+        return self.fleet.add(layout.decode_worker(id_, value))
+
+    def find_owner(self, name):
+        return self.processes[name]._shards.find_owner(POOL)
+
     def find_term(self, shard):
         row = self.table.rows.get(_records.make_term_key(shard))
         return row and _records.decode_term(row.value)
@@ -142,6 +164,70 @@
     assert deployment.find_term(POOL)[:4] == term[:4]
 
 
+def submit(owner, job):
+    submission = _owner.Submission(
+        job, pools.make_queue(), BODY, pools.seconds(1)
+    )
+    return owner.submit(submission)
+
+
+def test_a_handover_runs_each_task_once(deployment):
+    """Guards against tasks that both owners start, or that none ends."""
+    worker = deployment.add_worker('w')
+    clock = deployment.add('slow')
+    deployment.await_holder(POOL, 'slow', 3)
+    deployment.add('other')
+    _loop.sleep(5)
+    owner = deployment.find_owner('slow')
+    assert submit(owner, JOBS[0]) == result.Success(None)
+    clock.lag = LAG
+    deployment.await_holder(POOL, 'other', 5)
+    # The former owner lives on, and refuses what it can no longer store.
+    refusal = submit(owner, JOBS[1]).failure()
+    assert refusal.kind is _errors.ErrorKind.LEASE_LOST
+    assert [task.job for task in worker.active] == [JOBS[0]] * 2
+    for task in list(worker.active):
+        worker.end(task, _work.EndKind.DONE)
+    with _loop.Timeout(3):
+        while True:
+            successor = deployment.find_owner('other')
+            state = successor.show(JOBS[0])
+            if state == result.Success(_work.JobState.COMPLETED):
+                break
+            _loop.sleep(0.02)
+    assert len(worker.starts) == len({task for task, _ in worker.starts}) == 2
+
+
+def test_tasks_wait_for_a_worker_that_is_lost_during_a_handover(deployment):
+    """Guards against a second run beside one that the successor cannot see.
+
+    The worker is cut off after the release, so that only the released term
+    tells the successor of its lease.
+    """
+    worker = deployment.add_worker('w')
+    clock = deployment.add('slow')
+    deployment.await_holder(POOL, 'slow', 3)
+    deployment.add('other')
+    _loop.sleep(5)
+    owner = deployment.find_owner('slow')
+    assert submit(owner, JOBS[0]) == result.Success(None)
+    _loop.sleep(0.2)
+    assert len(worker.active) == 2
+    spare = deployment.add_worker('x')
+    clock.lag = LAG
+    with _loop.Timeout(5):
+        while not owner.ledger.is_over:
+            _loop.sleep(0.005)
+    deployment.fleet.unresponsive.add('w')
+    deployment.await_holder(POOL, 'other', 1)
+    _loop.sleep(2)
+    # It still accepts work that no other worker can run.
+    successor = deployment.find_owner('other')
+    assert submit(successor, JOBS[1]) == result.Success(None)
+    _loop.sleep(0.5)
+    assert {task.job for task, _ in spare.starts} == {JOBS[1]}
+
+
 def make_shard(name, owned_since, open_jobs=0):
     return _handovers.OwnedShard(name, pools.seconds(owned_since), open_jobs)
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -19,21 +19,6 @@
 
 ErrorKind = _errors.ErrorKind
 
-WORKER = {
-    'service': 'pool',
-    'address': '10.0.0.1:80',
-    'zone': 'z1',
-    'version': 'v1',
-    'slot_count': 8,
-    'state': 'ready',
-    'cold_left_ms': 0,
-    'capacity': {'cpu': 16000, 'mem_mb': 32768, 'gpu': 0},
-    'labels': ['a', 'r1-3'],
-    'clock_ms': 482113,
-    'sequence': 4,
-    'born': 1700000000000,
-    'machine': 'm-1',
-}
 ROUTE = {
     'name': 'q',
     'host': 'h.example',
@@ -63,7 +48,7 @@
 
 
 def test_the_row_of_a_worker_is_decoded():
-    record = _decoding.decode_worker('i-1', encode(WORKER))
+    record = _decoding.decode_worker('i-1', encode(pools.WORKER_FIELDS))
     assert record == _work.WorkerRecord(
         'i-1',
         'pool',
@@ -96,7 +81,9 @@
 )
 def test_a_malformed_row_of_a_worker_is_rejected(change):
     with pytest.raises((ValueError, KeyError, TypeError, AttributeError)):
-        _decoding.decode_worker('i-1', encode({**WORKER, **change}))
+        _decoding.decode_worker(
+            'i-1', encode({**pools.WORKER_FIELDS, **change})
+        )
 
 
 @pytest.mark.parametrize(
--- a/tests/test_worker_rows.py
+++ b/tests/test_worker_rows.py
@@ -9,22 +9,7 @@
 from skylarktally import platform
 from skylarktally.scheduling import _rows
 from standins import rows
-
-WORKER = {
-    'service': 'desk',
-    'address': '10.0.0.1:80',
-    'zone': 'z1',
-    'version': 'v1',
-    'slot_count': 8,
-    'state': 'ready',
-    'cold_left_ms': 900,
-    'capacity': {'cpu': 16000, 'mem_mb': 32768, 'gpu': 0},
-    'labels': ['a', 'r1-3'],
-    'clock_ms': 482113,
-    'sequence': 4,
-    'born': 1700000000000,
-    'machine': 'm-1',
-}
+from tests import pools
 
 
 class CountingLayout(platform.PlatformLayout):
@@ -50,7 +35,9 @@
 
     def receive(self, id_='w-1', is_deleted=False, **change):
         self.receive_bytes(
-            json.dumps({**WORKER, **change}).encode(), id_, is_deleted
+            json.dumps({**pools.WORKER_FIELDS, **change}).encode(),
+            id_,
+            is_deleted,
         )
 
     def receive_bytes(self, value, id_='w-1', is_deleted=False):
@@ -81,7 +68,7 @@
                 cold_left_ms=900 - 200 * beat,
             )
     assert follower.layout.decoded == 200
-    assert len(follower.directory.list_workers('desk')) == 200
+    assert len(follower.directory.list_workers('pool')) == 200
 
 
 @pytest.mark.parametrize(
@@ -104,9 +91,9 @@
     follower.receive(sequence=5, **change)
     after = follower.directory.workers['w-1']
     assert after != before
-    value = json.dumps({**WORKER, **change}).encode()
+    value = json.dumps({**pools.WORKER_FIELDS, **change}).encode()
     assert after == platform.PlatformLayout().decode_worker('w-1', value)
-    pool = change.get('service', 'desk')
+    pool = change.get('service', 'pool')
     assert list(follower.directory.list_workers(pool)) == ['w-1']
     # The heartbeats that follow are compared with the changed row.
     follower.receive(sequence=6, **change)
@@ -120,7 +107,7 @@
     assert follower.directory.workers == {}
     follower.receive(sequence=5)
     assert list(follower.directory.workers) == ['w-1']
-    assert follower.directory.list_departed_workers('desk') == {}
+    assert follower.directory.list_departed_workers('pool') == {}
 
 
 def test_a_worker_is_listed_again_after_an_unreadable_row(follower):
