--- a/skylarktally/entries/_claims.py
+++ b/skylarktally/entries/_claims.py
@@ -185,7 +185,8 @@
     The shard goes to the claimant with the most capacity for each shard that
     it would own. An entry instance with little capacity waits until those
     with more have had the time to claim, and claims if none of them does.
-    The pseudorandom part is a hash of the claimant and the shard.
+    One that was overloaded waits for all others in the same way. The
+    pseudorandom part is a hash of the claimant and the shard.
     """
     text = f'{claimant.name} {shard}'
     fraction = xxhash.xxh32_intdigest(text.encode()) / 2**32
--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -115,6 +115,7 @@
         """
         self.shard = shard
         self.token = version
+        # When the transaction that claimed the term was sent.
         self.claimed_at = renewed_at
         self.is_over = False
         self._store = store
