--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -181,9 +181,12 @@
     return owner.submit(submission)
 
 
-def test_a_handover_runs_each_task_once(deployment):
-    """Guards against tasks that both owners start, or that none ends."""
-    worker = deployment.add_worker('w')
+def start_job(deployment, worker):
+    """Start two entry instances, and a job on the pool of the first one.
+
+    Return the clock of the first instance and its owner of the pool, which
+    may be handed over from now on.
+    """
     clock = deployment.add('slow')
     deployment.await_holder(POOL, 'slow', 3)
     deployment.add('other')
@@ -191,6 +194,13 @@
     owner = deployment.find_owner('slow')
     assert submit(owner, JOBS[0]) == result.Success(None)
     wait_until(lambda: len(worker.active) == TASKS)
+    return clock, owner
+
+
+def test_a_handover_runs_each_task_once(deployment):
+    """Guards against tasks that both owners start, or that none ends."""
+    worker = deployment.add_worker('w')
+    clock, owner = start_job(deployment, worker)
     clock.lag = LAG
     deployment.await_holder(POOL, 'other', 5)
     # The former owner lives on, and refuses what it can no longer store.
@@ -212,13 +222,7 @@
     tells the successor of its lease.
     """
     worker = deployment.add_worker('w')
-    clock = deployment.add('slow')
-    deployment.await_holder(POOL, 'slow', 3)
-    deployment.add('other')
-    _loop.sleep(TENURE)
-    owner = deployment.find_owner('slow')
-    assert submit(owner, JOBS[0]) == result.Success(None)
-    wait_until(lambda: len(worker.active) == TASKS)
+    clock, owner = start_job(deployment, worker)
     spare = deployment.add_worker('x')
     clock.lag = LAG
     wait_until(lambda: owner.ledger.is_over, 5)
