Send no order of any kind without a valid term, and keep slow workers' leases

A process that was paused: starts and renewals checked the term before they were sent, stops and paces did not. A stop that waited through a pause went out with the former token; a worker that the successor had not yet asked carried it out, although the successor counts on the run (availability budgets). Stops now wait for a valid term, or end with it; paces are not sent.

A machine that reports slowly: a report later than 0.4 s counts as lost, and the leases of a worker that did not answer are not extended. A worker that needed 0.5 s for each report lost its runs after 6 s, which then started elsewhere. The request to a worker that did not answer now waits 1.2 s: the worker gets no new work meanwhile, and its answer makes it responsive again.

Ruled out: a longer timeout for all reports. The ends of runs stay unknown until a lost report is noticed (first look at overloaded owners).

Tests: test_sessions -k any_kind (stop and pace fail on the former code, start and renew pass), -k reports_slowly (0.7 and 1.1 s fail on the former code; 0.1 s passes, and 9 s is still given up). Each change taken out alone fails its test.

--- a/skylarktally/platform/_workers.py
+++ b/skylarktally/platform/_workers.py
@@ -116,7 +116,7 @@
         }
         if order.until is not None:
             body['until_ms'] = _to_milliseconds(order.until)
-        timeout = order.wait + _ORDER_TIMEOUT
+        timeout = order.wait + order.answer_time
         outcome = self._call(worker, '/-/hold', body, timeout)
         return outcome.bind(_read_report)
 
--- a/skylarktally/scheduling/_orders.py
+++ b/skylarktally/scheduling/_orders.py
@@ -58,6 +58,8 @@
     # Sequence number up to which ended runs need not be reported again.
     acknowledged: int
     wait: datetime.timedelta
+    # How much longer than ``wait`` the answer may take.
+    answer_time: datetime.timedelta
 
 
 OrderOutcome = result.Result[OrderResult, _errors.Failure]
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -37,6 +37,11 @@
 # after this time, and the ends of all runs on the worker stay unknown until
 # then. Also for filler tasks, whose pace depends on recent reports.
 _SHORT_REPORT_WAIT = datetime.timedelta(seconds=0.25)
+# Workers answer in about 1 ms. The loss of an answer is noticed after this.
+_ANSWER_TIME = datetime.timedelta(seconds=0.4)
+# Of a worker that did not answer in time. It gets no new work meanwhile, and a
+# worker that is only slow keeps the leases of its runs.
+_LONG_ANSWER_TIME = datetime.timedelta(seconds=1.2)
 _IDLE_WAIT = datetime.timedelta(seconds=5)
 _RETRY_DELAY = datetime.timedelta(seconds=0.2)
 # Backoff of a worker with failures; doubles up to the maximum.
@@ -170,7 +175,12 @@
             else self._compute_lease_end()
         )
         order = _orders.RenewOrder(
-            until, self._acknowledged, self._choose_report_wait()
+            until,
+            self._acknowledged,
+            self._choose_report_wait(),
+            _LONG_ANSWER_TIME
+            if self.worker_state.is_unresponsive
+            else _ANSWER_TIME,
         )
         outcome = self._calls.renew_leases(
             self.worker_state.record, self._token, order
@@ -403,6 +413,8 @@
 
     def pace(self, run: _states.Run, percent: int) -> None:
         """Set the pace of a run, in per cent of its full speed."""
+        if not self._host.ledger.holds_term():
+            return
         before, run.pace = run.pace, percent
         outcome = self._calls.pace(
             self.worker_state.record,
@@ -436,8 +448,15 @@
             self.wake()
 
     def _stop(self, task: _work.TaskId, number: int) -> bool:
-        """Retry a stop until it is answered; False if it never is."""
+        """Retry a stop until it is answered; False if it never is.
+
+        Nothing is sent without a valid term: the successor may count on the
+        run, as one of those that an availability budget needs.
+        """
         while not self.is_over and not self._host.ledger.is_over:
+            if not self._host.ledger.holds_term():
+                self._clock.sleep(_RETRY_DELAY)
+                continue
             outcome = self._calls.stop(
                 self.worker_state.record, self._token, task, number
             )
--- a/standins/leased_workers.py
+++ b/standins/leased_workers.py
@@ -173,6 +173,8 @@
         self.faults: list[Fault | None] = []
         self.unresponsive: set[str] = set()
         self.delayed: list[Any] = []
+        # Orders that were sent, whether or not a worker got them.
+        self.order_count = 0
         self._clock = clock
 
     def add(self, record: _work.WorkerRecord) -> LeasedWorker:
@@ -184,6 +186,7 @@
     def _send(
         self, worker: _work.WorkerRecord, token: int, execute: Any
     ) -> Any:
+        self.order_count += 1
         fault = self.faults.pop(0) if self.faults else None
         target = self.workers[worker.id]
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -1,7 +1,9 @@
 """Tests the session with a worker: leases, lost orders, takeovers."""
 
 import pytest
+from returns import result
 
+from skylarktally import _errors
 from skylarktally import _loop
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _planning
@@ -336,6 +338,91 @@
     assert not fleet.workers['w'].starts
 
 
+@pytest.mark.parametrize('order', ['start', 'stop', 'pace', 'renew'])
+def test_a_holder_sends_no_order_of_any_kind_after_a_pause(
+    fleet, clock, order
+):
+    """Guards against a paused process that acts on a term that has ended.
+
+    A successor may count on the run; workers that it has not yet asked would
+    still accept the former token.
+    """
+    pool = Pool(fleet, clock)
+    pool.exchange_all()
+    pool.add('a', pools.make_step(2))
+    (run, other) = pool.start()
+    session = pool.sessions['w']
+    orders_before = fleet.order_count
+    clock.advance(_ledger.TERM_VALIDITY.total_seconds())
+    # The term ends while the order waits for its validity.
+    end_after(pool, clock, 1)
+    if order == 'start':
+        fleet.workers['w'].active.pop(other.task.id)
+        pool.pool_state.remove_run(other)
+        pool.start()
+    elif order == 'stop':
+        session.stop(run)
+    elif order == 'pace':
+        session.pace(run, 50)
+    else:
+        session.run()
+    assert fleet.order_count == orders_before
+
+
+def end_after(pool, clock, seconds):
+    """End the term of a pool as soon as the manual clock says so."""
+    end = clock.monotonic() + pools.seconds(seconds)
+    sleep = clock.sleep
+
+    def sleep_and_end(delay):
+        sleep(delay)
+        if clock.monotonic() >= end:
+            pool.ledger.end()
+
+    clock.sleep = sleep_and_end
+
+
+class SlowFleet(leased_workers.WorkerFleet):
+    """Workers whose reports take some time."""
+
+    report_time = 0.0
+
+    def renew_leases(self, worker, token, order):
+        outcome = super().renew_leases(worker, token, order)
+        allowed = order.answer_time.total_seconds()
+        self._clock.advance(min(self.report_time, allowed))
+        if self.report_time > allowed:
+            kind = _errors.ErrorKind.OUTCOME_UNKNOWN
+            return result.Failure(_errors.Failure(kind, 'late'))
+        return outcome
+
+
+@pytest.mark.parametrize(
+    'report_time, is_kept', [(0.1, True), (0.7, True), (1.1, True), (9, False)]
+)
+def test_a_worker_that_reports_slowly_keeps_its_runs(report_time, is_kept):
+    """Guards against work that is started again elsewhere.
+
+    The worker lives and gets each order, but each report takes longer than
+    the time after which a lost one is noticed. Its leases ran out.
+    """
+    clock = pools.ManualClock()
+    fleet = SlowFleet(clock)
+    fleet.add(pools.make_worker('w'))
+    pool = Pool(fleet, clock)
+    pool.exchange_all()
+    pool.add('a', pools.make_step(1, is_long_running=True))
+    (run,) = pool.start()
+    fleet.report_time = report_time
+    session = pool.sessions['w']
+    while clock.monotonic() < pools.seconds(30):
+        session.exchange()
+        clock.advance(0.2)
+    fleet.workers['w'].end_expired_runs()
+    assert bool(fleet.workers['w'].active) == is_kept
+    assert (run.task.run is run) == is_kept
+
+
 def test_tasks_of_a_lost_worker_start_elsewhere_once_its_leases_expire(clock):
     """Replays the loss of a rack.
 
