--- a/skylarktally/_errors.py
+++ b/skylarktally/_errors.py
@@ -5,15 +5,8 @@
 from typing import NamedTuple
 
 
-# What decoders raise for malformed data from outside. One that is not caught
-# ends the green thread that follows a table or talks to a worker.
-DECODING_ERRORS = (
-    ValueError,
-    LookupError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-)
+class MalformedInput(ValueError):
+    """A value from other software has the wrong type, range or length."""
 
 
 class Outcome(enum.Enum):
--- a/skylarktally/entries/_calls.py
+++ b/skylarktally/entries/_calls.py
@@ -14,8 +14,10 @@
 from thrift.transport import TTransport
 
 from skylarktally import _errors
+from skylarktally import _fields
 from skylarktally._gen.entry import Entry
 from skylarktally._gen.entry import ttypes
+from skylarktally import _guards
 from skylarktally import _loop
 from skylarktally.scheduling import _lending
 
@@ -33,6 +35,13 @@
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=0.5)
 # Idle connections kept open to each entry instance.
 _IDLE_CONNECTIONS = 8
+_MAX_I32 = 2**31 - 1
+# Longest string and list in a message: a relayed table of a large deployment.
+_MAX_STRING_BYTES = 32 * 1024 * 1024
+_MAX_CONTAINER_ITEMS = 1000000
+# Pause after a connection that could not be accepted, for example for want of
+# descriptors.
+_ACCEPT_RETRY_DELAY = datetime.timedelta(seconds=0.1)
 _TRANSPORT_ERRORS = (
     TTransport.TTransportException,
     Thrift.TException,
@@ -130,12 +139,13 @@
         idle = self._idle[address]
         try:
             connection = idle.pop() if idle else _Connection(address)
-        except _TRANSPORT_ERRORS as error:
+        except (*_TRANSPORT_ERRORS, ValueError) as error:
             return _fail(ErrorKind.PEER_UNREACHABLE, address, error)
         try:
             connection.set_timeout(timeout)
             answer = function(connection.client)
-        except _TRANSPORT_ERRORS as error:
+        except (*_TRANSPORT_ERRORS, ValueError, TypeError) as error:
+            # The last two: the answer is no thrift message.
             connection.close()
             # The other idle connections may be broken too.
             for other in idle:
@@ -153,15 +163,15 @@
     """A connection to another entry instance."""
 
     def __init__(self, address: str) -> None:
-        host, port = address.rsplit(':', 1)
-        self._socket = TSocket.TSocket(host, int(port))
+        host, port = _fields.split_address(address)
+        self._socket = TSocket.TSocket(host, port)
         self._socket.setHandle(
             _loop.connect_patiently(
-                host.strip('[]'), int(port), _CONNECT_TIMEOUT.total_seconds()
+                host, port, _CONNECT_TIMEOUT.total_seconds()
             )
         )
         transport = TTransport.TBufferedTransport(self._socket)
-        protocol = TBinaryProtocol.TBinaryProtocolAccelerated(transport)
+        protocol = _create_protocol(transport)
         self.client = Entry.Client(protocol)
 
     def set_timeout(self, timeout: datetime.timedelta) -> None:
@@ -180,41 +190,67 @@
     def serve(self, listener: socket.socket) -> None:
         """Accept connections until the process ends."""
         while True:
-            connection, _ = listener.accept()
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                connection, _ = listener.accept()
+                connection.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+                )
+            except OSError as error:
+                _LOG.warning(
+                    'connection not accepted', extra={'reason': str(error)}
+                )
+                _loop.sleep(_ACCEPT_RETRY_DELAY.total_seconds())
+                continue
             _loop.spawn(self._serve_connection, connection)
 
     def _serve_connection(self, connection: socket.socket) -> None:
         stream = TSocket.TSocket()
         stream.setHandle(connection)
         transport = TTransport.TBufferedTransport(stream)
-        protocol = TBinaryProtocol.TBinaryProtocolAccelerated(transport)
+        protocol = _create_protocol(transport)
         try:
             while True:
                 self._processor.process(protocol, protocol)
         except _TRANSPORT_ERRORS as error:
             # Usually the other side has closed the connection.
             _LOG.debug('connection ended', extra={'reason': str(error)})
+        except Exception:
+            # A message that is no thrift call; the library raises many types.
+            _guards.record_error('message of an entry instance')
         finally:
             transport.close()
 
 
+def _create_protocol(transport: Any) -> Any:
+    """Return a codec that refuses lengths no message has."""
+    return TBinaryProtocol.TBinaryProtocolAccelerated(
+        transport,
+        string_length_limit=_MAX_STRING_BYTES,
+        container_length_limit=_MAX_CONTAINER_ITEMS,
+    )
+
+
 def encode_load(load: _lending.PoolLoad) -> ttypes.PoolLoad:
     """Return the thrift message for the load of an owned pool."""
     return ttypes.PoolLoad(
-        load.long_running_millicores,
-        load.running_millicores,
-        load.waiting_millicores,
+        _limit(load.long_running_millicores),
+        _limit(load.running_millicores),
+        _limit(load.waiting_millicores),
         _to_milliseconds(load.waiting_work),
-        _to_milliseconds(load.waiting_time_left),
-        load.arriving_millicores,
-        load.reserve_millicores,
-        load.fewest_workers,
+        _limit(_to_milliseconds(load.waiting_time_left)),
+        _limit(load.arriving_millicores),
+        _limit(load.reserve_millicores),
+        _limit(load.fewest_workers),
         [ttypes.WorkerLoad(*worker) for worker in load.workers],
         True,
     )
 
 
+def _limit(value: int) -> int:
+    """Return the value, or the largest one that the message can hold."""
+    return min(value, _MAX_I32)
+
+
 def _to_milliseconds(time: datetime.timedelta) -> int:
     return int(time.total_seconds() * 1000)
 
--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -4,8 +4,7 @@
 decoded is logged and does not affect other rows.
 """
 
-import collections
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 import datetime
 import logging
 from typing import NamedTuple, Protocol
@@ -14,7 +13,10 @@
 
 from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _guards
 from skylarktally import _loop
+from skylarktally.entries import _followers
+from skylarktally.entries import _worker_list
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _signals
@@ -38,13 +40,10 @@
 # Between reads of the terms that are further apart, the renewals of a live
 # holder may have been missed.
 _MAX_READ_GAP = datetime.timedelta(seconds=1.2)
-_RETRY_DELAY = datetime.timedelta(seconds=0.15)
-# Departed workers are kept this long; no lease lasts longer.
-_DEPARTURE_RETENTION = datetime.timedelta(seconds=20)
 _NO_WAIT = datetime.timedelta()
 
 
-class Layout(Protocol):
+class Layout(_worker_list.WorkerLayout, Protocol):
     """Tables that the operator and the workers write, and their decoding."""
 
     operator_table: str
@@ -57,16 +56,10 @@
         """Return whether the key is that of a maintenance wave."""
 
     def decode_configuration(self, value: bytes) -> _work.Configuration:
-        """Decode the configuration; one of DECODING_ERRORS if damaged."""
-
-    def decode_worker(self, id_: str, value: bytes) -> _work.WorkerRecord:
-        """Decode a worker's row; one of DECODING_ERRORS if damaged."""
-
-    def strip_heartbeat(self, value: bytes) -> bytes:
-        """Return a worker's row without what each heartbeat changes."""
+        """Decode the configuration; MalformedInput if damaged."""
 
     def decode_wave(self, value: bytes) -> _work.Wave:
-        """Decode a maintenance wave; one of DECODING_ERRORS if damaged."""
+        """Decode a maintenance wave; MalformedInput if damaged."""
 
 
 class ObservedTerm(NamedTuple):
@@ -78,11 +71,58 @@
     seen_at: datetime.timedelta
 
 
-class DepartedWorker(NamedTuple):
-    """A worker whose row has been removed, and when that was seen."""
+class _OperatorRows:
+    """Subscriber of the table of the operator."""
+
+    def __init__(self, layout: Layout) -> None:
+        self.configuration: _work.Configuration | None = None
+        self.waves: dict[int, _work.Wave] = {}
+        # Waves by the key of their row.
+        self._wave_ids: dict[str, int] = {}
+        self._layout = layout
+
+    def retain(self, keys: frozenset[str]) -> None:
+        for key in self._wave_ids.keys() - keys:
+            self.waves.pop(self._wave_ids.pop(key), None)
+
+    def apply(self, row: _rows.Row) -> None:
+        key = row.row_key.key
+        if row.is_deleted:
+            return
+        if self._layout.is_configuration(key):
+            self._apply_configuration(row)
+        elif self._layout.is_wave(key):
+            self._apply_wave(row)
+
+    def resume(self) -> None:
+        """Do nothing: no row of the operator expires."""
+
+    def finish(self) -> None:
+        """Do nothing: the store holds the next answer back."""
+
+    def _apply_configuration(self, row: _rows.Row) -> None:
+        try:
+            found = self._layout.decode_configuration(row.value)
+        except _errors.MalformedInput as error:
+            _log_unreadable_row(row, error)
+            return
+        known = self.configuration
+        if known is not None and known.version >= found.version:
+            return
+        self.configuration = found
+        _LOG.info(
+            'configuration in force',
+            extra={'version': found.version, 'queues': len(found.queues)},
+        )
 
-    record: _work.WorkerRecord
-    departed_at: datetime.timedelta
+    def _apply_wave(self, row: _rows.Row) -> None:
+        try:
+            wave = self._layout.decode_wave(row.value)
+        except _errors.MalformedInput as error:
+            _log_unreadable_row(row, error)
+            return
+        self.waves[wave.id] = wave
+        self._wave_ids[row.row_key.key] = wave.id
 
 
 class Directory:
@@ -91,26 +131,27 @@
     def __init__(
         self, store: _rows.Store, layout: Layout, clock: _clock.Clock
     ) -> None:
-        self.configuration: _work.Configuration | None = None
-        self.workers: dict[str, _work.WorkerRecord] = {}
-        # The same by pool, since owners ask ten times a second.
-        self._workers_by_pool: dict[str, dict[str, _work.WorkerRecord]] = (
-            collections.defaultdict(dict)
+        self.operator_rows = _OperatorRows(layout)
+        self.worker_list = _worker_list.WorkerList(
+            layout, clock, self._wait_before_reading_workers
         )
-        # What the rows of these workers say apart from their heartbeats.
-        self._worker_values: dict[str, bytes] = {}
-        self._departed: dict[str, DepartedWorker] = {}
-        self.waves: dict[int, _work.Wave] = {}
         self.observed_terms: dict[str, ObservedTerm] = {}
         # When the terms were last read with success, and since when without
         # a gap above _MAX_READ_GAP.
         self.terms_read_at: datetime.timedelta | None = None
         self.terms_gapless_since = clock.monotonic()
-        # When the workers were first read; None before that.
-        self.workers_known_since: datetime.timedelta | None = None
         self._store = store
-        self._layout = layout
         self._clock = clock
+        self._operator_follower = _followers.TableFollower(
+            store,
+            clock,
+            layout.operator_table,
+            _CONFIGURATION_WAIT,
+            self.operator_rows,
+        )
+        self._workers_follower = _followers.TableFollower(
+            store, clock, layout.workers_table, _NO_WAIT, self.worker_list
+        )
         self._is_refreshing = False
         self._owns_pools = False
         self._ownership_gained = _signals.Signal()
@@ -119,25 +160,25 @@
 
     def start(self) -> None:
         """Start to follow the tables in the background."""
-        layout = self._layout
-        _loop.spawn_logging_errors(
-            self._follow,
-            layout.operator_table,
-            _CONFIGURATION_WAIT,
-            lambda: None,
-            self._reset_operator,
-            self._apply_operator,
-        )
-        _loop.spawn_logging_errors(
-            self._follow,
-            layout.workers_table,
-            _NO_WAIT,
-            self._wait_before_reading_workers,
-            self._reset_workers,
-            self._apply_worker,
-        )
+        _loop.spawn_logging_errors(self._operator_follower.run)
+        _loop.spawn_logging_errors(self._workers_follower.run)
         _loop.spawn_logging_errors(self._poll_terms)
 
+    @property
+    def configuration(self) -> _work.Configuration | None:
+        """The newest configuration; None before the first one is read."""
+        return self.operator_rows.configuration
+
+    @property
+    def waves(self) -> Mapping[int, _work.Wave]:
+        """The maintenance waves of the operator."""
+        return self.operator_rows.waves
+
+    @property
+    def workers(self) -> Mapping[str, _work.WorkerRecord]:
+        """The present workers of all pools by id."""
+        return self.worker_list.records
+
     def record_ownership(self, owns_pools: bool) -> None:
         """Record whether this entry instance owns pools.
 
@@ -147,24 +188,6 @@
             self._ownership_gained.set()
         self._owns_pools = owns_pools
 
-    def list_workers(self, pool: str) -> Mapping[str, _work.WorkerRecord]:
-        """Return the present workers of a pool by id; it is no copy."""
-        return self._workers_by_pool.get(pool, {})
-
-    def list_departed_workers(
-        self, pool: str
-    ) -> dict[str, _work.WorkerRecord]:
-        """Return the recently departed workers of a pool by id."""
-        # A worker with the same instance shows that the departed one has
-        # ended.
-        alive = {record.instance for record in self.workers.values()}
-        return {
-            id_: departed.record
-            for id_, departed in self._departed.items()
-            if departed.record.pool == pool
-            and (departed.record.instance or None) not in alive
-        }
-
     def find_address(self, shard: str) -> str | None:
         """Return the peer address of a shard's owner; None without one."""
         observed = self.observed_terms.get(shard)
@@ -172,44 +195,6 @@
             return None
         return observed.term.address
 
-    def _follow(
-        self,
-        table: str,
-        wait: datetime.timedelta,
-        pause: Callable[[], None],
-        reset: Callable[[], None],
-        apply: Callable[[_rows.Row], None],
-    ) -> None:
-        version: int | None = None
-        is_failing = False
-        while True:
-            if version is None:
-                outcome = self._store.read(table, '')
-            else:
-                outcome = self._store.follow(table, version, wait)
-            is_success = isinstance(outcome, result.Success)
-            if is_success == is_failing:
-                is_failing = not is_success
-                _LOG.info(
-                    'table cannot be read'
-                    if is_failing
-                    else 'table can be read again',
-                    extra={'table': table},
-                )
-            if not is_success:
-                self._clock.sleep(_RETRY_DELAY)
-                continue
-            changes = outcome.unwrap()
-            if changes.is_truncated:
-                version = None
-                continue
-            if version is None:
-                reset()
-            for row in changes.rows:
-                apply(row)
-            version = changes.version
-            pause()
-
     def _wait_before_reading_workers(self) -> None:
         """Wait until the next read of the workers is due."""
         if self._owns_pools:
@@ -217,85 +202,10 @@
         else:
             self._ownership_gained.wait(_IDLE_WORKERS_INTERVAL)
 
-    def _reset_operator(self) -> None:
-        self.waves = {}
-
-    def _apply_operator(self, row: _rows.Row) -> None:
-        key = row.row_key.key
-        if self._layout.is_configuration(key) and not row.is_deleted:
-            self._apply_configuration(row)
-        elif self._layout.is_wave(key):
-            self._apply_wave(row)
-
-    def _apply_configuration(self, row: _rows.Row) -> None:
-        try:
-            found = self._layout.decode_configuration(row.value)
-        except _errors.DECODING_ERRORS as error:
-            _log_unreadable_row(row, error)
-            return
-        known = self.configuration
-        if known is not None and known.version >= found.version:
-            return
-        self.configuration = found
-        _LOG.info(
-            'configuration in force',
-            extra={'version': found.version, 'queues': len(found.queues)},
-        )
-
-    def _apply_wave(self, row: _rows.Row) -> None:
-        if row.is_deleted:
-            return
-        try:
-            wave = self._layout.decode_wave(row.value)
-        except _errors.DECODING_ERRORS as error:
-            _log_unreadable_row(row, error)
-            return
-        self.waves[wave.id] = wave
-
-    def _reset_workers(self) -> None:
-        for id_ in list(self.workers):
-            self._remove_worker(id_)
-        if self.workers_known_since is None:
-            self.workers_known_since = self._clock.monotonic()
-
-    def _remove_worker(self, id_: str) -> None:
-        record = self.workers.pop(id_, None)
-        if record is None:
-            return
-        del self._worker_values[id_]
-        pool_workers = self._workers_by_pool[record.pool]
-        del pool_workers[id_]
-        if not pool_workers:
-            del self._workers_by_pool[record.pool]
-        now = self._clock.monotonic()
-        self._departed[id_] = DepartedWorker(record, now)
-        for known, departed in list(self._departed.items()):
-            if now - departed.departed_at > _DEPARTURE_RETENTION:
-                del self._departed[known]
-
-    def _apply_worker(self, row: _rows.Row) -> None:
-        id_ = row.row_key.key
-        value = self._layout.strip_heartbeat(row.value)
-        if not row.is_deleted and self._worker_values.get(id_) == value:
-            # Nearly all rows are heartbeats: each worker of the fleet sends
-            # one every 1.5 s, also to entry instances that own no pool.
-            return
-        self._remove_worker(id_)
-        if row.is_deleted:
-            return
-        try:
-            record = self._layout.decode_worker(id_, row.value)
-        except _errors.DECODING_ERRORS as error:
-            _log_unreadable_row(row, error)
-            return
-        self.workers[id_] = record
-        self._worker_values[id_] = value
-        self._workers_by_pool[record.pool][id_] = record
-        self._departed.pop(id_, None)
-
     def _poll_terms(self) -> None:
+        guard = _guards.Guard('terms', self._clock)
         while True:
-            self.refresh_terms()
+            guard.attempt(self.refresh_terms)
             self._clock.sleep(_MIN_TERMS_INTERVAL)
             self._terms_requested.wait(_TERMS_INTERVAL - _MIN_TERMS_INTERVAL)
 
@@ -341,12 +251,16 @@
         known = self.observed_terms.get(shard)
         if known is not None and known.version >= row.version:
             return
+        now = self._clock.monotonic()
         try:
             term = _records.decode_term(row.value)
-        except _errors.DECODING_ERRORS as error:
+        except _errors.MalformedInput as error:
             _log_unreadable_row(row, error)
-            return
-        now = self._clock.monotonic()
+            if known is None:
+                return
+            # The holder loses its term at its next commit. A claim expects
+            # the version of this row and takes over from the last good one.
+            term = known.term
         self.observed_terms[shard] = ObservedTerm(term, row.version, now)
 
     def record_term(
@@ -363,6 +277,6 @@
         extra={
             'row': row.row_key,
             'version': row.version,
-            'reason': repr(error),
+            'reason': str(error),
         },
     )
--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -144,7 +144,7 @@
         read_at = directory.terms_read_at
         if self._is_stopping or configuration is None or read_at is None:
             return
-        if directory.workers_known_since is None:
+        if directory.worker_list.known_since is None:
             return
         self._drop_ended()
         directory.record_ownership(bool(self._owners))
@@ -302,7 +302,7 @@
         _loop.spawn_logging_errors(
             owner.run,
             {queue.name: queue for queue in queues},
-            lambda: self._directory.list_workers(shard),
+            lambda: self._directory.worker_list.list_pool(shard),
             self._create_takeover_state(shard, former),
         )
 
@@ -316,7 +316,7 @@
                 former.term, former.seen_at, now
             )
         return _takeover.TakeoverState(
-            unresolved, self._directory.list_departed_workers(shard)
+            unresolved, self._directory.worker_list.list_departed(shard)
         )
 
     def find_owner(self, pool: str) -> _owner.PoolOwner | None:
--- a/skylarktally/platform/_advisor.py
+++ b/skylarktally/platform/_advisor.py
@@ -51,8 +51,8 @@
     if response.status == 200:
         try:
             return result.Success(_decoding.decode_advice(response.body))
-        except _errors.DECODING_ERRORS as error:
-            message = f'unreadable advice: {error!r}'
+        except _errors.MalformedInput as error:
+            message = f'unreadable advice: {error}'
             kind = ErrorKind.OUTCOME_UNKNOWN
             return result.Failure(_errors.Failure(kind, message))
     kind = ErrorKind.PLATFORM_UNAVAILABLE
--- a/skylarktally/platform/_http.py
+++ b/skylarktally/platform/_http.py
@@ -17,7 +17,9 @@
 from returns import result
 
 from skylarktally import _errors
+from skylarktally import _fields
 from skylarktally import _loop
+from skylarktally import _values
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=0.5)
 # Idle connections kept open to each address, and number of addresses with
@@ -25,6 +27,8 @@
 _IDLE_CONNECTIONS = 16
 _MAX_ADDRESSES = 512
 _READ_BYTES = 65536
+# A larger body would take too much of the memory of a small entry instance.
+_MAX_BODY_BYTES = 16 * 1024 * 1024
 # Would end a line of the request.
 _LINE_BREAK = re.compile('[\r\n]')
 
@@ -49,6 +53,7 @@
         self.keeps_connection = False
         self._status = 0
         self._content: list[bytes] = []
+        self._size = 0
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
@@ -56,6 +61,10 @@
         self._parser.feed_data(data)
 
     def on_body(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size > _MAX_BODY_BYTES:
+            # The parser wraps it, so that the caller sees a parser error.
+            raise ValueError(f'the body is above {_MAX_BODY_BYTES} bytes')
         self._content.append(data)
 
     def on_message_complete(self) -> None:
@@ -66,8 +75,9 @@
             self.keeps_connection = self._parser.should_keep_alive()
 
     def decode(self) -> Response:
-        """Return the response; ValueError if its body is no JSON object."""
-        body = _decode_body(b''.join(self._content))
+        """Return the response; MalformedInput if it is no JSON object."""
+        content = b''.join(self._content)
+        body = _values.parse_object(content) if content else {}
         return Response(self._status, body)
 
 
@@ -75,9 +85,9 @@
     """An open connection to a server."""
 
     def __init__(self, address: str) -> None:
-        host, port = address.rsplit(':', 1)
+        host, port = _fields.split_address(address)
         self._socket = _loop.connect_patiently(
-            host.strip('[]'), int(port), _CONNECT_TIMEOUT.total_seconds()
+            host, port, _CONNECT_TIMEOUT.total_seconds()
         )
 
     @property
@@ -214,14 +224,5 @@
     return '\r\n'.join([*head, '', '']).encode('latin-1') + content
 
 
-def _decode_body(data: bytes) -> dict[str, Any]:
-    if not data:
-        return {}
-    body = json.loads(data)
-    if not isinstance(body, dict):
-        raise ValueError('the body is not a JSON object')
-    return body
-
-
 def _fail(kind: _errors.ErrorKind, message: str) -> CallOutcome:
     return result.Failure(_errors.Failure(kind, message))
--- a/skylarktally/platform/_ingress.py
+++ b/skylarktally/platform/_ingress.py
@@ -14,6 +14,7 @@
 
 from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _guards
 from skylarktally import _metrics
 from skylarktally import _replies
 from skylarktally.scheduling import _work
@@ -26,9 +27,15 @@
 _JOB_ID = re.compile('[0-9a-f]{16}')
 _DEADLINE_HEADER = 'HTTP_X_SKYLARKTALLY_DEADLINE_MS'
 _DEFAULT_DEADLINE = datetime.timedelta(seconds=3)
+# A caller may wait longer; then the request is given up earlier.
+_MAX_DEADLINE_MS = 600000
+# Digits of a header with a number.
+_DIGITS = re.compile('[0-9]{1,20}')
 # Time reserved for sending the response before the caller's deadline; also the
 # shortest timeout of a request.
 _RESPONSE_MARGIN = datetime.timedelta(seconds=0.15)
+# Characters of the path of a request in a log line.
+_MAX_LOGGED_PATH = 300
 _METHODS = frozenset({'GET', 'POST', 'DELETE'})
 # Status for a job that does not exist.
 _UNKNOWN_JOB_STATUS = 410
@@ -91,6 +98,8 @@
         started_at = self._clock.monotonic()
         try:
             reply = self._respond(environment)
+        except Exception:
+            reply = _create_unexpected_reply(environment)
         finally:
             self.in_progress -= 1
         self._record_metrics(environment, reply, started_at)
@@ -130,6 +139,11 @@
             return _create_refusal(Failure(ErrorKind.NOT_FOUND, message), '')
         job = path.removeprefix(queue.prefix)
         timeout = _read_timeout(environment)
+        if timeout is None:
+            message = 'the deadline is not a number of milliseconds'
+            return _create_refusal(
+                Failure(ErrorKind.INVALID_REQUEST, message), job
+            )
         if not job:
             return self._count(environment, queue, timeout)
         if not _JOB_ID.fullmatch(job):
@@ -180,8 +194,8 @@
         body_limit: int,
     ) -> _replies.Reply:
         length = environment.get('CONTENT_LENGTH') or '0'
-        if not length.isdigit():
-            message = f'invalid Content-Length {length!r}'
+        if not _DIGITS.fullmatch(length):
+            message = 'invalid Content-Length'
             return _create_refusal(
                 Failure(ErrorKind.INVALID_REQUEST, message), job
             )
@@ -197,11 +211,15 @@
         return _create_refusal(accepted.failure(), job)
 
 
-def _read_timeout(environment: Environment) -> datetime.timedelta:
-    text = environment.get(_DEADLINE_HEADER, '')
+def _read_timeout(environment: Environment) -> datetime.timedelta | None:
+    """Return the timeout of a request; None if its deadline is malformed."""
     deadline = _DEFAULT_DEADLINE
-    if text.isdigit():
-        deadline = datetime.timedelta(milliseconds=int(text))
+    text = environment.get(_DEADLINE_HEADER, '')
+    if text:
+        if not _DIGITS.fullmatch(text):
+            return None
+        milliseconds = min(int(text), _MAX_DEADLINE_MS)
+        deadline = datetime.timedelta(milliseconds=milliseconds)
     return max(deadline - _RESPONSE_MARGIN, _RESPONSE_MARGIN)
 
 
@@ -218,6 +236,19 @@
     return _create_refusal(failure, job)
 
 
+def _create_unexpected_reply(environment: Environment) -> _replies.Reply:
+    """Return the reply to a request whose handler raised an exception.
+
+    The outcome is unknown, so that the caller asks again under the same id.
+    """
+    path = environment.get('PATH_INFO', '')[:_MAX_LOGGED_PATH]
+    _guards.record_error('request', path=path)
+    message = 'the request was interrupted by an unexpected error'
+    return _replies.create_error_reply(
+        Failure(ErrorKind.OUTCOME_UNKNOWN, message), ''
+    )
+
+
 def _create_refusal(failure: Failure, job: str) -> _replies.Reply:
     _LOG.info(
         'request refused',
--- a/skylarktally/platform/_store.py
+++ b/skylarktally/platform/_store.py
@@ -13,6 +13,7 @@
 
 from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _values
 from skylarktally.platform import _http
 from skylarktally.platform import _timeouts
 from skylarktally.scheduling import _rows
@@ -25,6 +26,8 @@
 _MIN_TIMEOUT = datetime.timedelta(seconds=0.8)
 _MAX_TIMEOUT = datetime.timedelta(seconds=1.5)
 _PAGE_ROWS = 500
+# Rows and names in one answer; the changes of a table come without pages.
+_MAX_ROWS = 1000000
 _NO_WAIT = datetime.timedelta()
 
 
@@ -87,10 +90,13 @@
             if not isinstance(outcome, result.Success):
                 return result.Failure(outcome.failure())
             body = outcome.unwrap().body
-            page = _decode_rows(body)
+            try:
+                page, found = _decode_rows(body), _decode_version(body)
+            except _errors.MalformedInput as error:
+                return result.Failure(_create_read_failure(error))
             rows.extend(page)
             # Changes made after the first read may be missing from its page.
-            version = body['row_version'] if version is None else version
+            version = found if version is None else version
             if not body.get('has_more') or not page:
                 return result.Success(_rows.Changes(tuple(rows), version))
             query['from'] = page[-1].row_key.key + '\0'
@@ -106,7 +112,10 @@
             if not isinstance(outcome, result.Success):
                 return result.Failure(outcome.failure())
             body = outcome.unwrap().body
-            page = body.get('parts', [])
+            try:
+                page = _decode_partitions(body)
+            except _errors.MalformedInput as error:
+                return result.Failure(_create_read_failure(error))
             names.extend(page)
             if not body.get('has_more') or not page:
                 return result.Success(tuple(names))
@@ -130,9 +139,11 @@
         status, body = outcome.unwrap()
         if status == 410:
             return result.Success(_rows.Changes((), after, True))
-        return result.Success(
-            _rows.Changes(_decode_rows(body), body['row_version'])
-        )
+        try:
+            changes = _rows.Changes(_decode_rows(body), _decode_version(body))
+        except _errors.MalformedInput as error:
+            return result.Failure(_create_read_failure(error))
+        return result.Success(changes)
 
     def _get(
         self,
@@ -184,14 +195,25 @@
 def _read_commit(
     response: _http.Response,
 ) -> result.Result[_rows.CommitResult, _errors.Failure]:
-    if response.status == 200:
-        version = response.body['row_version']
-        return result.Success(_rows.CommitResult(True, version))
-    if response.status == 412:
-        rows = _decode_rows(response.body)
-        version = response.body.get('row_version', 0)
-        return result.Success(_rows.CommitResult(False, version, rows))
-    return result.Failure(_create_failure(response))
+    if response.status not in (200, 412):
+        return result.Failure(_create_failure(response))
+    is_applied = response.status == 200
+    try:
+        version = _decode_version(response.body, is_required=is_applied)
+        rows = () if is_applied else _decode_rows(response.body)
+    except _errors.MalformedInput as error:
+        # Sending the transaction again shows what became of it.
+        message = f'unreadable answer of the table service: {error}'
+        kind = ErrorKind.OUTCOME_UNKNOWN
+        return result.Failure(_errors.Failure(kind, message))
+    return result.Success(_rows.CommitResult(is_applied, version, rows))
+
+
+def _create_read_failure(error: _errors.MalformedInput) -> _errors.Failure:
+    return _errors.Failure(
+        ErrorKind.PLATFORM_UNAVAILABLE,
+        f'unreadable answer of the table service: {error}',
+    )
 
 
 def _create_failure(response: _http.Response) -> _errors.Failure:
@@ -213,12 +235,32 @@
     }
 
 
+def _decode_version(body: dict[str, Any], is_required: bool = True) -> int:
+    version = body.get('row_version', None if is_required else 0)
+    return _values.check_integer(version, 'row_version')
+
+
+def _decode_partitions(body: dict[str, Any]) -> list[str]:
+    names = _values.check_list(body.get('parts', []), 'parts', _MAX_ROWS)
+    return [_values.check_string(name, 'a part') for name in names]
+
+
 def _decode_rows(body: dict[str, Any]) -> tuple[_rows.Row, ...]:
-    return tuple(_decode_row(item) for item in body.get('rows', ()))
+    items = _values.check_list(body.get('rows', []), 'rows', _MAX_ROWS)
+    return tuple(_decode_row(item) for item in items)
 
 
-def _decode_row(item: dict[str, Any]) -> _rows.Row:
-    row_key = _rows.RowKey(item['table'], item.get('part', ''), item['key'])
-    value = base64.b64decode(item.get('value') or '')
-    version = item.get('row_version', 0)
-    return _rows.Row(row_key, value, version, bool(item.get('deleted')))
+def _decode_row(item: Any) -> _rows.Row:
+    data = _values.check_object(item, 'a row')
+    row_key = _rows.RowKey(
+        _values.check_string(data.get('table'), 'table'),
+        _values.check_string(data.get('part', ''), 'part'),
+        _values.check_string(data.get('key'), 'key'),
+    )
+    content = data.get('value') or ''
+    try:
+        value = base64.b64decode(content)
+    except (ValueError, TypeError) as error:
+        raise _errors.MalformedInput('value is not base64') from error
+    version = _values.check_integer(data.get('row_version', 0), 'row_version')
+    return _rows.Row(row_key, value, version, bool(data.get('deleted')))
--- a/skylarktally/platform/_workers.py
+++ b/skylarktally/platform/_workers.py
@@ -1,22 +1,32 @@
 """Clients of the workers and of the platform's instance interface."""
 
+from collections.abc import Iterator
 import datetime
-from typing import Any
+import logging
+from typing import Any, NamedTuple
 
 from returns import result
 
 from skylarktally import _errors
+from skylarktally import _values
 from skylarktally.platform import _decoding
 from skylarktally.platform import _http
 from skylarktally.scheduling import _orders
 from skylarktally.scheduling import _work
 
+_LOG = logging.getLogger(__name__)
+
 ErrorKind = _errors.ErrorKind
 Rejection = _orders.Rejection
 
 # Workers answer in about 1 ms.
 _ORDER_TIMEOUT = datetime.timedelta(seconds=0.4)
 _INSTANCE_CALL_TIMEOUT = datetime.timedelta(seconds=1.5)
+# Of the list of instances.
+_MAX_PAGES = 1000
+_MAX_PAGE_ITEMS = 100000
+# Unreadable entries of that list that are logged while the process lives.
+_MAX_LOGGED = 1000
 _EXPECTED_INSTANCE_HEADER = 'X-Skylarktally-Expect-Instance'
 _HOLDER_HEADER = 'X-Skylarktally-Duty-Holder'
 _TOKEN_HEADER = 'X-Skylarktally-Fencing-Token'
@@ -145,14 +155,19 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._client = _http.HttpClient(ErrorKind.PLATFORM_UNAVAILABLE)
+        # Names and reasons of the unreadable entries that were logged.
+        self._logged: set[tuple[str, str]] = set()
 
     def list_instances(
         self,
     ) -> result.Result[tuple[_work.InstanceRecord, ...], _errors.Failure]:
-        """Return all instances, read page by page."""
+        """Return all instances, read page by page.
+
+        An entry that cannot be decoded is logged and left out.
+        """
         found: list[_work.InstanceRecord] = []
         query: dict[str, str] = {}
-        while True:
+        for _ in range(_MAX_PAGES):
             outcome = self._client.call(
                 'GET',
                 self._address,
@@ -164,15 +179,42 @@
                 return result.Failure(outcome.failure())
             status, body = outcome.unwrap()
             if status != 200:
-                message = f'list of instances answered {status}'
-                kind = ErrorKind.PLATFORM_UNAVAILABLE
-                return result.Failure(_errors.Failure(kind, message))
-            found.extend(
-                _decoding.decode_instance(item) for item in body['machines']
-            )
-            if not body.get('next_token'):
+                return _fail_listing(f'answered {status}')
+            try:
+                page = _read_page(body)
+            except _errors.MalformedInput as error:
+                return _fail_listing(str(error))
+            found.extend(self._decode_instances(page.items))
+            if not page.next_token:
                 return result.Success(tuple(found))
-            query['page_token'] = body['next_token']
+            query['page_token'] = page.next_token
+        return _fail_listing(f'has more than {_MAX_PAGES} pages')
+
+    def _decode_instances(
+        self, items: list[Any]
+    ) -> Iterator[_work.InstanceRecord]:
+        for item in items:
+            try:
+                record = _decoding.decode_instance(item)
+            except _errors.MalformedInput as error:
+                self._log_unreadable(item, str(error))
+                continue
+            yield record
+
+    def _log_unreadable(self, item: Any, reason: str) -> None:
+        """Log an unreadable entry, once for each reason and instance.
+
+        The list is read several times a second.
+        """
+        name = item.get('machine') if isinstance(item, dict) else None
+        entry = (str(name)[: _values.MAX_NAME_LENGTH], reason)
+        if entry in self._logged or len(self._logged) >= _MAX_LOGGED:
+            return
+        self._logged.add(entry)
+        _LOG.error(
+            'unreadable entry in the list of instances',
+            extra={'instance': entry[0], 'reason': reason},
+        )
 
     def maintain(
         self, instance: str, wave: int, holder: str, token: int
@@ -198,31 +240,64 @@
         return outcome.bind(_read_order)
 
 
+class _Page(NamedTuple):
+    """A page of the list of instances."""
+
+    items: list[Any]
+    # Empty on the last page.
+    next_token: str
+
+
+def _read_page(body: dict[str, Any]) -> _Page:
+    return _Page(
+        _values.check_list(body.get('machines'), 'machines', _MAX_PAGE_ITEMS),
+        _values.check_string(body.get('next_token') or '', 'next_token'),
+    )
+
+
+def _fail_listing(reason: str) -> result.Result[Any, _errors.Failure]:
+    kind = ErrorKind.PLATFORM_UNAVAILABLE
+    return result.Failure(
+        _errors.Failure(kind, f'list of instances: {reason}')
+    )
+
+
 def _read_order(response: _http.Response) -> _orders.OrderOutcome:
+    rejection: Rejection | None = None
+    if response.status != 200:
+        rejection = _find_rejection(response)
+        if rejection is None:
+            return _fail_unknown(f'order answered {response.status}')
     clock = response.body.get('clock_ms')
-    read = None if clock is None else datetime.timedelta(milliseconds=clock)
-    if response.status == 200:
-        return result.Success(_orders.OrderResult(None, read))
-    if response.status == 409:
-        reason = _REJECTIONS_BY_REASON.get(response.body.get('reason', ''))
-        if reason is not None:
-            return result.Success(_orders.OrderResult(reason, read))
-    rejection = _REJECTIONS_BY_STATUS.get(response.status)
-    if rejection is not None:
-        return result.Success(_orders.OrderResult(rejection, read))
-    message = f'order answered {response.status}: {response.body}'
-    kind = ErrorKind.OUTCOME_UNKNOWN
-    return result.Failure(_errors.Failure(kind, message))
+    try:
+        read = None if clock is None else _decoding.decode_clock(clock)
+    except _errors.MalformedInput as error:
+        # The status says what became of the order.
+        _LOG.warning('unreadable clock', extra={'reason': str(error)})
+        read = None
+    return result.Success(_orders.OrderResult(rejection, read))
+
+
+def _find_rejection(response: _http.Response) -> Rejection | None:
+    if response.status != 409:
+        return _REJECTIONS_BY_STATUS.get(response.status)
+    reason = response.body.get('reason')
+    if not isinstance(reason, str):
+        return None
+    return _REJECTIONS_BY_REASON.get(reason)
 
 
 def _read_report(
     response: _http.Response,
 ) -> result.Result[_work.WorkerReport | _orders.OrderResult, _errors.Failure]:
-    if response.status == 200:
-        try:
-            return result.Success(_decoding.decode_report(response.body))
-        except _errors.DECODING_ERRORS as error:
-            message = f'unreadable report: {error!r}'
-            kind = ErrorKind.OUTCOME_UNKNOWN
-            return result.Failure(_errors.Failure(kind, message))
-    return _read_order(response)
+    if response.status != 200:
+        return _read_order(response)
+    try:
+        return result.Success(_decoding.decode_report(response.body))
+    except _errors.MalformedInput as error:
+        return _fail_unknown(f'unreadable report: {error}')
+
+
+def _fail_unknown(message: str) -> result.Result[Any, _errors.Failure]:
+    kind = ErrorKind.OUTCOME_UNKNOWN
+    return result.Failure(_errors.Failure(kind, message))
--- a/skylarktally/scheduling/_admission.py
+++ b/skylarktally/scheduling/_admission.py
@@ -13,6 +13,9 @@
 from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 
+_MICROSECOND = datetime.timedelta(microseconds=1)
+# Bounds the estimate for a backlog of jobs with very large estimates.
+_MAX_DELAY = datetime.timedelta(days=366)
 _MIN_RETRY_DELAY = datetime.timedelta(seconds=1)
 
 
@@ -73,4 +76,5 @@
                 capacity -= _states.find_reserved_resources(
                     step
                 ).cpu_millicores
-    return pool_state.remaining_work / max(capacity, 1)
+    microseconds = pool_state.remaining_work // max(capacity, 1)
+    return min(microseconds, _MAX_DELAY // _MICROSECOND) * _MICROSECOND
--- a/skylarktally/scheduling/_job_store.py
+++ b/skylarktally/scheduling/_job_store.py
@@ -91,7 +91,7 @@
         for row in progress_rows:
             try:
                 progress = _records.decode_progress(row.row_key.key, row.value)
-            except _errors.DECODING_ERRORS as error:
+            except _errors.MalformedInput as error:
                 _log_unreadable(row, error)
                 continue
             progress_by_job[row.row_key.key] = progress
@@ -105,7 +105,7 @@
                 self._restore_job(
                     queues, row, progress_by_job.get(row.row_key.key)
                 )
-            except _errors.DECODING_ERRORS as error:
+            except _errors.MalformedInput as error:
                 _log_unreadable(row, error)
 
     def _restore_job(
@@ -134,6 +134,8 @@
         if progress is not None:
             job.state = progress.state
             job.restored_progress = progress
+            job.finished_occurrences = progress.finished
+            job.released_occurrences = progress.finished.below
         self._pool_state.add_job(job, now, wall_time)
 
     def take_changes(self, limit: int) -> _ledger.Changes:
--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -357,7 +357,7 @@
             if row.row_key == term_key and row.value:
                 try:
                     term = _records.decode_term(row.value)
-                except (ValueError, TypeError):
+                except _errors.MalformedInput:
                     return None
                 return term, row.version
         return None
--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -134,7 +134,7 @@
         try:
             record = _records.decode_wave(row.value)
             wave = int(row.row_key.key)
-        except _errors.DECODING_ERRORS as error:
+        except _errors.MalformedInput as error:
             _LOG.error(
                 'unreadable row',
                 extra={'row': row.row_key, 'reason': str(error)},
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -320,7 +320,7 @@
             return _fail_lease_lost()
         try:
             spec = self._decode_job(submission.body)
-        except _errors.DECODING_ERRORS as error:
+        except _errors.MalformedInput as error:
             return _fail(ErrorKind.INVALID_REQUEST, str(error))
         refusal = _admission.review(self.pool_state, submission.queue, spec)
         if refusal is not None:
--- a/skylarktally/scheduling/_planning.py
+++ b/skylarktally/scheduling/_planning.py
@@ -18,6 +18,8 @@
 # instances.
 _EXPIRED_TIME_LEFT = datetime.timedelta(seconds=10)
 _SECOND = datetime.timedelta(seconds=1)
+# Waiting work that is reported, as time on one millicore.
+_MAX_WAITING_WORK = datetime.timedelta(seconds=10**12)
 
 
 def plan_starts(
@@ -173,7 +175,9 @@
 ) -> _lending.PoolLoad:
     """Return the current load of the pool and its forecast."""
     long_running = running = waiting = min_workers = 0
-    waiting_work = time_left = datetime.timedelta()
+    # In seconds of one millicore, and weighted with it: the totals of the
+    # largest jobs are no timedeltas.
+    waiting_work = weighted_time_left = 0.0
     for worker_state in pool_state.worker_states.values():
         for run in worker_state.runs.values():
             step = run.task.group.step
@@ -191,17 +195,18 @@
             min_workers = max(min_workers, _count_needed_workers(step))
         else:
             waiting += cost
-            waiting_work += cost * step.estimate
-            time_left += (
-                cost * (step.estimate / _SECOND) * _find_time_left(group, now)
+            work = cost * (step.estimate / _SECOND)
+            waiting_work += work
+            weighted_time_left += work * (
+                _find_time_left(group, now) / _SECOND
             )
-    work_seconds = waiting_work / _SECOND
+    time_left = weighted_time_left / waiting_work if waiting_work else 0
     return _lending.PoolLoad(
         long_running,
         running,
         waiting,
-        waiting_work,
-        time_left / work_seconds if work_seconds else datetime.timedelta(),
+        min(waiting_work, _MAX_WAITING_WORK / _SECOND) * _SECOND,
+        time_left * _SECOND,
         pool_state.arrivals.forecast(now),
         pool_state.find_median_need(),
         min_workers,
--- a/skylarktally/scheduling/_pool_state.py
+++ b/skylarktally/scheduling/_pool_state.py
@@ -17,6 +17,18 @@
 _NONE = datetime.timedelta()
 # Number of recent jobs of which the median need is taken.
 _SAMPLED_JOBS = 21
+# Tasks that one call creates for a job that repeats; more of those that are
+# due follow with the next call, so that other work has its turn.
+_RELEASED_TASKS = 500
+# Released occurrences of a job that are not finished, and their tasks. Jobs
+# with a short interval would otherwise take all memory.
+_MAX_OPEN_OCCURRENCES = 500
+_MAX_OPEN_TASKS = 10000
+# Work of a job that the forecast counts, as time on one millicore: 2,800 hours
+# of a core. Estimates of callers can be far off, and the product of the
+# largest values is no timedelta.
+_MAX_ARRIVING_WORK = datetime.timedelta(seconds=10**10)
+_MICROSECOND = datetime.timedelta(microseconds=1)
 
 
 class PoolState:
@@ -39,9 +51,9 @@
         # Processor capacity that other pools and the standby pool could
         # lend to this one, in millicores; None while it is not known.
         self.lendable_millicores: int | None = None
-        # Estimated work of the unfinished tasks that do not run for long, as
-        # time on one millicore. Each submission compares it.
-        self.remaining_work = _NONE
+        # Estimated work of the unfinished tasks that do not run for long, in
+        # microseconds of one millicore. Each submission compares it.
+        self.remaining_work = 0
         self.arrivals = _forecasts.Arrivals()
         # Need of the widest step of each recent job, in millicores.
         self._peak_needs: collections.deque[int] = collections.deque(
@@ -83,16 +95,15 @@
 
     def _measure_work(self, spec: _work.JobSpec) -> datetime.timedelta:
         """Return the estimated work of a job, as time on one millicore."""
-        return sum(
-            (
-                step.estimate
-                * self.find_dominant_share(step)
-                * step.task_count
-                for step in spec.steps
-                if not step.is_long_running
-            ),
-            _NONE,
+        work = sum(
+            (step.estimate // _MICROSECOND)
+            * self.find_dominant_share(step)
+            * step.task_count
+            for step in spec.steps
+            if not step.is_long_running
         )
+        limit = _MAX_ARRIVING_WORK // _MICROSECOND
+        return min(work, limit) * _MICROSECOND
 
     def find_dominant_share(self, step: _work.Step) -> int:
         """Return the dominant share of a task, in millicores.
@@ -115,12 +126,19 @@
         return sorted(self._peak_needs)[len(self._peak_needs) // 2]
 
     def release(self, job: _states.Job, wall: datetime.datetime) -> None:
-        """Create the tasks of the occurrences that are due."""
+        """Create the tasks of occurrences that are due, some at a time."""
+        allowed = _RELEASED_TASKS
+        tasks = sum(step.task_count for step in job.spec.steps)
         while job.released_occurrences < job.spec.occurrences:
-            due = _states.find_due_time(job.spec, job.released_occurrences)
-            if due is not None and due > wall:
-                return
-            self._add_occurrence(job, job.released_occurrences)
+            occurrence = job.released_occurrences
+            if occurrence not in job.finished_occurrences:
+                due = _states.find_due_time(job.spec, occurrence)
+                if due is not None and due > wall:
+                    return
+                if allowed <= 0 or _is_open_limit_reached(job, tasks):
+                    return
+                self._add_occurrence(job, occurrence)
+                allowed -= tasks
             job.released_occurrences += 1
 
     def _add_occurrence(self, job: _states.Job, occurrence: int) -> None:
@@ -143,6 +161,20 @@
             self.remaining_work += _measure_remaining_work(group)
         for position in range(len(job.spec.steps)):
             self._mark_ready(job.groups[occurrence, position])
+        self._drop_finished_occurrence(job, occurrence)
+
+    def _drop_finished_occurrence(
+        self, job: _states.Job, occurrence: int
+    ) -> None:
+        """Forget the groups of an occurrence without unfinished tasks."""
+        if job.spec.occurrences == 1:
+            return
+        keys = [(occurrence, n) for n in range(len(job.spec.steps))]
+        if any(job.groups[key].unfinished_count for key in keys):
+            return
+        for key in keys:
+            del job.groups[key]
+        job.finished_occurrences.add(occurrence)
 
     def _create_task(
         self, id_: _work.TaskId, group: _states.TaskGroup
@@ -300,6 +332,7 @@
         for position, step in enumerate(job.spec.steps):
             if group.position in step.after:
                 self._mark_ready(job.groups[group.occurrence, position])
+        self._drop_finished_occurrence(job, group.occurrence)
         if (
             not job.unfinished_groups
             and job.released_occurrences == job.spec.occurrences
@@ -387,13 +420,28 @@
                     yield run
 
 
-def _measure_remaining_work(group: _states.TaskGroup) -> datetime.timedelta:
-    """Return the estimated work of unfinished tasks that end by themselves."""
+def _measure_remaining_work(group: _states.TaskGroup) -> int:
+    """Return the estimated work of unfinished tasks that end by themselves.
+
+    In microseconds of one millicore.
+    """
     step = group.step
     if step.is_long_running:
-        return _NONE
+        return 0
     millicores = step.resources.cpu_millicores * group.unfinished_count
-    return step.estimate * millicores
+    return (step.estimate // _MICROSECOND) * millicores
+
+
+def _is_open_limit_reached(job: _states.Job, tasks: int) -> bool:
+    """Tell whether further occurrences have to wait.
+
+    :param tasks: number of tasks of an occurrence
+    """
+    open_occurrences = len(job.groups) // len(job.spec.steps)
+    return (
+        open_occurrences >= _MAX_OPEN_OCCURRENCES
+        or open_occurrences * tasks >= _MAX_OPEN_TASKS
+    )
 
 
 def _decrement_worker_count(run: _states.Run) -> None:
--- a/skylarktally/scheduling/_records.py
+++ b/skylarktally/scheduling/_records.py
@@ -1,8 +1,11 @@
 """Encoding of jobs, their progress, terms and waves as stored rows."""
 
 import json
+import re
 from typing import Any, NamedTuple
 
+from skylarktally import _errors
+from skylarktally import _values
 from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
@@ -12,6 +15,17 @@
 TERMS = 'terms'
 MAINTENANCE = 'maintenance'
 TERM_KEY = 'term'
+# Rows are larger than what an entry instance writes only if another program
+# has written them.
+_MAX_ITEMS = 100000
+_MAX_WORKERS = 100000
+_MAX_BODY_LENGTH = 2**24
+_MAX_STRETCH = 1000
+# No lease and no target latency is longer than a day.
+_MAX_REMAINING_MS = 24 * 3600 * 1000
+# Start of the year 9000.
+_MAX_TIME_MS = 221845392000000
+_GROUP_KEY = re.compile(r'([0-9]{1,9})\.([0-9]{1,9})')
 
 
 class JobRecord(NamedTuple):
@@ -80,11 +94,20 @@
 
 
 def decode_job(value: bytes) -> JobRecord:
-    """Return the job of a row value.
-
-    Raises ValueError or TypeError if the value is malformed.
-    """
-    return JobRecord(*_load_list(value, len(JobRecord._fields)))
+    """Return the job of a row value; MalformedInput if it is damaged."""
+    fields = _load(value, JobRecord)
+    return JobRecord(
+        queue=_values.check_string(fields[0], 'queue'),
+        accepted_ms=_values.check_integer(fields[1], 'accepted_ms'),
+        body=_values.check_string(fields[2], 'body', _MAX_BODY_LENGTH),
+        generation=_values.check_integer(fields[3], 'generation'),
+        priority=_values.check_integer(fields[4], 'priority'),
+        attempt_limit=_values.check_integer(fields[5], 'attempt_limit'),
+        stretch=_values.check_number(fields[6], 'stretch', _MAX_STRETCH),
+        target_latency_ms=_values.check_integer(
+            fields[7], 'target_latency_ms', _MAX_REMAINING_MS
+        ),
+    )
 
 
 def encode_term(term: Term) -> bytes:
@@ -93,16 +116,29 @@
 
 
 def decode_term(value: bytes) -> Term:
-    """Return the term of a row value.
+    """Return the term of a row value; MalformedInput if it is damaged."""
+    fields = _load(value, Term)
+    workers = _values.check_list(fields[6], 'workers', _MAX_WORKERS)
+    unreachable = _values.check_list(fields[7], 'unreachable', _MAX_WORKERS)
+    return Term(
+        holder=_values.check_string(fields[0], 'holder'),
+        address=_values.check_string(fields[1], 'address'),
+        incarnation=_values.check_string(fields[2], 'incarnation'),
+        generation=_values.check_integer(fields[3], 'generation'),
+        sequence=_values.check_integer(fields[4], 'sequence'),
+        is_released=bool(fields[5]),
+        workers=tuple(_values.check_string(id_, 'worker') for id_ in workers),
+        unreachable=tuple(_decode_unreachable(item) for item in unreachable),
+    )
 
-    Raises ValueError or TypeError if the value is malformed.
-    """
-    term = Term(*_load_list(value, len(Term._fields)))
-    return term._replace(
-        workers=tuple(term.workers),
-        unreachable=tuple(
-            UnreachableWorker(*item) for item in term.unreachable
-        ),
+
+def _decode_unreachable(value: Any) -> UnreachableWorker:
+    if not isinstance(value, list) or len(value) != 3:
+        raise _errors.MalformedInput('an unreachable worker has three fields')
+    return UnreachableWorker(
+        _values.check_string(value[0], 'worker'),
+        _values.check_integer(value[1], 'generation'),
+        _values.check_integer(value[2], 'remaining_ms', _MAX_REMAINING_MS),
     )
 
 
@@ -112,19 +148,19 @@
 
 
 def decode_wave(value: bytes) -> WaveRecord:
-    """Return the wave progress of a row value.
-
-    Raises ValueError or TypeError if the value is malformed.
-    """
-    began_at_ms, done = _load_list(value, len(WaveRecord._fields))
-    return WaveRecord(int(began_at_ms), tuple(done))
+    """Return the progress of a wave; MalformedInput if it is damaged."""
+    began_at_ms, done = _load(value, WaveRecord)
+    instances = _values.check_list(done, 'done', _MAX_WORKERS)
+    return WaveRecord(
+        _values.check_integer(began_at_ms, 'began_at_ms', _MAX_TIME_MS),
+        tuple(_values.check_string(id_, 'instance') for id_ in instances),
+    )
 
 
-def _load_list(value: bytes, size: int) -> list[Any]:
-    data = json.loads(value)
-    if not isinstance(data, list) or len(data) != size:
-        raise ValueError(f'expected a list of {size} items')
-    return data
+def _load(value: bytes, record: type[NamedTuple]) -> list[Any]:
+    """Return the items of a row value that has a field for each."""
+    size = len(record._fields)
+    return _values.parse_list(value, range(size, size + 1))
 
 
 def make_term_key(shard: str) -> _rows.RowKey:
@@ -136,8 +172,9 @@
     """Return the row value of a job's progress.
 
     A list of the state, the ordinals of done tasks by
-    ``occurrence.position`` and the failed runs of tasks that are not done.
-    A final state needs no tasks.
+    ``occurrence.position``, the failed runs of tasks that are not done, and
+    the finished occurrences: all below a number, and others. The last item is
+    left out for jobs that run once. A final state needs no tasks.
     """
     done: dict[str, list[int]] = {}
     failed: list[list[Any]] = []
@@ -149,22 +186,65 @@
             for task in group.tasks:
                 if task.failed_runs and not task.is_done:
                     failed.append([*task.id[1:], sorted(task.failed_runs)])
-    data = [job.state.value, done, failed]
+    data: list[Any] = [job.state.value, done, failed]
+    if job.spec.occurrences > 1 and not job.is_final:
+        finished = job.finished_occurrences
+        data.append([finished.below, sorted(finished.others)])
     return json.dumps(data, separators=(',', ':')).encode()
 
 
 def decode_progress(id_: str, value: bytes) -> _states.JobProgress:
-    """Return the progress of a job from its row value.
+    """Return the progress of a job; MalformedInput if it is damaged."""
+    fields = _values.parse_list(value, range(3, 5))
+    try:
+        state = _work.JobState(fields[0])
+    except (ValueError, TypeError) as error:
+        raise _errors.MalformedInput('unknown state of a job') from error
+    return _states.JobProgress(
+        state,
+        _decode_done(id_, _values.check_object(fields[1], 'done')),
+        _decode_failed(
+            id_, _values.check_list(fields[2], 'failed', _MAX_ITEMS)
+        ),
+        _decode_finished(fields[3] if len(fields) > 3 else [0, []]),
+    )
 
-    Raises ValueError or TypeError if the value is malformed.
-    """
-    state, done, failed = _load_list(value, 3)
-    progress = _states.JobProgress(_work.JobState(state))
-    for group_key, indexes in done.items():
-        occurrence, position = (int(item) for item in group_key.split('.'))
-        for index in indexes:
-            progress.done.add(_work.TaskId(id_, occurrence, position, index))
-    for occurrence, position, index, numbers in failed:
-        task = _work.TaskId(id_, occurrence, position, index)
-        progress.failed[task] = set(numbers)
-    return progress
+
+def _decode_done(id_: str, data: dict[str, Any]) -> set[_work.TaskId]:
+    done: set[_work.TaskId] = set()
+    for group_key, ordinals in data.items():
+        match = _GROUP_KEY.fullmatch(group_key)
+        if match is None:
+            raise _errors.MalformedInput('done has a key without two numbers')
+        occurrence, position = (int(item) for item in match.groups())
+        for ordinal in _values.check_list(ordinals, 'ordinals', _MAX_ITEMS):
+            _values.check_integer(ordinal, 'ordinal')
+            done.add(_work.TaskId(id_, occurrence, position, ordinal))
+    return done
+
+
+def _decode_failed(id_: str, items: list[Any]) -> dict[_work.TaskId, set[int]]:
+    failed: dict[_work.TaskId, set[int]] = {}
+    for item in items:
+        if not isinstance(item, list) or len(item) != 4:
+            raise _errors.MalformedInput('a failed task has four fields')
+        task = _work.TaskId(
+            id_,
+            *(_values.check_integer(number, 'task') for number in item[:3]),
+        )
+        numbers = _values.check_list(item[3], 'failed runs', _MAX_ITEMS)
+        failed[task] = {
+            _values.check_integer(number, 'the number of a run')
+            for number in numbers
+        }
+    return failed
+
+
+def _decode_finished(value: Any) -> _states.OccurrenceSet:
+    if not isinstance(value, list) or len(value) != 2:
+        raise _errors.MalformedInput('finished has two fields')
+    others = _values.check_list(value[1], 'finished', _MAX_ITEMS)
+    return _states.OccurrenceSet(
+        _values.check_integer(value[0], 'finished'),
+        {_values.check_integer(item, 'finished') for item in others},
+    )
--- a/skylarktally/scheduling/_states.py
+++ b/skylarktally/scheduling/_states.py
@@ -125,6 +125,25 @@
         return self.occurrence, self.position
 
 
+@dataclasses.dataclass(slots=True)
+class OccurrenceSet:
+    """Numbers of occurrences; compact if nearly all lowest ones are in it."""
+
+    # All below this number are in the set.
+    below: int = 0
+    others: set[int] = dataclasses.field(default_factory=set)
+
+    def __contains__(self, occurrence: int) -> bool:
+        return occurrence < self.below or occurrence in self.others
+
+    def add(self, occurrence: int) -> None:
+        """Add an occurrence."""
+        self.others.add(occurrence)
+        while self.below in self.others:
+            self.others.remove(self.below)
+            self.below += 1
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Job:
     """An accepted job and the state of its tasks."""
@@ -137,10 +156,15 @@
     # Callers see the final state only after it has been stored, so that it
     # cannot be lost with the owner.
     is_final_state_stored: bool = False
+    # Groups of the occurrences that are released and not finished; those of
+    # a job that runs once stay.
     groups: dict[tuple[int, int], TaskGroup] = dataclasses.field(
         default_factory=dict
     )
     released_occurrences: int = 0
+    finished_occurrences: OccurrenceSet = dataclasses.field(
+        default_factory=OccurrenceSet
+    )
     unfinished_groups: int = 0
     # Progress that a previous owner stored; None for a new job.
     restored_progress: 'JobProgress | None' = None
@@ -178,6 +202,7 @@
     failed: dict[_work.TaskId, set[int]] = dataclasses.field(
         default_factory=dict
     )
+    finished: OccurrenceSet = dataclasses.field(default_factory=OccurrenceSet)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/tests/strategies.py
+++ b/tests/strategies.py
@@ -1,5 +1,6 @@
 """Generates fleets, jobs and usage reports for tests of planning code."""
 
+import copy
 import datetime
 import functools
 import random
@@ -16,6 +17,20 @@
 PHASES = (Phase.SERVING,) * 12 + tuple(Phase)
 
 
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
 def check_many(count):
     """Check a property on that many cases, the same ones in each run."""
     return hypothesis.settings(
@@ -23,6 +38,30 @@
     )
 
 
+def mutate(document, value, seed):
+    """Return a copy of a document with one value replaced.
+
+    The seed chooses which one; containers may be replaced as a whole.
+    """
+    generator = random.Random(seed)
+    changed = copy.deepcopy(document)
+    container = changed
+    while True:
+        keys = list(
+            container if isinstance(container, dict) else range(len(container))
+        )
+        if not keys:
+            return changed
+        key = generator.choice(keys)
+        if (
+            not isinstance(container[key], dict | list)
+            or generator.random() < 0.3
+        ):
+            container[key] = value
+            return changed
+        container = container[key]
+
+
 def build_instance(name, pool='a', zone='z0', rack='r0', **fields):
     values = {
         'cores': 32.0,
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -364,9 +364,9 @@
     for key, pool in (('i-1', 'pool'), ('i-2', 'pool'), ('i-1', 'other')):
         fixture.put('servers', key, {**WORKER_ROW, 'service': pool})
         row = fixture.table.rows[_rows.RowKey('servers', '', key)]
-        directory._apply_worker(row)
-    assert list(directory.list_workers('pool')) == ['i-2']
-    assert list(directory.list_workers('other')) == ['i-1']
-    directory._reset_workers()
-    assert not directory.list_workers('pool')
+        directory.worker_list.apply(row)
+    assert list(directory.worker_list.list_pool('pool')) == ['i-2']
+    assert list(directory.worker_list.list_pool('other')) == ['i-1']
+    directory.worker_list.retain(frozenset())
+    assert not directory.worker_list.list_pool('pool')
     assert not directory.workers
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -101,8 +101,8 @@
             ),
             clock,
         )
-        entry_process._directory.configuration = _work.Configuration(
-            1, (), (_work.Pool(POOL, False),), 1000
+        entry_process._directory.operator_rows.configuration = (
+            _work.Configuration(1, (), (_work.Pool(POOL, False),), 1000)
         )
         self.processes[name] = entry_process
         self.spawn(entry_process.run)
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -4,9 +4,7 @@
 first checks and reaches the later ones.
 """
 
-import copy
 import json
-import random
 
 import hypothesis
 from hypothesis import strategies as st
@@ -23,18 +21,6 @@
 from tests import fleets
 from tests import strategies
 
-VALUES = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.floats()
-    | st.text(max_size=8),
-    lambda inner: (
-        st.lists(inner, max_size=3)
-        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
-    ),
-    max_leaves=5,
-)
 DOCUMENTS = [
     apis.declare('pool', 'desk', team='north'),
     apis.declare('job', 'codes', pool='desk'),
@@ -56,38 +42,14 @@
 }
 
 
-def mutate(document, value, seed):
-    """Return a copy of a document with one value replaced.
-
-    The seed chooses which one; containers may be replaced as a whole.
-    """
-    generator = random.Random(seed)
-    changed = copy.deepcopy(document)
-    container = changed
-    while True:
-        keys = list(
-            container if isinstance(container, dict) else range(len(container))
-        )
-        if not keys:
-            return changed
-        key = generator.choice(keys)
-        if (
-            not isinstance(container[key], dict | list)
-            or generator.random() < 0.3
-        ):
-            container[key] = value
-            return changed
-        container = container[key]
-
-
 MUTATED = strategies.check_many(400)
 SEEDS = st.integers(0, 1 << 32)
 
 
 @MUTATED
-@hypothesis.given(st.sampled_from(DOCUMENTS), VALUES, SEEDS)
+@hypothesis.given(st.sampled_from(DOCUMENTS), strategies.JSON_VALUES, SEEDS)
 def test_resource_documents(document, value, seed):
-    parsed = _schemas.parse_resource(mutate(document, value, seed))
+    parsed = _schemas.parse_resource(strategies.mutate(document, value, seed))
     if isinstance(parsed, result.Success):
         # An accepted document must survive JSON and load into a replica.
         stored = json.loads(json.dumps(parsed.unwrap()))
@@ -97,9 +59,9 @@
 
 
 @MUTATED
-@hypothesis.given(VALUES, SEEDS)
+@hypothesis.given(strategies.JSON_VALUES, SEEDS)
 def test_settings_files(value, seed):
-    text = json.dumps(mutate(SETTINGS, value, seed))
+    text = json.dumps(strategies.mutate(SETTINGS, value, seed))
     checked = _settings.check_settings(
         _settings.RouterSettings, text, 'router.json'
     )
@@ -108,10 +70,12 @@
 
 
 @MUTATED
-@hypothesis.given(VALUES, SEEDS)
+@hypothesis.given(strategies.JSON_VALUES, SEEDS)
 def test_snapshots(value, seed):
     resources = [fleets.build_instance(n, 1) for n in range(2)]
-    stored = mutate({'version': 3, 'resources': resources}, value, seed)
+    stored = strategies.mutate(
+        {'version': 3, 'resources': resources}, value, seed
+    )
     fleet = _fleet.Fleet()
     found = _objects.StoredObject(json.dumps(stored).encode(), 'etag')
     _snapshots.Snapshots(fleet).load_object(lambda key: result.Success(found))
@@ -122,9 +86,9 @@
 
 
 @MUTATED
-@hypothesis.given(VALUES, SEEDS)
+@hypothesis.given(strategies.JSON_VALUES, SEEDS)
 def test_log_entries(value, seed):
-    record = mutate(fleets.build_record(1, 0), value, seed)
+    record = strategies.mutate(fleets.build_record(1, 0), value, seed)
     entry = ttypes.LogEntry(version=1, body=json.dumps(record))
     for decoded in _messages.decode_entries([entry]):
         _fleet.Fleet().apply(decoded)
--- a/tests/test_plan_costs.py
+++ b/tests/test_plan_costs.py
@@ -90,14 +90,14 @@
         pools.make_job('c', batch),
     ]
     pool_state = pools.make_pool_state(pools.make_worker('w'), jobs=jobs)
-    assert pool_state.remaining_work == pools.seconds(9000 * 3 + 4000)
+    assert pool_state.remaining_work == (9000 * 3 + 4000) * 1000000
     run = pools.run_task(pool_state, jobs[0].groups[0, 0].tasks[0], 'w')
     pool_state.note_end('w', pools.end(run))
-    assert pool_state.remaining_work == pools.seconds(9000 * 3 + 1000)
+    assert pool_state.remaining_work == (9000 * 3 + 1000) * 1000000
     # The end of one member completes the gang.
     member = pools.run_task(pool_state, jobs[1].groups[0, 1].tasks[0], 'w')
     pool_state.note_end('w', pools.end(member))
-    assert pool_state.remaining_work == pools.seconds(9000 * 3 - 3000)
+    assert pool_state.remaining_work == (9000 * 3 - 3000) * 1000000
     pool_state.finish_job(jobs[2], _work.JobState.CANCELLED)
     pool_state.finish_job(jobs[0], _work.JobState.FAILED)
-    assert pool_state.remaining_work == pools.seconds(0)
+    assert pool_state.remaining_work == (0) * 1000000
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -287,6 +287,49 @@
     assert (status, calls) == (413, [])
 
 
+@pytest.mark.parametrize(
+    'text, status',
+    [
+        ('3000', 200),
+        ('9' * 20, 200),
+        ('9' * 21, 400),
+        ('-1', 400),
+        ('1e3', 400),
+        ('\u00b2', 400),
+        ('x', 400),
+    ],
+)
+def test_a_deadline_is_read_or_refused(text, status):
+    """Guards against a caller that is told of an internal error instead."""
+    found, _, _, _ = request(
+        result.Success(None),
+        'POST',
+        body=b'{}',
+        HTTP_X_SKYLARKTALLY_DEADLINE_MS=text,
+    )
+    assert found == status
+
+
+@pytest.mark.parametrize('length', ['\u00b2', '-1', '9' * 5000, 'x'])
+def test_an_odd_content_length_is_refused(length):
+    found, _, _, calls = request(
+        result.Success(None), 'POST', CONTENT_LENGTH=length
+    )
+    assert (found, calls) == (400, [])
+
+
+def test_an_unexpected_error_is_an_unknown_outcome():
+    """Guards against a caller that takes a stored job for refused."""
+
+    class Faulty:
+        def __getattr__(self, name):
+            raise RuntimeError('a fault of the program')
+
+    status, _, body, _ = request(Faulty(), 'POST', body=b'{}')
+    assert status == 502
+    assert body['error']['kind'] == ErrorKind.OUTCOME_UNKNOWN.value
+
+
 def test_the_clock_counts_the_time_of_a_suspended_machine(monkeypatch):
     """Guards against a permission that outlives the sleep of its machine.
 
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -53,10 +53,10 @@
         self.table.commit = commit_late
         layout = platform.PlatformLayout()
         self.directory = _directory.Directory(self.table, layout, self.clock)
-        self.directory.configuration = _work.Configuration(
+        self.directory.operator_rows.configuration = _work.Configuration(
             1, (), tuple(_work.Pool(name, False) for name in POOLS), 1000
         )
-        self.directory.workers_known_since = self.clock.monotonic()
+        self.directory.worker_list.known_since = self.clock.monotonic()
         self.shards = _shards.ShardManager(
             _shards.Identity('me', 'me:1', 'life'),
             _shards.PlatformClients(
--- a/tests/test_worker_rows.py
+++ b/tests/test_worker_rows.py
@@ -6,6 +6,7 @@
 
 from skylarktally import _clock
 from skylarktally.entries import _directory
+from skylarktally.entries import _worker_list
 from skylarktally import platform
 from skylarktally.scheduling import _rows
 from standins import rows
@@ -43,7 +44,7 @@
     def receive_bytes(self, value, id_='w-1', is_deleted=False):
         self._version += 1
         key = _rows.RowKey('servers', '', id_)
-        self.directory._apply_worker(
+        self.directory.worker_list.apply(
             _rows.Row(key, value, self._version, is_deleted)
         )
 
@@ -68,7 +69,7 @@
                 cold_left_ms=900 - 200 * beat,
             )
     assert follower.layout.decoded == 200
-    assert len(follower.directory.list_workers('pool')) == 200
+    assert len(follower.directory.worker_list.list_pool('pool')) == 200
 
 
 @pytest.mark.parametrize(
@@ -94,7 +95,7 @@
     value = json.dumps({**pools.WORKER_FIELDS, **change}).encode()
     assert after == platform.PlatformLayout().decode_worker('w-1', value)
     pool = change.get('service', 'pool')
-    assert list(follower.directory.list_workers(pool)) == ['w-1']
+    assert list(follower.directory.worker_list.list_pool(pool)) == ['w-1']
     # The heartbeats that follow are compared with the changed row.
     follower.receive(sequence=6, **change)
     assert follower.layout.decoded == 2
@@ -107,17 +108,91 @@
     assert follower.directory.workers == {}
     follower.receive(sequence=5)
     assert list(follower.directory.workers) == ['w-1']
-    assert follower.directory.list_departed_workers('pool') == {}
+    assert follower.directory.worker_list.list_departed('pool') == {}
 
 
-def test_a_worker_is_listed_again_after_an_unreadable_row(follower):
-    """Guards against a row that is compared with an older readable one."""
+ODD_ROWS = [
+    b'{',
+    b'\xff\xfe',
+    b'[' * 60000,
+    b'{"a":' * 10000,
+    b'{"state": "ready", "sequence": ' + b'9' * 5000 + b'}',
+    json.dumps({**pools.WORKER_FIELDS, 'address': '10.0.0.1:99999'}).encode(),
+    json.dumps({**pools.WORKER_FIELDS, 'capacity': {'cpu': 10**400}}).encode(),
+]
+
+
+@pytest.mark.parametrize('odd', ODD_ROWS, ids=range(len(ODD_ROWS)))
+def test_an_odd_row_leaves_the_last_good_record_in_force(follower, odd):
+    """Guards against running work that is started elsewhere.
+
+    Another writer replaced the row of a worker that lives. The worker must
+    stay listed until its next heartbeat, which is compared with its own row.
+    """
     follower.receive()
-    follower.receive_bytes(b'{')
-    assert follower.directory.workers == {}
-    follower.receive_bytes(b'{')
+    record = follower.directory.workers['w-1']
+    for _ in range(3):
+        follower.receive_bytes(odd)
+    assert follower.directory.workers == {'w-1': record}
+    assert follower.directory.worker_list.list_departed('pool') == {}
     follower.receive(sequence=5)
+    assert follower.directory.workers == {'w-1': record}
+    assert follower.directory.worker_list.unreadable == {}
+    follower.receive(sequence=6, state='draining')
+    assert follower.directory.workers['w-1'].is_draining
+
+
+@pytest.mark.parametrize('odd', ODD_ROWS, ids=range(len(ODD_ROWS)))
+def test_an_odd_row_names_no_new_worker(follower, odd):
+    follower.receive_bytes(odd, 'w-2')
+    follower.receive()
     assert list(follower.directory.workers) == ['w-1']
+    follower.receive_bytes(b'', 'w-2', is_deleted=True)
+    assert follower.directory.worker_list.unreadable == {}
+
+
+def test_a_worker_leaves_when_its_row_stays_unreadable():
+    """Guards against a worker that is used for good after it has ended."""
+    clock = pools.ManualClock()
+    listed = _worker_list.WorkerList(
+        platform.PlatformLayout(), clock, lambda: None
+    )
+    key = _rows.RowKey('servers', '', 'w-1')
+    value = json.dumps(pools.WORKER_FIELDS).encode()
+    listed.apply(_rows.Row(key, value, 1))
+    listed.apply(_rows.Row(key, b'{', 2))
+    clock.advance(4)
+    listed.expire()
+    assert list(listed.records) == ['w-1']
+    # No heartbeat can replace the row while the store is away.
+    clock.advance(60)
+    listed.resume()
+    listed.expire()
+    assert list(listed.records) == ['w-1']
+    clock.advance(6)
+    listed.expire()
+    assert not listed.records
+    assert list(listed.list_departed('pool')) == ['w-1']
+    # Another odd value does not bring it back.
+    listed.apply(_rows.Row(key, b'[', 3))
+    assert not listed.records
+
+
+def test_a_complete_read_with_an_odd_row_keeps_its_worker():
+    """Guards against a worker that is lost when history is discarded."""
+    listed = _worker_list.WorkerList(
+        platform.PlatformLayout(), pools.ManualClock(), lambda: None
+    )
+    key = _rows.RowKey('servers', '', 'w-1')
+    value = json.dumps(pools.WORKER_FIELDS).encode()
+    listed.apply(_rows.Row(key, value, 1))
+    listed.retain(frozenset({'w-1', 'w-2'}))
+    listed.apply(_rows.Row(key, b'{', 2))
+    assert list(listed.records) == ['w-1']
+    listed.retain(frozenset({'w-2'}))
+    assert not listed.records
+    assert not listed.unreadable
+    assert list(listed.list_departed('pool')) == ['w-1']
 
 
 def test_text_that_looks_like_a_heartbeat_counts_as_a_change(follower):
