Keep every loop going after an unexpected error, and set its cause aside

Cause: an exception ended the green thread that it came from, and nothing started it again: the follower of a table, the session with a worker (its runs then looked active for good), the commits of a term (the process kept a shard that it no longer renewed, and never claimed it again), the accept loop for other entry instances; in the main loop it ended the process. A job or worker with which a plan failed kept its whole pool from being served, in each owner that followed.

Change: _guards.py logs, counts and paces the steps of each loop. A commit that fails ends its term, since what it took may not be stored. After three failed plans each job is planned alone, and a failing one with each worker, and what fails is set aside; a stored job that cannot be read stays known to its caller. /state on the metrics address shows what was set aside.

Ruled out: handlers inside the plans. They would cost in each plan what this costs only after a failure.

Tests: test_guards (each loop with a fault put into one step, malformed messages of other entry instances) and test_odd_rows (an entry instance with its directory, owner and sessions on the stand-ins, random odd rows).

--- a/skylarktally/_metrics.py
+++ b/skylarktally/_metrics.py
@@ -2,6 +2,8 @@
 
 import prometheus_client
 
+from skylarktally import _guards
+
 
 class ServingMetrics:
     """Metrics of the request path of a router."""
@@ -62,6 +64,7 @@
 
     def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
         self.registry = registry
+        registry.register(_guards.UNEXPECTED_ERRORS)
         self.requests = prometheus_client.Counter(
             'skylarktally_entry_requests',
             'Requests of callers by method and status.',
--- a/skylarktally/entries/_dispatcher.py
+++ b/skylarktally/entries/_dispatcher.py
@@ -111,7 +111,7 @@
     ) -> result.Result[int, Failure]:
         """Return the number of jobs that have not started."""
         call = _calls.JobCall('count', queue.pool, queue.name, '')
-        return self._dispatch(call, timeout).map(lambda reply: reply.queued)
+        return self._dispatch(call, timeout).bind(_decode_count)
 
     def _query_state(
         self,
@@ -130,7 +130,7 @@
         for pool in (queue.pool, *self._list_other_pools(queue)):
             remaining = timeout - (self._clock.monotonic() - started_at)
             call = _calls.JobCall(operation, pool, queue.name, job)
-            found = self._dispatch(call, remaining).map(_decode_state)
+            found = self._dispatch(call, remaining).bind(_decode_state)
             if isinstance(found, result.Success):
                 return found
             if found.failure().kind is not ErrorKind.NOT_FOUND:
@@ -262,18 +262,38 @@
 
 
 def decode_reply(reply: _calls.JobReply) -> Reply:
-    """Return the reply, or the failure that it stands for."""
+    """Return the reply, or the failure that it stands for.
+
+    A reply that cannot be read says nothing about the outcome of the call.
+    """
     if not reply.error:
         return result.Success(reply)
+    try:
+        kind = ErrorKind(reply.error)
+    except ValueError:
+        message = 'the reply has an unknown kind of error'
+        return result.Failure(Failure(ErrorKind.OUTCOME_UNKNOWN, message))
     delay = None
     if reply.retry_after_ms:
         delay = datetime.timedelta(milliseconds=reply.retry_after_ms)
-    kind = ErrorKind(reply.error)
-    return result.Failure(Failure(kind, reply.message, delay))
+    return result.Failure(Failure(kind, reply.message or '', delay))
+
+
+def _decode_state(
+    reply: _calls.JobReply,
+) -> result.Result[_work.JobState, Failure]:
+    try:
+        return result.Success(_work.JobState(reply.state))
+    except ValueError:
+        message = 'the reply has an unknown state'
+        return result.Failure(Failure(ErrorKind.OUTCOME_UNKNOWN, message))
 
 
-def _decode_state(reply: _calls.JobReply) -> _work.JobState:
-    return _work.JobState(reply.state)
+def _decode_count(reply: _calls.JobReply) -> result.Result[int, Failure]:
+    if reply.queued is None:
+        message = 'the reply has no number of jobs'
+        return result.Failure(Failure(ErrorKind.OUTCOME_UNKNOWN, message))
+    return result.Success(reply.queued)
 
 
 def _encode_state(state: str) -> _calls.JobReply:
--- a/skylarktally/entries/_load.py
+++ b/skylarktally/entries/_load.py
@@ -9,6 +9,7 @@
 
 from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _guards
 from skylarktally import _metrics
 from skylarktally.scheduling import _orders
 from skylarktally.scheduling import _work
@@ -89,11 +90,13 @@
 
     def run(self) -> None:
         """Measure until the process ends."""
+        guard = _guards.Guard('loop watch', self._clock)
         while True:
             started_at = self._clock.monotonic()
             self._clock.sleep(_INTERVAL)
             elapsed = self._clock.monotonic() - started_at
-            self.record(max(elapsed - _INTERVAL, datetime.timedelta()))
+            lag = max(elapsed - _INTERVAL, datetime.timedelta())
+            guard.attempt(self.record, lag)
 
     def record(self, lag: datetime.timedelta) -> None:
         """Record a lag, and log when the loop falls behind or catches up."""
--- a/skylarktally/entries/_process.py
+++ b/skylarktally/entries/_process.py
@@ -13,6 +13,7 @@
 import prometheus_client
 
 from skylarktally import _clock
+from skylarktally import _guards
 from skylarktally import _listeners
 from skylarktally import _loop
 from skylarktally import _metrics
@@ -25,6 +26,7 @@
 from skylarktally.entries import _requests
 from skylarktally.entries import _settings
 from skylarktally.entries import _shards
+from skylarktally.entries import _state_dump
 from skylarktally.entries import _store_relay
 from skylarktally import platform
 
@@ -127,13 +129,18 @@
         _loop.spawn_logging_errors(self._reachability.run)
         watch = _load.LoopWatch(self._clock, self._metrics, self)
         _loop.spawn_logging_errors(watch.run)
+        guard = _guards.Guard('claims', self._clock)
         while not self._is_stopping:
             self._clock.sleep(_CLAIM_INTERVAL)
-            if watch.is_overloaded:
-                self._shards.hand_over()
-            self._shards.claim_vacant()
+            guard.attempt(self._update_shards, watch.is_overloaded)
         self._stop()
 
+    def _update_shards(self, is_overloaded: bool) -> None:
+        """Release a shard that is too much, and claim vacant ones."""
+        if is_overloaded:
+            self._shards.hand_over()
+        self._shards.claim_vacant()
+
     def _serve(self) -> None:
         settings = self._settings
         _loop.spawn(
@@ -147,7 +154,12 @@
         )
         _listeners.serve_wsgi(
             settings.metrics_address,
-            prometheus_client.make_wsgi_app(self._metrics.registry),
+            _state_dump.add_state(
+                prometheus_client.make_wsgi_app(self._metrics.registry),
+                lambda: _state_dump.describe_state(
+                    self._directory, self._shards
+                ),
+            ),
             None,
         )
         _listeners.serve_wsgi(
--- a/skylarktally/entries/_reachability.py
+++ b/skylarktally/entries/_reachability.py
@@ -9,6 +9,7 @@
 
 from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _guards
 from skylarktally import _loop
 from skylarktally.entries import _isolation
 
@@ -76,9 +77,10 @@
 
     def run(self) -> None:
         """Watch until the process ends."""
+        guard = _guards.Guard('reachability', self._clock)
         while True:
             self._clock.sleep(_CHECK_INTERVAL)
-            self.check()
+            guard.attempt(self.check)
 
     def check(self) -> None:
         """Update the state, and log when isolation begins or ends."""
--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -107,6 +107,10 @@
             ledgers.append(self._maintenance.ledger)
         return ledgers
 
+    def list_owners(self) -> list[_owner.PoolOwner]:
+        """Return the owners of all pools of this entry instance."""
+        return list(self._owners.values())
+
     def hand_over(self) -> None:
         """Release a shard, since this entry instance is overloaded."""
         now = self._clock.monotonic()
--- a/skylarktally/entries/_store_relay.py
+++ b/skylarktally/entries/_store_relay.py
@@ -35,6 +35,7 @@
 # Entry instances that are tried for one call.
 _MAX_RELAYS = 2
 _NO_WAIT = datetime.timedelta()
+_KINDS = frozenset(kind.value for kind in ErrorKind)
 
 
 class RelayClient(Protocol):
@@ -249,10 +250,27 @@
 
 def _check_reply(reply: _calls.StoreReply) -> Outcome[_calls.StoreReply]:
     if reply.error:
-        return result.Failure(Failure(ErrorKind(reply.error), reply.message))
+        kind = ErrorKind.OUTCOME_UNKNOWN
+        if reply.error in _KINDS:
+            kind = ErrorKind(reply.error)
+        return result.Failure(Failure(kind, reply.message or ''))
+    if not _is_complete(reply):
+        message = 'a relayed answer lacks a field'
+        return result.Failure(Failure(ErrorKind.OUTCOME_UNKNOWN, message))
     return result.Success(reply)
 
 
+def _is_complete(reply: _calls.StoreReply) -> bool:
+    """Tell whether a message has all fields, which thrift leaves optional."""
+    fields = [reply.is_applied, reply.version, reply.rows, reply.partitions]
+    if None in fields:
+        return False
+    return not any(
+        None in (row.table, row.partition, row.key, row.value, row.version)
+        for row in reply.rows
+    )
+
+
 def _encode_row_key(
     row_key: _rows.RowKey, value: bytes = b'', version: int = 0
 ) -> _calls.StoredRow:
--- a/skylarktally/scheduling/_inquiries.py
+++ b/skylarktally/scheduling/_inquiries.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from skylarktally import _clock
+from skylarktally import _guards
 from skylarktally.scheduling import _advice
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _sessions
@@ -31,9 +32,13 @@
 
     def run(self) -> None:
         """Send questions until the term of the owner ends."""
+        guard = _guards.Guard('advice', self._clock)
         while not self._host.ledger.is_over:
-            if not self._ask():
-                self._clock.sleep(_POLL_INTERVAL)
+            guard.attempt(self._ask_or_wait)
+
+    def _ask_or_wait(self) -> None:
+        if not self._ask():
+            self._clock.sleep(_POLL_INTERVAL)
 
     def _ask(self) -> bool:
         """Send the most urgent question; False if there is none."""
--- a/skylarktally/scheduling/_job_store.py
+++ b/skylarktally/scheduling/_job_store.py
@@ -10,6 +10,7 @@
 
 from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _guards
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _pool_state
 from skylarktally.scheduling import _records
@@ -107,6 +108,10 @@
                 )
             except _errors.MalformedInput as error:
                 _log_unreadable(row, error)
+                self._pool_state.set_aside_job(row.row_key.key, str(error))
+            except Exception as error:
+                _guards.record_error('stored job', row=row.row_key)
+                self._pool_state.set_aside_job(row.row_key.key, repr(error))
 
     def _restore_job(
         self,
--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -19,6 +19,7 @@
 
 from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _guards
 from skylarktally import _loop
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _rows
@@ -92,7 +93,11 @@
         self._on_outcome = on_outcome
 
     def resolve(self, outcome: WriteOutcome) -> None:
-        self._on_outcome(outcome)
+        try:
+            self._on_outcome(outcome)
+        except Exception:
+            # The outcome stands, whatever its receiver makes of it.
+            _guards.record_error('outcome of a write')
         self.done.send(outcome)
 
 
@@ -129,6 +134,8 @@
         self._flushes: list[_loop.Event] = []
         self._sending_flushes: list[_loop.Event] = []
         self._is_sending = False
+        # Writes of the transaction in progress.
+        self._sending_writes: list[_Write] = []
         self._signal = _signals.Signal()
         self._commit_due: datetime.timedelta | None = None
         self._source: ChangeSource | None = None
@@ -211,12 +218,23 @@
         self._signal.set()
 
     def run(self) -> None:
-        """Commit changes until the term is over."""
-        while not self.is_over:
-            self._wait_until_due()
-            if not self.is_over:
-                self.commit()
-        self._discard_queued()
+        """Commit changes until the term is over.
+
+        An unexpected error ends the term: what it has taken from the source
+        may not be stored, and only a new owner reads what is.
+        """
+        try:
+            while not self.is_over:
+                self._wait_until_due()
+                if not self.is_over:
+                    self.commit()
+        except Exception:
+            _guards.record_error('commit', shard=self.shard)
+        finally:
+            self.end()
+            # Empty unless an unexpected error has ended the term.
+            self._resolve_sent(False)
+            self._discard_queued()
 
     def _wait_until_due(self) -> None:
         while not self.is_over:
@@ -231,11 +249,10 @@
     def commit(self) -> None:
         """Commit pending changes in one transaction, which renews the term."""
         self._commit_due = None
-        writes: list[_Write] = []
         puts: list[Put] = []
         while self._queued_writes and len(puts) < _BATCH_ROWS:
             write = self._queued_writes.popleft()
-            writes.append(write)
+            self._sending_writes.append(write)
             puts.extend(write.puts)
         changes = self._take_changes(_BATCH_ROWS - len(puts))
         is_complete = changes.is_complete and not self._queued_writes
@@ -266,13 +283,7 @@
             changes.note_applied()
             if self._source is not None:
                 self._source.confirm_holders(term.workers)
-        for write in writes:
-            write.resolve(
-                WriteOutcome.APPLIED if is_applied else WriteOutcome.UNKNOWN
-            )
-        for done in self._sending_flushes:
-            done.send(is_applied)
-        self._sending_flushes = []
+        self._resolve_sent(is_applied)
         # A release requested during this transaction is written by the next.
         if is_applied and term.is_released:
             self.is_over = True
@@ -362,6 +373,16 @@
                 return term, row.version
         return None
 
+    def _resolve_sent(self, is_applied: bool) -> None:
+        """Tell the callers whose changes were in the last transaction."""
+        outcome = WriteOutcome.APPLIED if is_applied else WriteOutcome.UNKNOWN
+        writes, self._sending_writes = self._sending_writes, []
+        flushes, self._sending_flushes = self._sending_flushes, []
+        for write in writes:
+            write.resolve(outcome)
+        for done in flushes:
+            done.send(is_applied)
+
     def _discard_queued(self) -> None:
         for write in self._queued_writes:
             write.resolve(WriteOutcome.DISCARDED)
--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -15,6 +15,7 @@
 
 from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _guards
 from skylarktally import _loop
 from skylarktally.scheduling import _ledger
 from skylarktally.scheduling import _lending
@@ -108,17 +109,18 @@
     def _run(self, dependencies: Dependencies) -> None:
         if not self._load():
             return
+        guard = _guards.Guard('maintenance', self._clock)
         while not self.ledger.is_over:
-            outcome = self._instances.list_instances()
-            configuration = dependencies.get_configuration()
-            if (
-                isinstance(outcome, result.Success)
-                and configuration is not None
-            ):
-                listed = {record.id: record for record in outcome.unwrap()}
-                self._run_cycle(listed, configuration, dependencies)
+            guard.attempt(self._list_and_run_cycle, dependencies)
             self._clock.sleep(_CYCLE_INTERVAL)
 
+    def _list_and_run_cycle(self, dependencies: Dependencies) -> None:
+        outcome = self._instances.list_instances()
+        configuration = dependencies.get_configuration()
+        if isinstance(outcome, result.Success) and configuration is not None:
+            listed = {record.id: record for record in outcome.unwrap()}
+            self._run_cycle(listed, configuration, dependencies)
+
     def _load(self) -> bool:
         """Load the progress of waves; False when the term ends first."""
         while not self.ledger.is_over:
@@ -133,7 +135,7 @@
     def _restore(self, row: _rows.Row) -> None:
         try:
             record = _records.decode_wave(row.value)
-            wave = int(row.row_key.key)
+            wave = _records.parse_wave_key(row.row_key.key)
         except _errors.MalformedInput as error:
             _LOG.error(
                 'unreadable row',
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -9,9 +9,11 @@
 
 from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _guards
 from skylarktally import _loop
 from skylarktally.scheduling import _admission
 from skylarktally.scheduling import _advice
+from skylarktally.scheduling import _faults
 from skylarktally.scheduling import _inquiries
 from skylarktally.scheduling import _job_store
 from skylarktally.scheduling import _ledger
@@ -44,6 +46,9 @@
 # Number of silent workers that a log line names; their number is unbounded.
 _MAX_LOGGED_WORKERS = 8
 
+# Plans that fail in succession before the owner looks for the cause.
+_FAILURES_BEFORE_SEARCH = 3
+
 StateResult = result.Result[_work.JobState, _errors.Failure]
 
 
@@ -155,13 +160,38 @@
                 self, self._advisor, self._clock
             )
             _loop.spawn_logging_errors(requester.run)
+        guard = _guards.Guard('plan', self._clock, shard=self.ledger.shard)
         while not self.ledger.is_over:
             self._signal.wait(_PLAN_INTERVAL)
-            started_at = self._clock.monotonic()
-            self._plan(workers)
-            duration = self._clock.monotonic() - started_at
-            self._note_plan(duration)
-            self._clock.sleep(min(duration * _PAUSE_FACTOR, _MAX_PAUSE))
+            guard.attempt(self._plan_and_pause, workers)
+            if guard.failures >= _FAILURES_BEFORE_SEARCH:
+                guard.attempt(self._set_aside_faults)
+
+    def _plan_and_pause(
+        self, workers: Callable[[], Mapping[str, _work.WorkerRecord]]
+    ) -> None:
+        started_at = self._clock.monotonic()
+        self._plan(workers)
+        duration = self._clock.monotonic() - started_at
+        self._note_plan(duration)
+        self._clock.sleep(min(duration * _PAUSE_FACTOR, _MAX_PAUSE))
+
+    def _set_aside_faults(self) -> None:
+        """Leave out what makes plans fail, so that the rest is served."""
+        pool_state = self.pool_state
+        faults = _faults.find_faults(pool_state, self._clock.monotonic())
+        for id_, reason in faults.jobs.items():
+            pool_state.set_aside_job(id_, reason)
+        for id_, reason in faults.workers.items():
+            pool_state.worker_states[id_].set_aside_reason = reason
+        _LOG.error(
+            'plans fail',
+            extra={
+                'shard': self.ledger.shard,
+                'jobs_set_aside': faults.jobs,
+                'workers_set_aside': faults.workers,
+            },
+        )
 
     def _block_unresolved_tasks(self) -> None:
         """Block tasks that may run on workers that have not reported."""
@@ -309,7 +339,7 @@
         Submitting a job again that is known succeeds without effect.
         """
         id_ = submission.id
-        if self._jobs.find_final_state(id_) or id_ in self.pool_state.jobs:
+        if self._is_known(id_):
             return result.Success(None)
         pending = self._pending_submissions.get(id_)
         if pending is not None:
@@ -337,6 +367,14 @@
             self._resolve(id_, outcome)
         return _convert_outcome(outcome)
 
+    def _is_known(self, id_: str) -> bool:
+        """Tell whether a job has been accepted; its row may be unreadable."""
+        return (
+            id_ in self.pool_state.jobs
+            or self._jobs.find_final_state(id_) is not None
+            or id_ in self.pool_state.jobs_set_aside
+        )
+
     def _resolve(self, id_: str, outcome: _ledger.WriteOutcome) -> None:
         """Pass the outcome to all callers that submit the job."""
         pending = self._pending_submissions.pop(id_, None)
@@ -371,12 +409,25 @@
 
         def on_outcome(outcome: _ledger.WriteOutcome) -> None:
             if outcome is _ledger.WriteOutcome.APPLIED:
-                self.pool_state.add_job(job, now, wall_time)
-                self._signal.set()
+                self._add_job(job, now, wall_time)
             self._resolve(job.id, outcome)
 
         return self.ledger.write([put], submission.timeout, on_outcome)
 
+    def _add_job(
+        self,
+        job: _states.Job,
+        now: datetime.timedelta,
+        wall_time: datetime.datetime,
+    ) -> None:
+        """Add a job that is stored; set it aside if that fails."""
+        try:
+            self.pool_state.add_job(job, now, wall_time)
+        except Exception as error:
+            _guards.record_error('stored job', job=job.id)
+            self.pool_state.set_aside_job(job.id, repr(error))
+        self._signal.set()
+
     def show(self, id_: str) -> StateResult:
         """Return the state of a job."""
         final = self._jobs.find_final_state(id_)
@@ -384,6 +435,8 @@
             return result.Success(final)
         job = self.pool_state.jobs.get(id_)
         if job is None:
+            if id_ in self.pool_state.jobs_set_aside:
+                return result.Success(_work.JobState.PENDING)
             return self._fail_not_found(id_)
         if job.is_final:
             # Report the final state only after it is stored; a successor
@@ -398,6 +451,9 @@
             return result.Success(final)
         job = self.pool_state.jobs.get(id_)
         if job is None:
+            if id_ in self.pool_state.jobs_set_aside:
+                kind = ErrorKind.OUTCOME_UNKNOWN
+                return _fail(kind, 'the row of the job cannot be read')
             return self._fail_not_found(id_)
         if not job.is_final:
             self.pool_state.finish_job(job, _work.JobState.CANCELLED)
--- a/skylarktally/scheduling/_pool_state.py
+++ b/skylarktally/scheduling/_pool_state.py
@@ -47,6 +47,9 @@
         self.ready_groups: dict[_states.TaskGroup, None] = {}
         # Jobs with progress that has not been stored yet.
         self.changed: dict[str, _states.Job] = {}
+        # Why jobs are not planned, by id: their rows cannot be read, or they
+        # made plans fail. A later owner tries them again.
+        self.jobs_set_aside: dict[str, str] = {}
         self._first_number = first_number
         # Processor capacity that other pools and the standby pool could
         # lend to this one, in millicores; None while it is not known.
@@ -111,7 +114,14 @@
         Calculated for the capacity of the first worker. Without workers it
         is the processor time that the task reserves.
         """
-        worker_state = next(iter(self.worker_states.values()), None)
+        worker_state = next(
+            (
+                item
+                for item in self.worker_states.values()
+                if not item.set_aside_reason
+            ),
+            None,
+        )
         if worker_state is None:
             return _states.find_reserved_resources(step).cpu_millicores
         return _states.find_dominant_share(step, worker_state.record.capacity)
@@ -127,6 +137,8 @@
 
     def release(self, job: _states.Job, wall: datetime.datetime) -> None:
         """Create the tasks of occurrences that are due, some at a time."""
+        if job.id in self.jobs_set_aside:
+            return
         allowed = _RELEASED_TASKS
         tasks = sum(step.task_count for step in job.spec.steps)
         while job.released_occurrences < job.spec.occurrences:
@@ -193,6 +205,8 @@
             group.job.groups[group.occurrence, position]
             for position in group.step.after
         )
+        if group.job.id in self.jobs_set_aside:
+            return
         if group.unfinished_count and not any(
             item.unfinished_count for item in predecessors
         ):
@@ -359,6 +373,13 @@
             self.ready_groups.pop(group, None)
             self.remaining_work -= _measure_remaining_work(group)
 
+    def set_aside_job(self, id_: str, reason: str) -> None:
+        """Plan a job no longer; its active runs go on."""
+        self.jobs_set_aside[id_] = reason
+        for group in list(self.ready_groups):
+            if group.job.id == id_:
+                del self.ready_groups[group]
+
     def allow_duplicate_starts(
         self, worker_state: _states.WorkerState
     ) -> None:
--- a/skylarktally/scheduling/_records.py
+++ b/skylarktally/scheduling/_records.py
@@ -25,6 +25,7 @@
 _MAX_REMAINING_MS = 24 * 3600 * 1000
 # Start of the year 9000.
 _MAX_TIME_MS = 221845392000000
+_WAVE_KEY = re.compile('[0-9]{1,16}')
 _GROUP_KEY = re.compile(r'([0-9]{1,9})\.([0-9]{1,9})')
 
 
@@ -157,6 +158,13 @@
     )
 
 
+def parse_wave_key(key: str) -> int:
+    """Return the number of a wave from the key of its row."""
+    if not _WAVE_KEY.fullmatch(key):
+        raise _errors.MalformedInput('the key is not the number of a wave')
+    return int(key)
+
+
 def _load(value: bytes, record: type[NamedTuple]) -> list[Any]:
     """Return the items of a row value that has a field for each."""
     size = len(record._fields)
--- a/skylarktally/scheduling/_roster.py
+++ b/skylarktally/scheduling/_roster.py
@@ -111,8 +111,9 @@
                 worker_state = None
             if worker_state is None:
                 self._add(record)
-            else:
+            elif worker_state.record != record:
                 worker_state.record = record
+                worker_state.set_aside_reason = ''
         for id_ in list(self._pool_state.worker_states):
             if id_ not in workers:
                 self._note_missing(id_, now)
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -13,6 +13,7 @@
 
 from skylarktally import _clock
 from skylarktally import _errors
+from skylarktally import _guards
 from skylarktally import _loop
 from skylarktally.scheduling import _advice
 from skylarktally.scheduling import _ledger
@@ -92,6 +93,8 @@
         self._calls = calls
         self._clock = clock
         self._acknowledged = 0
+        # Successive exchanges without a report.
+        self._lost_reports = 0
         # When the last report arrived.
         self._reported_at: datetime.timedelta | None = None
         # Last clock value reported by the worker, and when it arrived.
@@ -115,19 +118,36 @@
 
     def run(self) -> None:
         """Renew leases and read reports until the session ends."""
-        failures = 0
+        guard = _guards.Guard(
+            'session', self._clock, worker=self.worker_state.record.id
+        )
         while not self.is_over and not self._host.ledger.is_over:
-            if not self._host.ledger.holds_term():
+            sent_at = self._clock.monotonic()
+            if not guard.attempt(self._step):
+                self._treat_as_lost(sent_at)
+
+    def _step(self) -> None:
+        """Wait until an exchange is due, or make one."""
+        if not self._host.ledger.holds_term():
+            self._clock.sleep(_RETRY_DELAY)
+        elif self._is_idle():
+            self._signal.wait(_IDLE_WAIT)
+        elif self.exchange():
+            self._lost_reports = 0
+        else:
+            self._lost_reports += 1
+            # A single lost answer says little about the next request.
+            if self._lost_reports > 1:
                 self._clock.sleep(_RETRY_DELAY)
-            elif self._is_idle():
-                self._signal.wait(_IDLE_WAIT)
-            elif self.exchange():
-                failures = 0
-            else:
-                failures += 1
-                # A single lost answer says little about the next request.
-                if failures > 1:
-                    self._clock.sleep(_RETRY_DELAY)
+
+    def _treat_as_lost(self, sent_at: datetime.timedelta) -> None:
+        """Treat an exchange that raised an error like one without answer."""
+        self.last_failure_at = sent_at
+        kind = _errors.ErrorKind.INTERNAL
+        self._mark_unresponsive(
+            _errors.Failure(kind, 'unexpected error in an exchange')
+        )
+        self._release_expired(sent_at)
 
     def _is_idle(self) -> bool:
         worker_state = self.worker_state
@@ -324,6 +344,19 @@
 
     def start(self, run: _states.Run) -> None:
         """Send the start of a run and handle the result."""
+        sent_at = self._clock.monotonic()
+        try:
+            self._start(run)
+        except Exception:
+            _guards.record_error(
+                'start', task=run.task.id, run=run.number, worker=run.worker
+            )
+            # It may have been sent.
+            kind = _errors.ErrorKind.INTERNAL
+            failure = _errors.Failure(kind, 'unexpected error in a start')
+            self._handle_unanswered_start(run, sent_at, failure)
+
+    def _start(self, run: _states.Run) -> None:
         until = self._compute_lease_end()
         if until is None or not self._host.ledger.holds_term():
             self._host.pool_state.remove_run(run)
--- a/skylarktally/scheduling/_states.py
+++ b/skylarktally/scheduling/_states.py
@@ -234,6 +234,8 @@
     # Whether the stored term lists the worker, so that the next owner
     # knows that it may hold a lease.
     is_persisted: bool = False
+    # Why plans fail with this record of the worker; empty if they do not.
+    set_aside_reason: str = ''
 
     @property
     def available(self) -> _work.Resources:
@@ -255,6 +257,7 @@
             and not self.is_unresponsive
             and not self.record.is_draining
             and not self.is_evacuating
+            and not self.set_aside_reason
         )
 
 
--- a/standins/leased_workers.py
+++ b/standins/leased_workers.py
@@ -188,6 +188,9 @@
     ) -> Any:
         self.order_count += 1
         fault = self.faults.pop(0) if self.faults else None
+        if worker.id not in self.workers:
+            kind = ErrorKind.WORKER_UNREACHABLE
+            return result.Failure(_errors.Failure(kind, 'no such worker'))
         target = self.workers[worker.id]
 
         def apply() -> Any:
@@ -286,7 +289,9 @@
         outcome: result.Result[
             _work.WorkerReport | _orders.OrderResult, _errors.Failure
         ] = self._send(worker, token, execute)
-        target = self.workers[worker.id]
+        target = self.workers.get(worker.id)
+        if target is None:
+            return outcome
         deadline = self._clock.monotonic() + order.wait
         while self._long_polls and self._clock.monotonic() < deadline:
             if any(
