Let entry instances without pools read the workers rarely, and owners afresh

Cause: each of 97 entry instances followed the table of workers, and got the heartbeats of all 276 workers every two seconds, although at most six own a pool. A new owner began with a list that was up to two seconds old, so that it could start work on a worker that had reported to drain or left.

Change: an instance without pools reads the whole table every 15 s, so that it knows those that left before a takeover. An owner starts nothing before the list is as new as its term; that read begins at the claim, beside the one of the jobs.

Ruled out: no read at all until a claim. Tasks on a worker that has just left the list, and may still be asked, would wait for the end of its leases.

Tests: test_entries -k "less_often or as_new_as_its_term"; both fail before.

--- a/skylarktally/entries/_directory.py
+++ b/skylarktally/entries/_directory.py
@@ -4,7 +4,7 @@
 decoded is logged and does not affect other rows.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import datetime
 import logging
 from typing import NamedTuple, Protocol
@@ -33,9 +33,12 @@
 _TERMS_INTERVAL = datetime.timedelta(seconds=0.35)
 # Requests that wait for a new owner do not cause reads more often than this.
 _MIN_TERMS_INTERVAL = datetime.timedelta(seconds=0.05)
-# An entry instance that owns no pool reads workers less often, to limit the
-# growth of the store's load with the number of entry instances.
-_IDLE_WORKERS_INTERVAL = datetime.timedelta(seconds=2)
+# An entry instance that owns no pool has no use for the workers. It reads them
+# from time to time, so that it knows those that left just before a takeover.
+# All heartbeats of the fleet would cost each instance as much as an owner.
+_IDLE_WORKERS_INTERVAL = datetime.timedelta(seconds=15)
+# Interval between looks whether a read is complete.
+_POLL_INTERVAL = datetime.timedelta(seconds=0.02)
 
 # Between reads of the terms that are further apart, the renewals of a live
 # holder may have been missed.
@@ -188,6 +191,19 @@
             self._ownership_gained.set()
         self._owns_pools = owns_pools
 
+    def await_workers(
+        self, since: datetime.timedelta, is_over: Callable[[], bool]
+    ) -> None:
+        """Wait until the workers are known as they were at some time.
+
+        :param is_over: whether nobody needs them any more
+        """
+        while not is_over():
+            known_as_of = self._workers_follower.known_as_of
+            if known_as_of is not None and known_as_of >= since:
+                return
+            self._clock.sleep(_POLL_INTERVAL)
+
     def find_address(self, shard: str) -> str | None:
         """Return the peer address of a shard's owner; None without one."""
         observed = self.observed_terms.get(shard)
@@ -199,8 +215,9 @@
         """Wait until the next read of the workers is due."""
         if self._owns_pools:
             self._clock.sleep(_WORKERS_INTERVAL)
-        else:
-            self._ownership_gained.wait(_IDLE_WORKERS_INTERVAL)
+            return
+        self._ownership_gained.wait(_IDLE_WORKERS_INTERVAL)
+        self._workers_follower.read_all_next()
 
     def _poll_terms(self) -> None:
         guard = _guards.Guard('terms', self._clock)
--- a/skylarktally/entries/_followers.py
+++ b/skylarktally/entries/_followers.py
@@ -58,6 +58,8 @@
         self._table = table
         self._wait = wait
         self._subscriber = subscriber
+        # When the last answer was asked for; what it says is at least as new.
+        self.known_as_of: datetime.timedelta | None = None
         # Up to which the changes are known; None before the first read.
         self._version: int | None = None
         self._is_failing = False
@@ -70,6 +72,7 @@
 
     def step(self) -> None:
         """Read once and pass on what the answer says."""
+        asked_at = self._clock.monotonic()
         if self._version is None:
             outcome = self._store.read(self._table, '')
         else:
@@ -91,8 +94,16 @@
         for row in changes.rows:
             self._apply(row)
         self._version = changes.version
+        self.known_as_of = asked_at
         self._subscriber.finish()
 
+    def read_all_next(self) -> None:
+        """Read the whole table next.
+
+        Takes less than all changes since a read that is long ago.
+        """
+        self._version = None
+
     def _apply(self, row: _rows.Row) -> None:
         """Pass on a row; a fault with one must not keep the others away."""
         try:
--- a/skylarktally/entries/_shards.py
+++ b/skylarktally/entries/_shards.py
@@ -308,6 +308,9 @@
             {queue.name: queue for queue in queues},
             lambda: self._directory.worker_list.list_pool(shard),
             self._create_takeover_state(shard, former),
+            lambda: self._directory.await_workers(
+                ledger.claimed_at, lambda: ledger.is_over
+            ),
         )
 
     def _create_takeover_state(
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -110,14 +110,18 @@
         queues: Mapping[str, _work.Queue],
         workers: Callable[[], Mapping[str, _work.WorkerRecord]],
         takeover: _takeover.TakeoverState,
+        await_workers: Callable[[], None] = lambda: None,
     ) -> None:
-        """Load the jobs, collect reports, and schedule until the term ends."""
+        """Load the jobs, collect reports, and schedule until the term ends.
+
+        :param await_workers: returns once ``workers`` is as new as the term
+        """
         # Must precede the first commit: the term row has to keep naming
         # these workers as possible lease holders.
         self._roster.set_unresolved_leases(takeover.unresolved_leases)
         _loop.spawn_logging_errors(self.ledger.run)
         try:
-            self._run(queues, workers, takeover)
+            self._run(queues, workers, takeover, await_workers)
         finally:
             # After an error, another entry instance or a new term takes
             # over.
@@ -129,9 +133,11 @@
         queues: Mapping[str, _work.Queue],
         workers: Callable[[], Mapping[str, _work.WorkerRecord]],
         takeover: _takeover.TakeoverState,
+        await_workers: Callable[[], None],
     ) -> None:
         if not self._jobs.load(queues):
             return
+        await_workers()
         departed = {
             id_: record
             for id_, record in takeover.departed_workers.items()
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -328,15 +328,15 @@
 def test_an_entry_instance_without_pools_reads_workers_less_often():
     """Guards against store load that grows with idle entry instances.
 
-    In a deployment of 30 entry instances most reads came from those that
-    owned no pool.
+    In a deployment of 97 entry instances most bytes read were heartbeats, by
+    those that owned no pool.
     """
     fixture = DirectoryFixture()
     fixture.directory = _directory.Directory(
         fixture.table, platform.PlatformLayout(), _clock.SystemClock()
     )
     reads = []
-    follow = fixture.table.follow
+    follow, read = fixture.table.follow, fixture.table.read
 
     def count(table, after, wait):
         reads.append(table)
@@ -344,17 +344,55 @@
             _loop.sleep(wait.total_seconds())
         return follow(table, after, wait)
 
+    def count_complete(table, partition):
+        reads.append(table)
+        return read(table, partition)
+
     fixture.table.follow = count
+    fixture.table.read = count_complete
     fixture.directory.start()
-    _loop.sleep(1.5)
-    assert reads.count('servers') <= 1
+    _loop.sleep(3)
+    assert reads.count('servers') == 1
     fixture.directory.record_ownership(True)
     _loop.sleep(0.05)
-    first_reads = reads.count('servers')
     # A new owner reads the workers at once.
-    assert first_reads >= 1
+    assert reads.count('servers') == 2
     _loop.sleep(1)
-    assert reads.count('servers') >= first_reads + 2
+    assert reads.count('servers') >= 4
+
+
+def test_a_new_owner_waits_for_workers_as_new_as_its_term():
+    """Guards against starts on a worker that drains or has left.
+
+    Without pools, an entry instance knows workers as they were long ago.
+    """
+    clock = _clock.SystemClock()
+    fixture = DirectoryFixture()
+    directory = _directory.Directory(
+        fixture.table, platform.PlatformLayout(), clock
+    )
+    fixture.put('servers', 'i-1', WORKER_ROW)
+    fixture.put('servers', 'i-2', WORKER_ROW)
+    directory.start()
+    _loop.sleep(0.05)
+    assert sorted(directory.workers) == ['i-1', 'i-2']
+    fixture.put('servers', 'i-1', {**WORKER_ROW, 'state': 'draining'})
+    fixture.table.rows.pop(_rows.RowKey('servers', '', 'i-2'))
+    _loop.sleep(0.05)
+    assert not directory.workers['i-1'].is_draining
+    claimed_at = clock.monotonic()
+    fixture.table.is_down = True
+    directory.record_ownership(True)
+    with _loop.Timeout(0.3, False):
+        directory.await_workers(claimed_at, lambda: False)
+        raise AssertionError('a list from before the claim was used')
+    fixture.table.is_down = False
+    with _loop.Timeout(2):
+        directory.await_workers(claimed_at, lambda: False)
+    assert list(directory.workers) == ['i-1']
+    assert directory.workers['i-1'].is_draining
+    # The end of the term ends the wait.
+    directory.await_workers(clock.monotonic() + pools.seconds(9), lambda: True)
 
 
 def test_the_workers_of_a_pool_follow_the_table():
