--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -15,6 +15,9 @@
 from returns import result
 
 from skylarktally import _errors
+from skylarktally.entries import _calls
+from skylarktally.entries import _dispatcher
+from skylarktally.entries import _store_relay
 from skylarktally.platform import _decoding
 from skylarktally.platform import _http
 from skylarktally.platform import _store
@@ -24,8 +27,10 @@
 from skylarktally.scheduling import _pool_state
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _reports
+from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
+from standins import rows
 from tests import pools
 from tests import strategies
 
@@ -430,3 +435,59 @@
     assert sorted(successor.groups) == [(1, 0), (3, 0)]
     finish_groups(later, successor, 2)
     assert successor.state is _work.JobState.COMPLETED
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        _calls.JobReply(error='a kind of a later version'),
+        _calls.JobReply(error='internal'),
+        _calls.JobReply(error='queue_full', retry_after_ms=None),
+        _calls.JobReply(),
+        _calls.JobReply(state='a state of a later version'),
+        _calls.JobReply(state='running', queued=3),
+    ],
+)
+def test_replies_of_other_entry_instances(reply):
+    """Guards against a caller that gets an internal error.
+
+    Thrift leaves all fields optional, and a later version may know more.
+    """
+    outcome = _dispatcher.decode_reply(reply)
+    for decode in (_dispatcher._decode_state, _dispatcher._decode_count):
+        decoded = outcome.bind(decode)
+        if not isinstance(decoded, result.Success):
+            assert isinstance(decoded.failure(), _errors.Failure)
+            continue
+        assert reply.state == 'running'
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        _calls.StoreReply(),
+        _calls.StoreReply(error='a kind of a later version'),
+        _calls.StoreReply('', '', True, 3, None, False, []),
+        _calls.StoreReply('', '', True, None, [], False, []),
+        _calls.StoreReply('', '', True, 3, [_calls.StoredRow()], False, []),
+    ],
+)
+@pytest.mark.parametrize('call', ['read', 'list_partitions', 'commit'])
+def test_relayed_answers_that_lack_fields(reply, call):
+    """Guards against a follower or a ledger that ends for good."""
+
+    class Relay:
+        def carry(self, address, call, timeout):
+            return result.Success(reply)
+
+    table = rows.RowTable()
+    table.is_down = True
+    store = _store_relay.RelayedStore(
+        table, Relay(), lambda: ['127.0.0.1:1'], pools.ManualClock()
+    )
+    outcome = {
+        'read': lambda: store.read('terms', ''),
+        'list_partitions': lambda: store.list_partitions('terms'),
+        'commit': lambda: store.commit(_rows.Transaction((), ())),
+    }[call]()
+    assert outcome.failure().kind is _errors.ErrorKind.OUTCOME_UNKNOWN
