Test that a successor starts nothing on a worker that began to drain

Guards the wait of a new owner for a list as new as its term. The store is slow to answer that read, so that the test fails without the wait (shown on a changed copy); without the delay it passed either way.

--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -238,6 +238,40 @@
     assert {task.job for task, _ in spare.starts} == {JOBS[1]}
 
 
+def test_a_successor_starts_nothing_on_a_worker_that_drains(deployment):
+    """Guards against an owner that begins with an old list of workers.
+
+    The successor owned no pool, and read the workers before one drained.
+    """
+    leaving = deployment.add_worker('w')
+    deployment.add('one')
+    deployment.await_holder(POOL, 'one', 3)
+    deployment.add('two')
+    workers = deployment.processes['two']._directory.workers
+    wait_until(lambda: 'w' in workers)
+    key = _rows.RowKey('servers', '', 'w')
+    fields = {**pools.WORKER_FIELDS, 'service': POOL, 'state': 'draining'}
+    deployment.table.put(key, json.dumps(fields).encode())
+    staying = deployment.add_worker('x')
+    _loop.sleep(0.5)
+    assert not workers['w'].is_draining
+    read = deployment.table.read
+
+    def read_slowly(table, partition):
+        if table == 'servers':
+            _loop.sleep(0.5)
+        return read(table, partition)
+
+    deployment.table.read = read_slowly
+    deployment.processes['one']._shards.release_all()
+    deployment.await_holder(POOL, 'two', 5)
+    successor = deployment.find_owner('two')
+    wait_until(lambda: successor.is_ready)
+    assert submit(successor, JOBS[0]) == result.Success(None)
+    wait_until(lambda: len(staying.active) == TASKS)
+    assert not leaving.starts
+
+
 def make_shard(name, owned_since, open_jobs=0):
     return _handovers.OwnedShard(name, pools.seconds(owned_since), open_jobs)
 
