Set a job aside whose progress cannot be read, instead of running it again

Cause: a new owner logged an unreadable row of progress and went on without it, so that tasks that were done started again. Found while reading the change on odd input for the report "work that had run was run again".

Change: the job is set aside like one whose own row cannot be read.

Test: test_guards -k progress; both cases fail before (the job runs) and pass now.

--- a/skylarktally/scheduling/_job_store.py
+++ b/skylarktally/scheduling/_job_store.py
@@ -93,14 +93,19 @@
             try:
                 progress = _records.decode_progress(row.row_key.key, row.value)
             except _errors.MalformedInput as error:
+                # Without its progress, what has run would run again.
                 _log_unreadable(row, error)
+                self._pool_state.set_aside_job(row.row_key.key, str(error))
                 continue
             progress_by_job[row.row_key.key] = progress
             if progress.state in _work.FINAL_STATES:
                 final = _FinalState(progress.state, now)
                 self._final_states[row.row_key.key] = final
         for row in jobs:
-            if row.row_key.key in self._final_states:
+            id_ = row.row_key.key
+            if id_ in self._final_states:
+                continue
+            if id_ in self._pool_state.jobs_set_aside:
                 continue
             try:
                 self._restore_job(
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -163,6 +163,35 @@
     wait_until(lambda: len(deployment.list_starts(JOBS[1])) == 2)
 
 
+@pytest.mark.parametrize('progress', [b'[', b'["running",{"0.0":["x"]},[]]'])
+def test_a_job_without_readable_progress_does_not_run_again(
+    deployment, progress
+):
+    """Guards against tasks that are done and start again after a takeover."""
+    owner = deployment.start_owner()
+    wait_until(lambda: owner.is_ready)
+    for job in JOBS:
+        deployment.submit(owner, job)
+    wait_until(lambda: len(deployment.list_starts(JOBS[0])) == 2)
+    workers = list(deployment.fleet.workers.values())
+    task = deployment.list_starts(JOBS[0])[0][0]
+    key = _rows.RowKey('progress', 'pool', JOBS[0])
+    for worker in workers:
+        if task in worker.active:
+            worker.end(task, _work.EndKind.DONE)
+    wait_until(lambda: key in deployment.table.rows)
+    wait_until(lambda: not any(worker.ended for worker in workers))
+    deployment.table.put(key, progress)
+    later = deployment.start_owner()
+    wait_until(lambda: later.is_ready)
+    assert list(later.pool_state.jobs_set_aside) == [JOBS[0]]
+    assert later.show(JOBS[0]) == result.Success(_work.JobState.PENDING)
+    _loop.sleep(0.5)
+    starts = [start[0] for start in deployment.list_starts(JOBS[0])]
+    assert starts.count(task) == 1
+    assert later.show(JOBS[1]) == result.Success(_work.JobState.RUNNING)
+
+
 def test_an_error_in_a_commit_ends_the_term_only():
     """Guards against an owner that no longer stores anything.
 
