Reset connections of requests that were given up, and bound orders by the term

A plain close leaves unsent data to the system, which delivered it when the cut had healed.

Ruled out: orders without a term. The holder checks it before each order.

Change: a request without an answer ends with a reset, which discards what was not delivered (platform/_http and entries/_calls). An order on an instance asks for the time left of the term once its connection is open, is not sent without any, and is given up when it ends; before, the wait for the connection lay between the check and the order.

--- a/skylarktally/_loop.py
+++ b/skylarktally/_loop.py
@@ -13,6 +13,7 @@
 import os
 import socket
 import ssl
+import struct
 import time
 from typing import Any, TextIO
 import warnings
@@ -226,6 +227,22 @@
     return ConnectionResetError(errno.ECONNRESET, str(error))
 
 
+def abort(connection: socket.socket) -> None:
+    """Close a connection and discard what has not been delivered.
+
+    A plain close leaves unsent data to the system, which may deliver it
+    seconds later, when the network is whole again.
+    """
+    try:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    except OSError as error:
+        # The connection is gone, and its data with it.
+        _LOG.debug('connection not reset', extra={'reason': str(error)})
+    connection.close()
+
+
 def wrap_tls(
     connection: socket.socket, context: ssl.SSLContext, host: str | None
 ) -> TlsConnection:
--- a/skylarktally/entries/_calls.py
+++ b/skylarktally/entries/_calls.py
@@ -145,8 +145,9 @@
             connection.set_timeout(timeout)
             answer = function(connection.client)
         except (*_TRANSPORT_ERRORS, ValueError, TypeError) as error:
-            # The last two: the answer is no thrift message.
-            connection.close()
+            # The last two: the answer is no thrift message. A late delivery
+            # would carry out what the caller has given up.
+            connection.abort()
             # The other idle connections may be broken too.
             for other in idle:
                 other.close()
@@ -180,6 +181,12 @@
     def close(self) -> None:
         self._socket.close()
 
+    def abort(self) -> None:
+        """Close the connection and discard a call not yet delivered."""
+        if self._socket.handle is not None:
+            _loop.abort(self._socket.handle)
+        self._socket.close()
+
 
 class EntryServer:
     """Serves the calls of other entry instances."""
--- a/skylarktally/platform/_http.py
+++ b/skylarktally/platform/_http.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Callable
 import datetime
 import json
 import re
@@ -116,6 +117,10 @@
     def close(self) -> None:
         self._socket.close()
 
+    def abort(self) -> None:
+        """Close the connection and discard a request not yet delivered."""
+        _loop.abort(self._socket)
+
 
 class HttpClient:
     """HTTP client with a pool of connections for each address.
@@ -141,10 +146,15 @@
         body: dict[str, Any] | None = None,
         headers: dict[str, str] | None = None,
         query: dict[str, Any] | None = None,
+        *,
+        find_time_left: Callable[[], datetime.timedelta] | None = None,
     ) -> CallOutcome:
         """Send a request and return its response.
 
         :param timeout: longest wait for the next data of the response
+        :param find_time_left: returns how long the request is permitted.
+            Asked when the connection is open, since that may take some time;
+            without time left, the request is not sent
         """
         target = f'{path}?{parse.urlencode(query)}' if query else path
         try:
@@ -154,11 +164,18 @@
             connection = self._connect(address)
         except (OSError, ValueError) as error:
             return _fail(self._unreachable_kind, f'{address}: {error}')
+        if find_time_left is not None:
+            timeout = min(timeout, find_time_left())
+            if not timeout:
+                self._keep(address, connection, is_reusable=True)
+                message = f'{address}: the permission has ended'
+                return _fail(self._unreachable_kind, message)
         try:
             reader = connection.exchange(request, timeout)
             response = reader.decode()
         except (OSError, ValueError, httptools.HttpParserError) as error:
-            connection.close()
+            # A late delivery would carry out what the caller has given up.
+            connection.abort()
             self._close_idle(address)
             kind = _errors.ErrorKind.OUTCOME_UNKNOWN
             return _fail(kind, f'{address}: {error}')
--- a/skylarktally/platform/_workers.py
+++ b/skylarktally/platform/_workers.py
@@ -217,25 +217,34 @@
         )
 
     def maintain(
-        self, instance: str, wave: int, holder: str, token: int
+        self, instance: str, wave: int, permit: _orders.Permit
     ) -> _orders.OrderOutcome:
         """Take an instance down for maintenance."""
         body = {'machine': instance, 'wave_id': wave}
-        return self._order('/-/machine-upkeep', body, holder, token)
+        return self._order('/-/machine-upkeep', body, permit)
 
     def move(
-        self, instance: str, pool: str, holder: str, token: int
+        self, instance: str, pool: str, permit: _orders.Permit
     ) -> _orders.OrderOutcome:
         """Move an instance to another pool."""
         body = {'machine': instance, 'node_pool': pool}
-        return self._order('/-/machine-move', body, holder, token)
+        return self._order('/-/machine-move', body, permit)
 
     def _order(
-        self, path: str, body: dict[str, Any], holder: str, token: int
+        self, path: str, body: dict[str, Any], permit: _orders.Permit
     ) -> _orders.OrderOutcome:
-        headers = {_HOLDER_HEADER: holder, _TOKEN_HEADER: str(token)}
+        headers = {
+            _HOLDER_HEADER: permit.holder,
+            _TOKEN_HEADER: str(permit.token),
+        }
         outcome = self._client.call(
-            'POST', self._address, path, _INSTANCE_CALL_TIMEOUT, body, headers
+            'POST',
+            self._address,
+            path,
+            _INSTANCE_CALL_TIMEOUT,
+            body,
+            headers,
+            find_time_left=permit.find_time_left,
         )
         return outcome.bind(_read_order)
 
--- a/skylarktally/scheduling/_job_store.py
+++ b/skylarktally/scheduling/_job_store.py
@@ -87,20 +87,7 @@
         jobs: tuple[_rows.Row, ...],
         progress_rows: tuple[_rows.Row, ...],
     ) -> None:
-        now = self._clock.monotonic()
-        progress_by_job: dict[str, _states.JobProgress] = {}
-        for row in progress_rows:
-            try:
-                progress = _records.decode_progress(row.row_key.key, row.value)
-            except _errors.MalformedInput as error:
-                # Without its progress, what has run would run again.
-                _log_unreadable(row, error)
-                self._pool_state.set_aside_job(row.row_key.key, str(error))
-                continue
-            progress_by_job[row.row_key.key] = progress
-            if progress.state in _work.FINAL_STATES:
-                final = _FinalState(progress.state, now)
-                self._final_states[row.row_key.key] = final
+        progress_by_job = self._restore_progress(progress_rows)
         for row in jobs:
             id_ = row.row_key.key
             if id_ in self._final_states:
@@ -118,6 +105,26 @@
                 _guards.record_error('stored job', row=row.row_key)
                 self._pool_state.set_aside_job(row.row_key.key, repr(error))
 
+    def _restore_progress(
+        self, rows: tuple[_rows.Row, ...]
+    ) -> dict[str, _states.JobProgress]:
+        """Note the final states, and return the progress of all jobs."""
+        now = self._clock.monotonic()
+        progress_by_job: dict[str, _states.JobProgress] = {}
+        for row in rows:
+            id_ = row.row_key.key
+            try:
+                progress = _records.decode_progress(id_, row.value)
+            except _errors.MalformedInput as error:
+                # Without its progress, what has run would run again.
+                _log_unreadable(row, error)
+                self._pool_state.set_aside_job(id_, str(error))
+                continue
+            progress_by_job[id_] = progress
+            if progress.state in _work.FINAL_STATES:
+                self._final_states[id_] = _FinalState(progress.state, now)
+        return progress_by_job
+
     def _restore_job(
         self,
         queues: Mapping[str, _work.Queue],
--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -152,9 +152,14 @@
 
     def holds_term(self) -> bool:
         """Tell whether the term is certain not to have been taken over."""
+        return self.find_time_left() > datetime.timedelta()
+
+    def find_time_left(self) -> datetime.timedelta:
+        """Return how long the term certainly lasts; zero if it may be over."""
         if self.is_over or self._is_releasing:
-            return False
-        return self._clock.monotonic() - self._renewed_at < TERM_VALIDITY
+            return datetime.timedelta()
+        age = self._clock.monotonic() - self._renewed_at
+        return max(TERM_VALIDITY - age, datetime.timedelta())
 
     def request_commit(self, is_urgent: bool = False) -> None:
         """Request a commit after the batch delay, or immediately."""
--- a/skylarktally/scheduling/_maintenance.py
+++ b/skylarktally/scheduling/_maintenance.py
@@ -87,7 +87,9 @@
         self._instances = instances
         self._waves = waves
         self._clock = clock
-        self._holder = holder
+        self._permit = _orders.Permit(
+            holder, ledger.token, ledger.find_time_left
+        )
         self._progress: dict[int, _waves.WaveProgress] = {}
         self._stored_statuses: dict[int, bool] = {}
         self._lender = _lending.Lender()
@@ -250,9 +252,7 @@
         """Order a move; False if no further orders should be sent now."""
         if not self.ledger.holds_term():
             return False
-        outcome = self._instances.move(
-            instance.id, pool, self._holder, self.ledger.token
-        )
+        outcome = self._instances.move(instance.id, pool, self._permit)
         now = self._clock.monotonic()
         rejection = None
         if isinstance(outcome, result.Success):
@@ -308,9 +308,7 @@
         # Until the order is answered, the instance may go down at any time.
         earlier_attempt = progress.unconfirmed.get(record.id)
         progress.unconfirmed[record.id] = self._clock.monotonic()
-        outcome = self._instances.maintain(
-            record.id, wave.id, self._holder, self.ledger.token
-        )
+        outcome = self._instances.maintain(record.id, wave.id, self._permit)
         rejection = None
         if isinstance(outcome, result.Success):
             rejection = outcome.unwrap().rejection
--- a/skylarktally/scheduling/_orders.py
+++ b/skylarktally/scheduling/_orders.py
@@ -1,5 +1,6 @@
 """Orders to workers and to the platform, and their results."""
 
+from collections.abc import Callable
 import datetime
 import enum
 from typing import NamedTuple, Protocol
@@ -102,8 +103,23 @@
         """Renew the leases and return the report, or a rejection."""
 
 
+class Permit(NamedTuple):
+    """Permission to order instances, for as long as a term lasts.
+
+    The platform may accept any token, so that an order must not be under way
+    when a successor can give orders.
+    """
+
+    holder: str
+    token: int
+    find_time_left: Callable[[], datetime.timedelta]
+
+
 class InstanceClient(Protocol):
-    """The platform's interface for instances."""
+    """The platform's interface for instances.
+
+    An order is sent only while its permit lasts, and given up when it ends.
+    """
 
     def list_instances(
         self,
@@ -111,11 +127,9 @@
         """Return all instances."""
 
     def maintain(
-        self, instance: str, wave: int, holder: str, token: int
+        self, instance: str, wave: int, permit: Permit
     ) -> OrderOutcome:
         """Order the maintenance of an instance, which takes it down."""
 
-    def move(
-        self, instance: str, pool: str, holder: str, token: int
-    ) -> OrderOutcome:
+    def move(self, instance: str, pool: str, permit: Permit) -> OrderOutcome:
         """Move an instance to another pool."""
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -36,7 +36,7 @@
             )
         )
 
-    def maintain(self, instance, wave, holder, token):
+    def maintain(self, instance, wave, permit):
         self.ordered.append(instance)
         answer = self.answers.pop(0) if self.answers else None
         if isinstance(answer, Kind):
@@ -127,7 +127,7 @@
     # How long a client waits for an answer, in seconds.
     TIMEOUT = 1.5
 
-    def move(self, instance, pool, holder, token):
+    def move(self, instance, pool, permit):
         self.ordered.append(instance)
         if len(self.ordered) == 1:
             _loop.sleep(self.TIMEOUT)
@@ -173,7 +173,7 @@
     ordered = []
     evacuated = []
 
-    def move(instance, pool, holder, token):
+    def move(instance, pool, permit):
         ordered.append(instance)
         return result.Success(_orders.OrderResult(rejection))
 
