End the term of an owner whose plans fail for no single job or worker

Cause, by reading: since an exception in a plan no longer ended the term. Where it came from a job or worker, these are set aside. Where it came from damaged state in memory, no search finds it, and the owner went on to accept jobs that it never started; before, a new owner read what is stored.

Change: after three failed plans and a search that finds nothing, or after six failures, the term ends.

Test: test_guards -k damaged_state; without the change the owner keeps its term and the test does not end.

--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -48,6 +48,8 @@
 
 # Plans that fail in succession before the owner looks for the cause.
 _FAILURES_BEFORE_SEARCH = 3
+# Failures in succession, of plans and searches, after which the term ends.
+_FAILURES_BEFORE_END = 6
 
 StateResult = result.Result[_work.JobState, _errors.Failure]
 
@@ -172,6 +174,8 @@
             guard.attempt(self._plan_and_pause, workers)
             if guard.failures >= _FAILURES_BEFORE_SEARCH:
                 guard.attempt(self._set_aside_faults)
+            if guard.failures >= _FAILURES_BEFORE_END:
+                self.abandon_term('plans fail')
 
     def _plan_and_pause(
         self, workers: Callable[[], Mapping[str, _work.WorkerRecord]]
@@ -183,9 +187,16 @@
         self._clock.sleep(min(duration * _PAUSE_FACTOR, _MAX_PAUSE))
 
     def _set_aside_faults(self) -> None:
-        """Leave out what makes plans fail, so that the rest is served."""
+        """Leave out what makes plans fail, so that the rest is served.
+
+        If nothing does, the state in memory is damaged: the term ends, and a
+        new owner reads what is stored.
+        """
         pool_state = self.pool_state
         faults = _faults.find_faults(pool_state, self._clock.monotonic())
+        if not faults.jobs and not faults.workers:
+            self.abandon_term('plans fail for no single job or worker')
+            return
         for id_, reason in faults.jobs.items():
             pool_state.set_aside_job(id_, reason)
         for id_, reason in faults.workers.items():
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -147,6 +147,23 @@
     wait_until(lambda: worker_state.is_schedulable)
 
 
+def test_an_owner_with_damaged_state_ends_its_term(deployment, monkeypatch):
+    """Guards against a pool that an owner holds and does not serve.
+
+    Each plan fails, for no job or worker; only a new owner can serve again.
+    """
+    owner = deployment.start_owner()
+    wait_until(lambda: owner.is_ready)
+    assert deployment.submit(owner, JOBS[0]) == result.Success(None)
+    wait_until(lambda: len(deployment.list_starts(JOBS[0])) == 2)
+    monkeypatch.setattr(owner._roster, 'sync', lambda _: 1 / 0)
+    wait_until(lambda: owner.ledger.is_over)
+    later = deployment.start_owner()
+    wait_until(lambda: later.is_ready)
+    assert deployment.submit(later, JOBS[1]) == result.Success(None)
+    wait_until(lambda: len(deployment.list_starts(JOBS[1])) == 2)
+
+
 def test_a_stored_job_that_cannot_be_read_is_not_denied(deployment):
     """Guards against a successor that says that a job does not exist."""
     owner = deployment.start_owner()
