--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,76 +1,76 @@
-"""More ends wait on a worker than it lists at a time, as its owner dies."""
+"""A job whose queue moves to another service, and whose POST comes again."""
 
-import signal
 import time
-from typing import Any
 
 from common import cases
 from common import deployment as deployments
 from common import records
 
 _PREFIX = '/puxa400/'
-_JOB = '5c0e7a21d94b36f8'
-_TASKS = 800
-_TASK_MS = 4000
+_SHORT, _LONG = '5c0e7a21d94b36f8', '77aa01c2d3e4f506'
+_CONFIG_APPLY_SECONDS = 2.0
 
 
 def main(deployment: deployments.Deployment) -> list[str]:
     """Return each second run of a task."""
-    deployment.add_worker('i-desk-a-1', 'desk-a')
-    deployment.add_worker('i-desk-a-2', 'desk-a')
+    for service in ('desk-a', 'desk-b'):
+        for number in (1, 2, 3):
+            deployment.add_worker(f'i-{service}-{number}', service)
     route = deployments.make_route('r-1', _PREFIX, 'desk-a')
     deployment.configure(3, [route])
     deployment.start()
-    submit(deployment)
-    await_starts(deployment)
-    first = deployment.record.list('start')[0]['at']
-    now = deployment.record.events[-1]['at']
-    # Just before the first task ends.
-    time.sleep(max(first + _TASK_MS / 1000 - 0.3 - now, 0))
+    entry = deployment.entries[0]
+    short, long = make_job(700), make_job(20000)
+    submit(deployment, entry, _SHORT, short)
+    submit(deployment, entry, _LONG, long)
+    await_completion(deployment, entry, _SHORT)
     if deployments.has_trouble():
-        kill_owner(deployment)
-    time.sleep(15)
+        deployment.configure(8, [{**route, 'service': 'desk-b'}])
+    time.sleep(_CONFIG_APPLY_SECONDS + 1)
+    # A request of before arrives once more, seconds after its 2xx.
+    submit(deployment, entry, _SHORT, short)
+    submit(deployment, entry, _LONG, long)
+    time.sleep(6)
     record = deployment.record
     return records.find_repeats(record) + records.find_overlaps(record)
 
 
-def submit(deployment: deployments.Deployment) -> None:
-    """Send a job of many small tasks, until it is accepted."""
-    step: dict[str, Any] = {
-        'task_count': _TASKS,
-        'cpu': 30,
-        'mem_mb': 16,
-        'estimate_ms': _TASK_MS,
+def make_job(milliseconds: int) -> dict:
+    """Return a job of one step with two tasks."""
+    step = {
+        'task_count': 2,
+        'cpu': 1800,
+        'mem_mb': 2500,
+        'estimate_ms': milliseconds,
     }
-    body = {'task_spec': 'access', 'steps': [step]}
+    return {'task_spec': 'access', 'steps': [step]}
+
+
+def submit(
+    deployment: deployments.Deployment,
+    entry: deployments.Entry,
+    job: str,
+    body: dict,
+) -> None:
+    """Send a job until it is accepted."""
     for _ in range(5):
-        entry = deployment.entries[0]
-        answer = deployment.send(entry, 'POST', _PREFIX + _JOB, body)
+        answer = deployment.send(entry, 'POST', _PREFIX + job, body)
         if answer is not None and answer[0] == 200:
             return
         time.sleep(1)
-    raise deployments.CannotRunError('the job is not accepted')
+    raise deployments.CannotRunError(f'job {job} is not accepted')
 
 
-def await_starts(deployment: deployments.Deployment) -> None:
-    """Wait until all tasks run."""
-    for _ in range(60):
-        if len(deployment.record.list('start')) >= _TASKS:
+def await_completion(
+    deployment: deployments.Deployment, entry: deployments.Entry, job: str
+) -> None:
+    """Wait until a job is shown as completed."""
+    for _ in range(40):
+        answer = deployment.send(entry, 'GET', _PREFIX + job)
+        if answer is not None and answer[1].get('state') == 'completed':
             return
-        time.sleep(0.05)
-    raise deployments.CannotRunError('the tasks do not start in time')
-
-
-def kill_owner(deployment: deployments.Deployment) -> None:
-    """Kill the owner of the pool, and start it again soon after."""
-    owner = deployment.find_holder('desk-a')
-    if owner is None or owner.process is None:
-        raise deployments.CannotRunError('the pool has no owner')
-    deployment.record.note('SIGKILL', entry=owner.name)
-    owner.signal(signal.SIGKILL)
-    owner.process.wait()
-    time.sleep(0.5)
-    deployment.start_entry(owner)
+        time.sleep(0.25)
+    raise deployments.CannotRunError(f'job {job} does not end')
 
 
 if __name__ == '__main__':
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -76,6 +76,8 @@
         self.services: set[str] = set()
         # Workers that moves have brought up so far.
         self._replaced = 0
+        # Racks of machines; a rack stays with its machine.
+        self._racks: dict[str, str] = {}
         self._temporary = tempfile.TemporaryDirectory()
         self.logs = pathlib.Path(self._temporary.name)
         self.entries = [
@@ -95,13 +97,21 @@
         )
 
     def _remove_worker(self, machine: instances.Machine) -> None:
-        self.workers.pop(machine.worker).leave()
+        worker = self.workers.pop(machine.worker)
+        self._racks[machine.id] = worker.rack
+        worker.leave()
 
     def _replace_worker(self, machine: instances.Machine) -> None:
         self._replaced += 1
         id_ = f'i-{machine.pool}-new-{self._replaced}'
         self.workers[id_] = workers.Worker(
-            self.store, self.record, self.jobs, id_, machine.id, machine.pool
+            self.store,
+            self.record,
+            self.jobs,
+            id_,
+            machine.id,
+            machine.pool,
+            rack=self._racks[machine.id],
         )
         machine.worker = id_
 
--- a/review/common/workers.py
+++ b/review/common/workers.py
@@ -47,7 +47,7 @@
         self.machine = machine
         self.service = service
         self.zone = zone
-        self.labels = ['a', rack]
+        self.rack = rack
         self.cpu = cpu
         self.is_up = False
         self._store = store
@@ -128,7 +128,7 @@
             'state': 'ready',
             'cold_left_ms': 0,
             'capacity': {'cpu': self.cpu, 'mem_mb': 65536, 'gpu': 0},
-            'labels': self.labels,
+            'labels': ['a', self.rack],
             'machine': self.machine,
             'clock_ms': self._clock_ms(),
             'born': self.born,
