--- a/review/common/cases.py
+++ b/review/common/cases.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import pathlib
 import sys
+import traceback
 
 from common import deployment as deployments
 
@@ -22,6 +23,10 @@
         deployment.record.note('cannot run', reason=str(error))
         print(f'cannot run: {error}')
         sys.exit(_CANNOT_RUN)
+    except Exception:
+        # A fault of the script says nothing about the rule.
+        traceback.print_exc()
+        sys.exit(_CANNOT_RUN)
     finally:
         deployment.close()
     for line in broken:
