--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -6,29 +6,19 @@
 import pytest
 from returns import result
 
-from skylarktally import _clock
 from skylarktally import _errors
 from skylarktally import _loop
-from skylarktally import platform
-from skylarktally.scheduling import _ledger
-from skylarktally.scheduling import _owner
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _records
-from skylarktally.scheduling import _roster
 from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _sessions
-from skylarktally.scheduling import _takeover
 from skylarktally.scheduling import _work
-from standins import leased_workers
-from standins import rows
+from tests import owners
 from tests import pools
 
 ErrorKind = _errors.ErrorKind
 JOB = '5c0e7a21d94b36f8'
 OTHER = '5c0e7a21d94b36f9'
-BODY = json.dumps(
-    {'task_spec': 's', 'steps': [{'task_count': 2, 'estimate_ms': 500}]}
-).encode()
 SPREAD = json.dumps(
     {'steps': [{'task_count': 2, 'estimate_ms': 9000, 'anti_affinity': 1}]}
 ).encode()
@@ -37,117 +27,30 @@
 ).encode()
 
 
-class Deployment:
-    """A pool with two workers and a sequence of owners."""
-
-    def __init__(self):
-        self.clock = _clock.SystemClock()
-        self.table = rows.RowTable()
-        self.fleet = leased_workers.WorkerFleet(self.clock, long_polls=True)
-        for name in 'wx':
-            self.fleet.add(pools.make_worker(name))
-        self.queue = pools.make_queue()
-        self.owners = []
-        self.advisor = None
-        # Workers as the platform lists them.
-        self.listed = {
-            id_: worker.record for id_, worker in self.fleet.workers.items()
-        }
-
-    def start_owner(
-        self,
-        lease_holders=(),
-        last_contact_generation=None,
-        lease_time=None,
-    ):
-        """Claim the pool and return its new owner.
-
-        :param lease_time: until the leases of the holders have expired
-        """
-        place = _records.make_term_key('pool')
-        row = self.table.rows.get(place)
-        generation = 1
-        if row is not None:
-            generation = _records.decode_term(row.value).generation + 1
-        term = _records.Term(
-            'me', 'me:1', 'life', generation, 0, workers=lease_holders
-        )
-        ledger = _ledger.claim(
-            self.table, self.clock, 'pool', term, row.version if row else 0
-        ).unwrap()
-        owner = _owner.PoolOwner(
-            ledger,
-            self.table,
-            self.fleet,
-            self.clock,
-            platform.decode_job,
-            self.advisor,
-        )
-        now = self.clock.monotonic()
-        expires_at = _sessions.compute_lease_expiry(now)
-        if lease_time is not None:
-            expires_at = now + lease_time
-        _loop.spawn(
-            owner.run,
-            {self.queue.name: self.queue},
-            lambda: self.listed,
-            _takeover.TakeoverState(
-                {
-                    name: _roster.UnresolvedLease(
-                        expires_at, last_contact_generation or generation - 1
-                    )
-                    for name in lease_holders
-                },
-                {},
-            ),
-        )
-        self.owners.append(owner)
-        return owner
-
-    def submit(self, owner, job, body=BODY):
-        return owner.submit(
-            _owner.Submission(job, self.queue, body, pools.seconds(1))
-        )
-
-    def list_starts(self, job):
-        return [
-            start
-            for worker in self.fleet.workers.values()
-            for start in worker.starts
-            if start[0].job == job
-        ]
-
-
 @pytest.fixture
 def deployment():
-    deployment = Deployment()
+    deployment = owners.Deployment()
     yield deployment
     for owner in deployment.owners:
         owner.ledger.end()
     _loop.sleep(0)
 
 
-def wait_until(check, limit=2.0):
-    with _loop.Timeout(limit):
-        while not check():
-            _loop.sleep(0.01)
-
-
 def test_a_job_is_stored_run_and_shown_as_completed(deployment):
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     assert deployment.submit(owner, JOB) == result.Success(None)
     assert _rows.RowKey('jobs', 'pool', JOB) in deployment.table.rows
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
     assert owner.show(JOB) == result.Success(_work.JobState.RUNNING)
     for worker in deployment.fleet.workers.values():
         for task in list(worker.active):
             worker.end(task, _work.EndKind.DONE)
     completed = result.Success(_work.JobState.COMPLETED)
-    wait_until(lambda: owner.show(JOB) == completed)
+    owners.wait_until(lambda: owner.show(JOB) == completed)
     # A successor loads the same state from the store.
     later = deployment.start_owner()
-    wait_until(lambda: later.is_ready)
+    owners.wait_until(lambda: later.is_ready)
     assert later.show(JOB) == completed
     assert _rows.RowKey('jobs', 'pool', JOB) not in deployment.table.rows
 
@@ -155,7 +58,7 @@
 def test_a_job_with_a_time_out_of_range_is_invalid(deployment):
     """Guards against a caller that is told of an internal error instead."""
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     step = {'task_count': 1, 'estimate_ms': 500}
     body = {'steps': [step], 'repeat_count': 1, 'first_run_ms': 1e300}
     refused = deployment.submit(owner, JOB, json.dumps(body).encode())
@@ -164,25 +67,25 @@
 
 def test_the_same_job_twice_at_once_is_one_job(deployment):
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     threads = [_loop.spawn(deployment.submit, owner, JOB) for _ in range(3)]
     assert [thread.wait() for thread in threads] == [result.Success(None)] * 3
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
     _loop.sleep(0.2)
     assert len(deployment.list_starts(JOB)) == 2
 
 
 def test_a_cancelled_job_is_stopped_and_stays_cancelled(deployment):
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.submit(owner, JOB)
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
     cancelled = result.Success(_work.JobState.CANCELLED)
     assert owner.cancel(JOB) == cancelled
     workers = deployment.fleet.workers.values()
-    wait_until(lambda: not any(worker.active for worker in workers))
+    owners.wait_until(lambda: not any(worker.active for worker in workers))
     later = deployment.start_owner()
-    wait_until(lambda: later.is_ready)
+    owners.wait_until(lambda: later.is_ready)
     assert later.show(JOB) == cancelled
 
 
@@ -193,7 +96,7 @@
     after the submission has timed out.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.table.is_down = True
     # The first job is in the transaction in progress, the second is queued
     # for the next one.
@@ -215,11 +118,11 @@
     job continued to run.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     assert owner.cancel(JOB).failure().kind is ErrorKind.NOT_FOUND
     deployment.submit(owner, OTHER)
     deployment.table.is_down = True
-    wait_until(lambda: not owner.ledger.holds_term())
+    owners.wait_until(lambda: not owner.ledger.holds_term())
     for ask in (owner.show, owner.cancel):
         assert ask(JOB).failure().kind is ErrorKind.LEASE_LOST
     # The owner still shows the jobs that it has accepted itself.
@@ -230,9 +133,9 @@
 def test_an_owner_without_the_store_refuses_jobs_at_once(deployment):
     """Guards against holding callers until their deadline in an outage."""
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.table.is_down = True
-    wait_until(lambda: not owner.ledger.holds_term())
+    owners.wait_until(lambda: not owner.ledger.holds_term())
     with _loop.Timeout(0.2):
         refused = deployment.submit(owner, JOB)
     assert refused.failure().kind is ErrorKind.LEASE_LOST
@@ -249,12 +152,12 @@
     that they may hold leases, and would have started their tasks at once.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.submit(owner, JOB)
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
     names = ('gone', 'w', 'x')
     second = deployment.start_owner(names)
-    wait_until(lambda: second.is_ready)
+    owners.wait_until(lambda: second.is_ready)
     _loop.sleep(0.6)
     written = [
         set(_records.decode_term(row.value).workers)
@@ -271,9 +174,9 @@
     loaded job must wait, while those of a job accepted later start.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.submit(owner, JOB)
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
     holder = next(
         name
         for name, worker in deployment.fleet.workers.items()
@@ -281,9 +184,9 @@
     )
     deployment.fleet.unresponsive.add(holder)
     second = deployment.start_owner(('w', 'x'))
-    wait_until(lambda: second.is_ready)
+    owners.wait_until(lambda: second.is_ready)
     assert deployment.submit(second, OTHER) == result.Success(None)
-    wait_until(lambda: len(deployment.list_starts(OTHER)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(OTHER)) == 2)
     assert len(deployment.list_starts(JOB)) == 2
 
 
@@ -296,24 +199,26 @@
     that were accepted long after the last contact with the worker.
     """
     owner = deployment.start_owner(('gone',), 1)
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     second = deployment.start_owner(('gone',), 1)
-    wait_until(lambda: second.is_ready)
+    owners.wait_until(lambda: second.is_ready)
     deployment.fleet.refuses_starts = True
     assert deployment.submit(second, JOB) == result.Success(None)
     third = deployment.start_owner(('gone',), 1)
-    wait_until(lambda: third.is_ready)
+    owners.wait_until(lambda: third.is_ready)
     assert third.pool_state.jobs[JOB].blocked_until == pools.seconds(0)
     expires_at = _sessions.compute_lease_expiry(deployment.clock.monotonic())
     fourth = deployment.start_owner(('gone',), 2)
-    wait_until(lambda: fourth.is_ready and JOB in fourth.pool_state.jobs)
-    wait_until(lambda: fourth.pool_state.jobs[JOB].blocked_until)
+    owners.wait_until(
+        lambda: fourth.is_ready and JOB in fourth.pool_state.jobs
+    )
+    owners.wait_until(lambda: fourth.pool_state.jobs[JOB].blocked_until)
     assert fourth.pool_state.jobs[JOB].blocked_until >= expires_at
 
 
 def test_the_lease_time_of_an_unreachable_worker_decreases(deployment):
     owner = deployment.start_owner(('gone',), 1)
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     (first,) = owner.list_unreachable()
     _loop.sleep(0.2)
     (later,) = owner.list_unreachable()
@@ -327,12 +232,12 @@
     A new owner dropped stored jobs whose queue is no longer configured.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.fleet.unresponsive.update('wx')
     deployment.submit(owner, JOB)
     deployment.queue = pools.make_queue('another')
     later = deployment.start_owner()
-    wait_until(lambda: later.is_ready)
+    owners.wait_until(lambda: later.is_ready)
     job = later.pool_state.jobs[JOB]
     expected = pools.make_queue()
     assert job.queue.attempt_limit == expected.attempt_limit
@@ -347,7 +252,7 @@
     the arrival rate caused moves of 25 instances between pools.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.table.is_down = True
     threads = []
     for number in range(5):
@@ -368,23 +273,27 @@
     reported its runs by then.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.fleet.unresponsive.update('wx')
     _loop.sleep(0.5)
     deployment.submit(owner, JOB)
     deployment.fleet.unresponsive.discard('w')
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
     deployment.fleet.unresponsive.add('w')
     second = deployment.start_owner(('w',))
     deployment.fleet.unresponsive.discard('x')
-    wait_until(lambda: second.is_ready)
+    owners.wait_until(lambda: second.is_ready)
     _loop.sleep(1)
     (group,) = second.pool_state.jobs[JOB].groups.values()
     assert all(task.blocked_until for task in group.tasks)
     deployment.fleet.unresponsive.clear()
-    wait_until(lambda: not any(task.blocked_until for task in group.tasks))
+    owners.wait_until(
+        lambda: not any(task.blocked_until for task in group.tasks)
+    )
     # The tasks still run where they were started.
-    wait_until(lambda: all(task.run is not None for task in group.tasks))
+    owners.wait_until(
+        lambda: all(task.run is not None for task in group.tasks)
+    )
     assert len(deployment.list_starts(JOB)) == 2
 
 
@@ -403,9 +312,9 @@
     lease expired, and tasks were started by the time alone.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.submit(owner, JOB)
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
     holder = find_active(deployment)
     deployment.fleet.unresponsive.add(holder.record.id)
     for task in list(holder.active):
@@ -421,21 +330,21 @@
     deployment.fleet.renew_leases = renew_late
     deployment.fleet.unresponsive.clear()
     completed = result.Success(_work.JobState.COMPLETED)
-    wait_until(lambda: second.is_ready)
-    wait_until(lambda: second.show(JOB) == completed, limit=4)
+    owners.wait_until(lambda: second.is_ready)
+    owners.wait_until(lambda: second.show(JOB) == completed, limit=4)
     assert len(deployment.list_starts(JOB)) == 2
 
 
 def test_tasks_of_a_worker_start_after_a_call_without_an_answer(deployment):
     """Guards against tasks that wait for a worker that never answers."""
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.submit(owner, JOB)
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
     deployment.fleet.unresponsive.add(find_active(deployment).record.id)
     second = deployment.start_owner(('w', 'x'), lease_time=pools.seconds(0.7))
-    wait_until(lambda: second.is_ready)
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 4, limit=4)
+    owners.wait_until(lambda: second.is_ready)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 4, limit=4)
 
 
 def test_a_worker_is_named_until_the_ends_of_its_runs_are_stored(deployment):
@@ -445,9 +354,9 @@
     transaction with its ends was still to come.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.submit(owner, JOB)
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
     holder = find_active(deployment)
     id_ = holder.record.id
     worker_state = owner.pool_state.worker_states[id_]
@@ -455,12 +364,12 @@
     deployment.listed[id_] = holder.record._replace(is_draining=True)
     for task in list(holder.active):
         holder.end(task, _work.EndKind.DONE)
-    wait_until(
+    owners.wait_until(
         lambda: worker_state.record.is_draining and not worker_state.runs
     )
     assert id_ in owner.list_lease_holders()
     deployment.table.is_down = False
-    wait_until(lambda: id_ not in owner.list_lease_holders())
+    owners.wait_until(lambda: id_ not in owner.list_lease_holders())
 
 
 def test_a_worker_that_is_listed_late_blocks_no_task(deployment):
@@ -469,16 +378,16 @@
     A worker that is listed 50 ms after the takeover is still waited for.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.submit(owner, JOB)
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
     listed = deployment.listed
     deployment.listed = {}
     second = deployment.start_owner(('w', 'x'))
-    wait_until(lambda: second.is_ready)
+    owners.wait_until(lambda: second.is_ready)
     _loop.sleep(0.05)
     deployment.listed = listed
-    wait_until(lambda: second.pool_state.jobs[JOB].groups)
+    owners.wait_until(lambda: second.pool_state.jobs[JOB].groups)
     _loop.sleep(0.4)
     assert not second.pool_state.jobs[JOB].blocked_until
 
@@ -491,12 +400,14 @@
     All jobs waited half a second for reports that could not come.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.fleet.unresponsive.add('w')
     second = deployment.start_owner(('w', 'x'))
-    wait_until(lambda: second.is_ready)
+    owners.wait_until(lambda: second.is_ready)
     assert deployment.submit(second, JOB) == result.Success(None)
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2, limit=0.35)
+    owners.wait_until(
+        lambda: len(deployment.list_starts(JOB)) == 2, limit=0.35
+    )
 
 
 def test_a_worker_that_leaves_after_its_report_blocks_no_task(deployment):
@@ -506,17 +417,19 @@
     that had reported all their runs left the pool.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     deployment.submit(owner, JOB)
-    wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
     holder = find_active(deployment)
     second = deployment.start_owner(('w', 'x'))
     worker_states = second.pool_state.worker_states
-    wait_until(lambda: second.is_ready and len(worker_states) == 2)
-    wait_until(lambda: all(x.has_reported for x in worker_states.values()))
+    owners.wait_until(lambda: second.is_ready and len(worker_states) == 2)
+    owners.wait_until(
+        lambda: all(x.has_reported for x in worker_states.values())
+    )
     _loop.sleep(0.6)
     deployment.listed = {holder.record.id: holder.record}
-    wait_until(lambda: len(worker_states) == 1)
+    owners.wait_until(lambda: len(worker_states) == 1)
     _loop.sleep(0.3)
     assert not second.list_unreachable()
     assert not second.pool_state.jobs[JOB].awaits_reports
@@ -529,12 +442,14 @@
     Only the tasks that the lost worker ran may be blocked.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     for job in (JOB, OTHER):
         deployment.submit(owner, job, SPREAD)
-        wait_until(lambda job=job: len(deployment.list_starts(job)) == 2)
+        owners.wait_until(
+            lambda job=job: len(deployment.list_starts(job)) == 2
+        )
     second = deployment.start_owner(('w', 'x'))
-    wait_until(
+    owners.wait_until(
         lambda: second.is_ready and second.pool_state.worker_states['x'].runs
     )
     _loop.sleep(0.6)
@@ -543,7 +458,9 @@
     deployment.listed = {
         id_: record for id_, record in deployment.listed.items() if id_ == 'w'
     }
-    wait_until(lambda: 'x' not in second.pool_state.worker_states, limit=4)
+    owners.wait_until(
+        lambda: 'x' not in second.pool_state.worker_states, limit=4
+    )
     _loop.sleep(0.3)
     blocked = {
         task.id
@@ -563,7 +480,7 @@
     Guards against renewals and answers that wait for plan after plan.
     """
     owner = deployment.start_owner()
-    wait_until(lambda: owner.is_ready)
+    owners.wait_until(lambda: owner.is_ready)
     durations = []
     stop_plans = []
 
