Let only the reports of a worker say which runs a restart has ended

Cause: two parts of an owner noticed the restart at different times. The session took the first report of the new incarnation for one of the former, dropped the former runs and started the tasks again there; up to 0.4 s later the roster read the new entry and took it for a restart that had ended all runs, also the new ones.

Ruled out for this case: lost ends (no second run followed an end), a lease that lasted too long (the worker answered all the while), a second owner (one holder in the log). The log could not tell: `worker restarted` and `other incarnation or address of a worker listed` now name the start times in the report and in the entry.

Change: the session notes the start time of each report. An entry that differs from it, or names another address, frees nothing: the session asks the worker, and nothing starts there before the answer. Runs are removed as ever when a report lacks them or their leases expire. This covers odd entries as well.

Tests: tests/test_worker_restarts.py.

--- a/skylarktally/scheduling/_roster.py
+++ b/skylarktally/scheduling/_roster.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import datetime
+import logging
 from typing import NamedTuple
 
 from skylarktally import _clock
@@ -13,6 +14,8 @@
 from skylarktally.scheduling import _states
 from skylarktally.scheduling import _work
 
+_LOG = logging.getLogger(__name__)
+
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 # A worker that is missing from the list for this long is removed.
 _MISSING_TIMEOUT = datetime.timedelta(seconds=2.5)
@@ -103,17 +106,10 @@
         for id_, record in workers.items():
             self._missing_since.pop(id_, None)
             worker_state = self._pool_state.worker_states.get(id_)
-            if worker_state is not None and _is_other_incarnation(
-                worker_state.record, record
-            ):
-                # The worker was restarted: its former runs have ended.
-                self._remove(id_, now)
-                worker_state = None
             if worker_state is None:
                 self._add(record)
             elif worker_state.record != record:
-                worker_state.record = record
-                worker_state.set_aside_reason = ''
+                self._update(worker_state, record)
         for id_ in list(self._pool_state.worker_states):
             if id_ not in workers:
                 self._note_missing(id_, now)
@@ -131,6 +127,35 @@
         self._sessions[record.id] = session
         _loop.spawn_logging_errors(session.run)
 
+    def _update(
+        self, worker_state: _states.WorkerState, record: _work.WorkerRecord
+    ) -> None:
+        """Replace the record of a worker.
+
+        Its entry lags behind its reports, so that it never shows which runs
+        have ended: only a report does.
+        """
+        former, worker_state.record = worker_state.record, record
+        worker_state.set_aside_reason = ''
+        is_restarted = record.started_ms not in (
+            former.started_ms,
+            worker_state.reported_start_ms,
+        )
+        if is_restarted or record.address != former.address:
+            # What the worker has reported stays known.
+            self._drop_resolved_leases()
+            self._sessions[record.id].await_report()
+            _LOG.info(
+                'other incarnation or address of a worker listed',
+                extra={
+                    'worker': record.id,
+                    'former_start_ms': former.started_ms,
+                    'start_ms': record.started_ms,
+                    'reported_start_ms': worker_state.reported_start_ms,
+                    'runs': len(worker_state.runs),
+                },
+            )
+
     def _note_missing(self, id_: str, now: datetime.timedelta) -> None:
         since = self._missing_since.setdefault(id_, now)
         worker_state = self._pool_state.worker_states[id_]
@@ -187,7 +212,7 @@
         leases = self.list_unreported()
         for id_, worker_state in self._pool_state.worker_states.items():
             if (
-                worker_state.has_reported
+                worker_state.reported_start_ms is not None
                 and worker_state.is_unresponsive
                 and worker_state.has_open_runs
             ):
@@ -235,12 +260,3 @@
             if worker_state is not None and not worker_state.is_persisted:
                 worker_state.is_persisted = True
                 self._host.request_planning()
-
-
-def _is_other_incarnation(
-    known: _work.WorkerRecord, record: _work.WorkerRecord
-) -> bool:
-    return (known.started_ms, known.address) != (
-        record.started_ms,
-        record.address,
-    )
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -111,6 +111,15 @@
         """Wake the session if it is idle, so that it requests a report."""
         self._signal.set()
 
+    def await_report(self) -> None:
+        """Start nothing before the next report, and request it.
+
+        For a worker whose entry shows another incarnation or address. Its
+        former runs stay registered until it reports without them.
+        """
+        self.worker_state.has_reported = False
+        self._signal.set()
+
     def end(self) -> None:
         """Stop the session."""
         self.is_over = True
@@ -215,12 +224,37 @@
         answer = outcome.unwrap()
         if isinstance(answer, _work.WorkerReport):
             self._mark_responsive()
+            if answer.started_ms != self.worker_state.reported_start_ms:
+                self._note_incarnation(answer.started_ms)
             self._apply_report(answer, sent_at)
             return True
         self.last_failure_at = sent_at
         self._handle_rejection(answer)
         return False
 
+    def _note_incarnation(self, started_ms: int) -> None:
+        """Note which incarnation of the worker has sent a report."""
+        worker_state = self.worker_state
+        former, worker_state.reported_start_ms = (
+            worker_state.reported_start_ms,
+            started_ms,
+        )
+        if former is None:
+            return
+        _LOG.info(
+            'worker restarted',
+            extra={
+                'worker': worker_state.record.id,
+                'former_start_ms': former,
+                'start_ms': started_ms,
+                'listed_start_ms': worker_state.record.started_ms,
+                'runs': len(worker_state.runs),
+            },
+        )
+        self._acknowledged = 0
+        worker_state.failures = 0
+        worker_state.backoff_until = datetime.timedelta()
+
     def _mark_unresponsive(self, failure: _errors.Failure) -> None:
         if self.worker_state.is_unresponsive:
             return
--- a/skylarktally/scheduling/_states.py
+++ b/skylarktally/scheduling/_states.py
@@ -224,8 +224,12 @@
     unwanted_runs: int = 0
     # Runs leave the worker, since its instance will be maintained or moved.
     is_evacuating: bool = False
-    # Whether a report has been received in the current term.
+    # Whether a report has been received in the current term, and since its
+    # entry showed another incarnation.
     has_reported: bool = False
+    # Start of the incarnation that sent the last report, in milliseconds since
+    # the epoch; its entry may show it later. None before the first report.
+    reported_start_ms: int | None = None
     # Whether the last request to the worker got no response.
     is_unresponsive: bool = False
     # Whether it has reported ends of runs whose effect is not stored. Until
--- /dev/null
+++ b/tests/test_worker_restarts.py
@@ -0,0 +1,165 @@
+"""Tests a worker that starts again under its id, with all who rely on it."""
+
+import json
+
+import pytest
+
+from skylarktally import _loop
+from tests import owners
+
+JOB = '5c0e7a21d94b36f8'
+# Tasks of 9 s, which run for as long as a test.
+LONG = json.dumps(
+    {'task_spec': 's', 'steps': [{'task_count': 2, 'estimate_ms': 9000}]}
+).encode()
+GANG = json.dumps(
+    {'steps': [{'task_count': 2, 'estimate_ms': 9000, 'gang': True}]}
+).encode()
+
+
+@pytest.fixture
+def deployment():
+    deployment = owners.Deployment()
+    # A pool of one worker: tasks start again there until another is listed.
+    del deployment.listed['x']
+    yield deployment
+    for owner in deployment.owners:
+        owner.ledger.end()
+    _loop.sleep(0)
+
+
+def start_job(deployment, body=LONG):
+    """Start a job, and return its owner and its worker."""
+    owner = deployment.start_owner()
+    owners.wait_until(lambda: owner.is_ready)
+    deployment.submit(owner, JOB, body)
+    owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
+    return owner, deployment.fleet.workers['w']
+
+
+def restart(deployment, worker, is_listed=False, **fields):
+    """Start a worker again; its entry shows that only if it is listed."""
+    record = worker.record._replace(started_ms=2, **fields)
+    again = deployment.fleet.add(record)
+    if is_listed:
+        deployment.listed[record.id] = record
+    return again
+
+
+def add_worker(deployment, owner):
+    """List a second worker, and wait until it could take tasks."""
+    deployment.listed['x'] = deployment.fleet.workers['x'].record
+    worker_states = owner.pool_state.worker_states
+    owners.wait_until(
+        lambda: 'x' in worker_states and worker_states['x'].is_schedulable
+    )
+
+
+def find_active(deployment):
+    """Return the active runs of all workers: worker, task and number."""
+    return {
+        (id_, task, run.number)
+        for id_, worker in deployment.fleet.workers.items()
+        for task, run in worker.active.items()
+    }
+
+
+def wait_for_runs(deployment, starts=2):
+    """Wait until two tasks run that workers in their present life started."""
+    owners.wait_until(lambda: len(find_active(deployment)) == starts, limit=4)
+    return find_active(deployment)
+
+
+@pytest.mark.parametrize('body', [LONG, GANG])
+def test_an_entry_that_lags_behind_a_restart_frees_no_run(deployment, body):
+    """Guards against a second run of a task that is active (TWICE).
+
+    review/3: the owner reached the new life of a worker and started tasks
+    there; the new entry, read later, made it take them for ended.
+    """
+    owner, holder = start_job(deployment, body)
+    id_ = holder.record.id
+    again = restart(deployment, holder)
+    before = wait_for_runs(deployment)
+    add_worker(deployment, owner)
+    deployment.listed[id_] = again.record
+    _loop.sleep(0.6)
+    assert find_active(deployment) == before
+    assert owner.pool_state.worker_states[id_].record == again.record
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'started_ms': 0},
+        {'started_ms': 7},
+        {'is_draining': False, 'rack': 'r'},
+    ],
+)
+def test_an_entry_that_the_worker_does_not_confirm_frees_no_run(
+    deployment, fields
+):
+    """Guards against a second run after an odd entry of a worker (TWICE)."""
+    owner, holder = start_job(deployment)
+    before = find_active(deployment)
+    add_worker(deployment, owner)
+    id_ = holder.record.id
+    deployment.listed[id_] = holder.record._replace(**fields)
+    _loop.sleep(0.6)
+    assert find_active(deployment) == before
+    assert owner.pool_state.worker_states[id_].has_reported
+
+
+def test_runs_of_a_restarted_worker_start_again_before_its_entry(deployment):
+    """Guards against tasks that wait although their worker has restarted."""
+    _, holder = start_job(deployment)
+    restart(deployment, holder)
+    wait_for_runs(deployment)
+    assert len(deployment.list_starts(JOB)) == 2
+
+
+def test_an_entry_at_another_address_shows_a_restart(deployment):
+    """Guards against orders to the address of the former life."""
+    owner, holder = start_job(deployment)
+    again = restart(deployment, holder, is_listed=True, address='new:80')
+    wait_for_runs(deployment)
+    id_ = holder.record.id
+    assert owner.pool_state.worker_states[id_].record.address == 'new:80'
+    assert (
+        owner.pool_state.worker_states[id_].reported_start_ms
+        == again.record.started_ms
+    )
+
+
+def test_a_successor_adopts_the_runs_of_a_restarted_worker(deployment):
+    """Guards against a successor that trusts the entry of the former life."""
+    _, holder = start_job(deployment)
+    again = restart(deployment, holder)
+    before = wait_for_runs(deployment)
+    second = deployment.start_owner(('w',))
+    owners.wait_until(lambda: second.is_ready)
+    add_worker(deployment, second)
+    deployment.listed[holder.record.id] = again.record
+    _loop.sleep(0.6)
+    assert find_active(deployment) == before
+
+
+def test_a_cancelled_job_ends_on_a_restarted_worker(deployment):
+    """Guards against runs of the new life that nobody stops (UNASKED)."""
+    owner, holder = start_job(deployment)
+    again = restart(deployment, holder)
+    wait_for_runs(deployment)
+    deployment.listed[holder.record.id] = again.record
+    owner.cancel(JOB)
+    owners.wait_until(lambda: not find_active(deployment))
+
+
+def test_an_evacuated_worker_is_not_given_away_before_its_report(deployment):
+    """Guards against a move or an upkeep that ends runs of the new life."""
+    owner, holder = start_job(deployment)
+    id_ = holder.record.id
+    worker_state = owner.pool_state.worker_states[id_]
+    deployment.fleet.unresponsive.add(id_)
+    restart(deployment, holder, is_listed=True)
+    owners.wait_until(lambda: not worker_state.has_reported)
+    assert not owner.vacate(id_)
