Acknowledge ends only to the incarnation that has just reported

What callers could see: a task that was done ran again (TWICE).

Cause: ends are numbered anew after a restart. An idle session keeps the last number of the former incarnation, and its next request made the new one forget ends up to that number which nobody had read. The next report lacked the run, which was started again.

Tests, both failed before: test_ends_of_a_new_life_are_not_acknowledged_unseen (the task is not done) and test_an_order_to_renew_names_no_end_of_an_unknown_life (numbers 0, 1, 1, 1 instead of 0, 1, 0, 1).

--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -205,7 +205,7 @@
         )
         order = _orders.RenewOrder(
             until,
-            self._acknowledged,
+            self._acknowledged if self._is_report_recent() else 0,
             self._choose_report_wait(),
             _LONG_ANSWER_TIME
             if self.worker_state.is_unresponsive
@@ -232,6 +232,17 @@
         self._handle_rejection(answer)
         return False
 
+    def _is_report_recent(self) -> bool:
+        """Tell whether ends can be acknowledged.
+
+        Numbers of ends count anew in each incarnation. A worker that has
+        restarted since its last report would forget ends that it has not
+        reported.
+        """
+        if self._reported_at is None:
+            return False
+        return self._clock.monotonic() - self._reported_at <= _ANSWER_TIME
+
     def _note_incarnation(self, started_ms: int) -> None:
         """Note which incarnation of the worker has sent a report."""
         worker_state = self.worker_state
--- a/tests/test_worker_restarts.py
+++ b/tests/test_worker_restarts.py
@@ -5,8 +5,13 @@
 import pytest
 
 from skylarktally import _loop
+from skylarktally.scheduling import _orders
+from skylarktally.scheduling import _work
 from tests import owners
+from tests import pools
+from tests import test_sessions
 
+EndKind = _work.EndKind
 JOB = '5c0e7a21d94b36f8'
 # Tasks of 9 s, which run for as long as a test.
 LONG = json.dumps(
@@ -28,6 +33,25 @@
     _loop.sleep(0)
 
 
+@pytest.fixture
+def clock():
+    return pools.ManualClock()
+
+
+@pytest.fixture
+def fleet(clock):
+    fleet = test_sessions.leased_workers.WorkerFleet(clock)
+    fleet.add(pools.make_worker('w'))
+    return fleet
+
+
+@pytest.fixture
+def pool(fleet, clock):
+    pool = test_sessions.Pool(fleet, clock)
+    pool.exchange_all()
+    return pool
+
+
 def start_job(deployment, body=LONG):
     """Start a job, and return its owner and its worker."""
     owner = deployment.start_owner()
@@ -163,3 +187,50 @@
     restart(deployment, holder, is_listed=True)
     owners.wait_until(lambda: not worker_state.has_reported)
     assert not owner.vacate(id_)
+
+
+def test_ends_of_a_new_life_are_not_acknowledged_unseen(pool, fleet, clock):
+    """Guards against a start after an end that nobody has read (TWICE).
+
+    Ends are numbered anew. The first request to an idle worker that had
+    restarted acknowledged ends up to the last number of its former life.
+    """
+    (first,) = pool.add('a', pools.make_step(1))
+    pool.start()
+    fleet.workers['w'].end(first.id, EndKind.DONE)
+    pool.exchange_all()
+    clock.advance(5)
+    pool.ledger.commit()
+    fleet.add(pools.make_worker('w', started_ms=2))
+    (task,) = pool.add('b', pools.make_step(1))
+    pool.start()
+    fleet.workers['w'].end(task.id, EndKind.DONE)
+    pool.exchange_all()
+    assert task.is_done
+    pool.exchange_all()
+    assert fleet.workers['w'].ended == []
+
+
+def test_an_order_to_renew_names_no_end_of_an_unknown_life(pool, fleet, clock):
+    """Guards against acknowledging after a failed request (TWICE)."""
+    orders = []
+    renew = fleet.renew_leases
+
+    def record(worker, token, order):
+        orders.append(order)
+        return renew(worker, token, order)
+
+    fleet.renew_leases = record
+    (task,) = pool.add('a', pools.make_step(1))
+    pool.start()
+    fleet.workers['w'].end(task.id, EndKind.DONE)
+    pool.exchange_all()
+    fleet.unresponsive.add('w')
+    pool.exchange_all()
+    clock.advance(1.2)
+    pool.ledger.commit()
+    fleet.unresponsive.clear()
+    pool.exchange_all()
+    pool.exchange_all()
+    assert isinstance(orders[0], _orders.RenewOrder)
+    assert [order.acknowledged for order in orders] == [0, 1, 0, 1]
