Count leases that end by the clock of a former incarnation in full

What callers could see: a task that ran twice at once (TWICE) when a worker restarted unnoticed, got work and then fell silent.

Cause: the end of a lease is named by the worker's clock, which starts anew. By the former clock it lies far ahead, so that the worker grants the longest lease it allows, 10 s instead of 6 s. The owner, and after it a successor, started the tasks elsewhere after 6.6 s.

Change: when a report shows a restart, and a start or the request itself named an end by the former clock, the session counts 10 s, and the term row names the worker with that time for a successor.

Tests: test_a_lease_by_the_clock_of_a_former_life_has_expired_in_time and test_a_successor_awaits_the_longer_lease_of_a_restarted_worker; both failed before for want of the longer time (AttributeError, and no such lease).

--- a/skylarktally/scheduling/_roster.py
+++ b/skylarktally/scheduling/_roster.py
@@ -208,15 +208,19 @@
         return tuple(holders)
 
     def list_unreachable(self) -> tuple[_records.UnreachableWorker, ...]:
-        """Return the possible lease holders that cannot be reached."""
+        """Return the possible lease holders whose leases a successor awaits.
+
+        They cannot be reached, or have restarted and hold a longer lease than
+        the successor would assume.
+        """
         leases = self.list_unreported()
         for id_, worker_state in self._pool_state.worker_states.items():
-            if (
-                worker_state.reported_start_ms is not None
-                and worker_state.is_unresponsive
-                and worker_state.has_open_runs
-            ):
-                expires_at = self._sessions[id_].leases_expire_at
+            has_reported = worker_state.reported_start_ms is not None
+            if not has_reported or not worker_state.has_open_runs:
+                continue
+            session = self._sessions[id_]
+            if worker_state.is_unresponsive or session.has_overlong_lease():
+                expires_at = session.leases_expire_at
                 leases[id_] = self._make_unresolved_lease(expires_at)
         now = self._clock.monotonic()
         return tuple(
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -29,6 +29,8 @@
 # Long enough for runs to survive the failure of an owner until its successor
 # renews their leases.
 LEASE_DURATION = datetime.timedelta(seconds=6)
+# Workers shorten longer leases to this.
+_LONGEST_LEASE = datetime.timedelta(seconds=10)
 # A worker's clock may run slow by up to this fraction.
 _CLOCK_DRIFT = 0.02
 _EXPIRY_MARGIN = datetime.timedelta(seconds=0.5)
@@ -50,12 +52,15 @@
 _MAX_AVOIDANCE = datetime.timedelta(seconds=8)
 
 
-def compute_lease_expiry(sent_at: datetime.timedelta) -> datetime.timedelta:
+def compute_lease_expiry(
+    sent_at: datetime.timedelta,
+    duration: datetime.timedelta = LEASE_DURATION,
+) -> datetime.timedelta:
     """Return when a lease sent at that time has certainly expired.
 
     Includes the clock drift of the worker and a margin.
     """
-    return sent_at + LEASE_DURATION / (1 - _CLOCK_DRIFT) + _EXPIRY_MARGIN
+    return sent_at + duration / (1 - _CLOCK_DRIFT) + _EXPIRY_MARGIN
 
 
 class Host(Protocol):
@@ -97,6 +102,8 @@
         self._lost_reports = 0
         # When the last report arrived.
         self._reported_at: datetime.timedelta | None = None
+        # When the last start was sent.
+        self._start_sent_at: datetime.timedelta | None = None
         # Last clock value reported by the worker, and when it arrived.
         self._clock_reading: (
             tuple[datetime.timedelta, datetime.timedelta] | None
@@ -120,6 +127,11 @@
         self.worker_state.has_reported = False
         self._signal.set()
 
+    def has_overlong_lease(self) -> bool:
+        """Tell whether a lease may last longer than ``LEASE_DURATION``."""
+        now = self._clock.monotonic()
+        return self.leases_expire_at > compute_lease_expiry(now)
+
     def end(self) -> None:
         """Stop the session."""
         self.is_over = True
@@ -225,7 +237,7 @@
         if isinstance(answer, _work.WorkerReport):
             self._mark_responsive()
             if answer.started_ms != self.worker_state.reported_start_ms:
-                self._note_incarnation(answer.started_ms)
+                self._note_incarnation(answer.started_ms, until is not None)
             self._apply_report(answer, sent_at)
             return True
         self.last_failure_at = sent_at
@@ -243,8 +255,11 @@
             return False
         return self._clock.monotonic() - self._reported_at <= _ANSWER_TIME
 
-    def _note_incarnation(self, started_ms: int) -> None:
-        """Note which incarnation of the worker has sent a report."""
+    def _note_incarnation(self, started_ms: int, has_renewed: bool) -> None:
+        """Note which incarnation of the worker has sent a report.
+
+        :param has_renewed: whether the request for it has renewed the leases
+        """
         worker_state = self.worker_state
         former, worker_state.reported_start_ms = (
             worker_state.reported_start_ms,
@@ -265,6 +280,17 @@
         self._acknowledged = 0
         worker_state.failures = 0
         worker_state.backoff_until = datetime.timedelta()
+        if has_renewed or self._has_sent_starts():
+            # The lease that it got ends by the clock of the former one.
+            now = self._clock.monotonic()
+            expires_at = compute_lease_expiry(now, _LONGEST_LEASE)
+            self.leases_expire_at = max(self.leases_expire_at, expires_at)
+
+    def _has_sent_starts(self) -> bool:
+        """Tell whether a start was sent since the last report."""
+        if self._start_sent_at is None or self._reported_at is None:
+            return False
+        return self._start_sent_at >= self._reported_at
 
     def _mark_unresponsive(self, failure: _errors.Failure) -> None:
         if self.worker_state.is_unresponsive:
@@ -409,6 +435,7 @@
         task = run.task
         group = task.group
         now = self._clock.monotonic()
+        self._start_sent_at = now
         order = _orders.StartOrder(
             task.id,
             run.number,
--- a/tests/test_worker_restarts.py
+++ b/tests/test_worker_restarts.py
@@ -6,6 +6,7 @@
 
 from skylarktally import _loop
 from skylarktally.scheduling import _orders
+from skylarktally.scheduling import _sessions
 from skylarktally.scheduling import _work
 from tests import owners
 from tests import pools
@@ -211,6 +212,45 @@
     assert fleet.workers['w'].ended == []
 
 
+@pytest.mark.parametrize('order', ['start', 'renewal'])
+def test_a_lease_by_the_clock_of_a_former_life_has_expired_in_time(
+    pool, fleet, clock, order
+):
+    """Guards against a task started elsewhere under a longer lease (TWICE).
+
+    The clock of a new life starts at 0, so that a lease that ends by the
+    former clock lasts for as long as the worker allows.
+    """
+    clock.advance(100)
+    pool.ledger.commit()
+    pool.exchange_all()
+    worker = fleet.add(pools.make_worker('w', started_ms=2))
+    if order == 'renewal':
+        pool.exchange_all()
+    pool.add('a', pools.make_step(1))
+    pool.start()
+    pool.exchange_all()
+    expires_at = pool.sessions['w'].leases_expire_at
+    assert pool.sessions['w'].has_overlong_lease()
+    clock.advance((expires_at - clock.monotonic()).total_seconds())
+    assert worker.read_clock() > worker.lease_expiry
+
+
+def test_a_successor_awaits_the_longer_lease_of_a_restarted_worker(deployment):
+    """Guards against a successor that counts on the usual lease (TWICE)."""
+    owner = deployment.start_owner()
+    owners.wait_until(lambda: owner.is_ready)
+    worker_states = owner.pool_state.worker_states
+    owners.wait_until(lambda: worker_states['w'].is_schedulable)
+    restart(deployment, deployment.fleet.workers['w'])
+    deployment.submit(owner, JOB, LONG)
+    wait_for_runs(deployment)
+    owners.wait_until(lambda: owner.list_unreachable())
+    (lease,) = owner.list_unreachable()
+    usual = _sessions.compute_lease_expiry(pools.seconds(0))
+    assert lease.remaining_ms > usual.total_seconds() * 1000
+
+
 def test_an_order_to_renew_names_no_end_of_an_unknown_life(pool, fleet, clock):
     """Guards against acknowledging after a failed request (TWICE)."""
     orders = []
