Take no run for ended that a worker may not have listed yet

Cause: a worker returns ended runs 500 at a time. A session, the reconciliation with a report and the takeover took each report for complete: a task that was neither active nor listed counted as not running.

Ruled out: tasks freed by time (they would all have started again, 6.6 s after the last order), lost progress of the former owner (the second runs are of tasks that ended after its death), acknowledging too much (the number is exactly 800 less 500). The log now has `report lists only a part of the ended runs` with the counts.

Change: a report says whether it is complete, by the limit that the adapter knows. An incomplete one removes no run for being missing, and does not count as heard: the successor keeps the tasks blocked, names the worker in its term row, starts nothing there and gives no instance away until the last part.

--- a/skylarktally/platform/_decoding.py
+++ b/skylarktally/platform/_decoding.py
@@ -50,6 +50,8 @@
 _MAX_WAVE_SECONDS = datetime.timedelta(days=366).total_seconds()
 # Entries in the answers of workers and of the advisor service.
 _MAX_RUNS = 100000
+# Ended runs that a worker lists in one report.
+_LISTED_ENDS = 500
 _MAX_TICKETS = 1000
 _MAX_CLOCK = datetime.timedelta(days=100 * 366)
 # Of runs: their numbers, percentages and loads.
@@ -373,6 +375,7 @@
         started_ms=_values.check_integer(data.get('born', 0), 'born'),
         active=tuple(_decode_active_run(row) for row in active),
         ended=tuple(_decode_ended_run(row) for row in ended),
+        is_complete=len(ended) < _LISTED_ENDS,
     )
 
 
--- a/skylarktally/scheduling/_reports.py
+++ b/skylarktally/scheduling/_reports.py
@@ -16,6 +16,9 @@
 ) -> list[_work.ActiveRun]:
     """Update the runs of a worker from its report.
 
+    A run that is missing has ended, unless its end may be among those that
+    the report does not list.
+
     :param sent_at: when the report was requested; runs that the worker
         accepted later may be missing from it
     :return: reported runs that are not needed and should be stopped
@@ -26,7 +29,7 @@
         if active is not None and active.number == run.number:
             _update_run(run, active, now)
             del unmatched[run.task.id]
-        elif run.answered_at is not None and run.answered_at < sent_at:
+        elif report.is_complete and _was_accepted_before(run, sent_at):
             pool_state.remove_run(run)
     unwanted = [
         active
@@ -37,6 +40,12 @@
     return unwanted
 
 
+def _was_accepted_before(
+    run: _states.Run, sent_at: datetime.timedelta
+) -> bool:
+    return run.answered_at is not None and run.answered_at < sent_at
+
+
 def _adopt(
     pool_state: _pool_state.PoolState,
     worker_state: _states.WorkerState,
--- a/skylarktally/scheduling/_sessions.py
+++ b/skylarktally/scheduling/_sessions.py
@@ -108,6 +108,8 @@
         self._clock_reading: (
             tuple[datetime.timedelta, datetime.timedelta] | None
         ) = None
+        # Whether the last report listed only a part of the ended runs.
+        self._is_report_partial = False
         self._signal = _signals.Signal()
 
     @property
@@ -364,15 +366,34 @@
         )
         for active in unwanted:
             _loop.spawn_logging_errors(self._stop_unneeded, active)
-        is_new = not self.worker_state.has_reported
-        self.worker_state.has_reported = True
-        if is_new:
-            self._request_recording()
+        self._note_completeness(report)
         if ended:
             self._host.request_planning()
         if ended:
             self._acknowledge(ended)
 
+    def _note_completeness(self, report: _work.WorkerReport) -> None:
+        """Note whether the runs of the worker are known.
+
+        Before, tasks that are neither active nor listed as ended may be done.
+        """
+        if report.is_complete:
+            if not self.worker_state.has_reported:
+                self._request_recording()
+            self.worker_state.has_reported = True
+        elif not self._is_report_partial:
+            _LOG.info(
+                'report lists only a part of the ended runs',
+                extra={
+                    'worker': self.worker_state.record.id,
+                    'listed': len(report.ended),
+                    'active': len(report.active),
+                    'runs': len(self.worker_state.runs),
+                    'has_reported': self.worker_state.has_reported,
+                },
+            )
+        self._is_report_partial = not report.is_complete
+
     def _acknowledge(self, ended: list[_work.EndedRun]) -> None:
         """Acknowledge ended runs once their effect is stored.
 
--- a/skylarktally/scheduling/_states.py
+++ b/skylarktally/scheduling/_states.py
@@ -224,8 +224,8 @@
     unwanted_runs: int = 0
     # Runs leave the worker, since its instance will be maintained or moved.
     is_evacuating: bool = False
-    # Whether a report has been received in the current term, and since its
-    # entry showed another incarnation.
+    # Whether a report with all ended runs has been received in the current
+    # term, and since its entry showed another incarnation.
     has_reported: bool = False
     # Start of the incarnation that sent the last report, in milliseconds since
     # the epoch; its entry may show it later. None before the first report.
--- a/skylarktally/scheduling/_work.py
+++ b/skylarktally/scheduling/_work.py
@@ -257,6 +257,9 @@
     started_ms: int
     active: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    # False if more runs may have ended than are listed. The others follow
+    # once these are acknowledged.
+    is_complete: bool = True
 
 
 class Wave(NamedTuple):
--- a/standins/leased_workers.py
+++ b/standins/leased_workers.py
@@ -22,6 +22,7 @@
 Rejection = _orders.Rejection
 
 _MAX_LEASE = datetime.timedelta(seconds=10)
+_LISTED_ENDS = 500
 _POLL_INTERVAL = datetime.timedelta(seconds=0.01)
 
 
@@ -137,6 +138,8 @@
     def report(self, acknowledged: int) -> _work.WorkerReport:
         """Return the active runs and the ended runs not yet acknowledged.
 
+        It lists the first ``_LISTED_ENDS`` ended runs.
+
         :param acknowledged: sequence number of the last ended run that the
             caller has received; runs up to it are discarded
         """
@@ -151,7 +154,8 @@
             self.read_clock(),
             self.record.started_ms,
             active,
-            tuple(self.ended),
+            tuple(self.ended[:_LISTED_ENDS]),
+            is_complete=len(self.ended) < _LISTED_ENDS,
         )
 
 
