Ask the former pools of a queue before a job is accepted

Cause: a job was taken to be in the pool that its queue uses now. `show` and `cancel` ask the other pools as well; `submit` did not, and no owner knew which pools a queue had used.

Ruled out: a former pool that has lost its jobs (it shows them), and an entry instance with the former configuration (all second runs are on workers of the new pool).

Change: the table service keeps the pools of each queue. An owner adds its pool before it accepts the first job of a queue, and asks the owners of the others, for 150 s, whether they know the job. The answer holds: an owner that was asked accepts nothing of the queue by an older configuration, and a write in progress counts as unknown. An owner accepts only jobs that its own configuration sends to its pool, so that two entry instances which read a change at different times do not accept one job twice. A former pool without an answer gives 502.

Cost: one more read for each takeover, one write for each queue and pool; no call for a queue that has not moved (tested).

--- a/skylarktally/entries/_dispatcher.py
+++ b/skylarktally/entries/_dispatcher.py
@@ -11,6 +11,7 @@
 from skylarktally.entries import _calls
 from skylarktally.entries import _claims
 from skylarktally.entries import _directory
+from skylarktally.entries import _former_pools
 from skylarktally.scheduling import _owner
 from skylarktally.scheduling import _work
 
@@ -82,6 +83,9 @@
         self._calls = calls
         self._reachability = reachability
         self._clock = clock
+        self._former_pools = _former_pools.FormerPools(
+            self._dispatch, directory
+        )
 
     def submit(
         self,
@@ -232,7 +236,7 @@
                 return _encode_state('')
             return _encode_failure(accepted.failure())
         shown = (
-            owner.show(call.job)
+            _former_pools.show(owner, call)
             if call.operation == 'show'
             else owner.cancel(call.job)
         )
@@ -243,23 +247,33 @@
     def _submit(
         self, owner: _owner.PoolOwner, call: _calls.JobCall
     ) -> result.Result[None, Failure]:
-        queue = self._find_queue(call.queue)
-        if queue is None:
-            message = (
-                f'queue {call.queue} is not yet known to this entry instance'
-            )
-            return result.Failure(Failure(ErrorKind.LEASE_LOST, message))
+        started_at = self._clock.monotonic()
         timeout = datetime.timedelta(milliseconds=call.timeout_ms)
+        configuration = self._directory.configuration
+        queue = configuration and configuration.find_queue(call.queue)
+        if not configuration or not queue or queue.pool != call.pool:
+            # One of both entry instances has not read the latest one.
+            message = f'no queue {call.queue} of pool {call.pool} is known'
+            return result.Failure(Failure(ErrorKind.LEASE_LOST, message))
+        if owner.is_known(call.job):
+            return result.Success(None)
+        accepted = self._former_pools.find_job(
+            owner, queue, configuration, call.job, timeout
+        )
+        if not isinstance(accepted, result.Success):
+            return result.Failure(accepted.failure())
+        if accepted.unwrap():
+            return result.Success(None)
+        remaining = timeout - (self._clock.monotonic() - started_at)
+        if remaining <= datetime.timedelta():
+            message = 'no time is left to store the job'
+            return result.Failure(Failure(ErrorKind.LEASE_LOST, message))
         return owner.submit(
-            _owner.Submission(call.job, queue, call.body, timeout)
+            _owner.Submission(
+                call.job, queue, call.body, remaining, configuration.version
+            )
         )
 
-    def _find_queue(self, name: str) -> _work.Queue | None:
-        configuration = self._directory.configuration
-        if configuration is None:
-            return None
-        return configuration.find_queue(name)
-
 
 def decode_reply(reply: _calls.JobReply) -> Reply:
     """Return the reply, or the failure that it stands for.
--- a/skylarktally/entry.thrift
+++ b/skylarktally/entry.thrift
@@ -5,10 +5,15 @@
   /** One of: submit, show, cancel, count. */
   1: string operation,
   2: string pool,
+  /** Name of the queue; its id in an inquiry of another pool. */
   3: string queue,
   /** Empty for count. */
   4: string job,
-  /** Request body of the caller, for submit. */
+  /**
+   * Request body of the caller, for submit. In a show, the version of the
+   * configuration by which another pool inquires; in a count, set if only the
+   * called pool is to be counted.
+   */
   5: binary body,
   6: i32 timeout_ms,
 }
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -22,6 +22,7 @@
 from skylarktally.scheduling import _pacing
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _pool_state
+from skylarktally.scheduling import _queue_pools
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _roster
 from skylarktally.scheduling import _rows
@@ -62,6 +63,8 @@
     body: bytes
     # How long the caller waits for the result.
     timeout: datetime.timedelta
+    # Version of the configuration that sends the queue to the pool.
+    version: int
 
 
 class PoolOwner:
@@ -94,6 +97,9 @@
         self._jobs = _job_store.JobStore(
             ledger, store, self.pool_state, clock, decode_job
         )
+        self.queue_registry = _queue_pools.QueueRegistry(
+            store, clock, ledger.shard
+        )
         self._roster = _roster.Roster(self, calls, clock)
         self._pending_submissions: dict[str, _loop.Event] = {}
         self._signal = _signals.Signal()
@@ -137,6 +143,7 @@
         takeover: _takeover.TakeoverState,
         await_workers: Callable[[], None],
     ) -> None:
+        _loop.spawn_logging_errors(self.queue_registry.load)
         if not self._jobs.load(queues):
             return
         await_workers()
@@ -356,11 +363,15 @@
         Submitting a job again that is known succeeds without effect.
         """
         id_ = submission.id
-        if self._is_known(id_):
+        if self.is_known(id_):
             return result.Success(None)
         pending = self._pending_submissions.get(id_)
         if pending is not None:
             return self._await_acceptance(pending, submission.timeout)
+        queue, version = submission.queue, submission.version
+        if not self.queue_registry.accepts(queue, version):
+            message = 'a later configuration sends the queue elsewhere'
+            return _fail(ErrorKind.LEASE_LOST, message)
         if not self.ledger.holds_term():
             # The store has not answered lately; fail now instead of
             # holding the caller until its timeout.
@@ -384,7 +395,7 @@
             self._resolve(id_, outcome)
         return _convert_outcome(outcome)
 
-    def _is_known(self, id_: str) -> bool:
+    def is_known(self, id_: str) -> bool:
         """Tell whether a job has been accepted; its row may be unreadable."""
         return (
             id_ in self.pool_state.jobs
@@ -461,6 +472,22 @@
             return result.Success(_work.JobState.RUNNING)
         return result.Success(job.state)
 
+    def answer_inquiry(
+        self, id_: str, queue_id: str, version: int
+    ) -> StateResult:
+        """Return the state of a job to the pool that its queue uses now.
+
+        From then on this pool accepts no job of the queue by an older
+        configuration, so that the answer stays true.
+
+        :param version: of the configuration that sends the queue there
+        """
+        self.queue_registry.note_move(queue_id, version)
+        if id_ in self._pending_submissions:
+            message = 'the job is being stored'
+            return _fail(ErrorKind.OUTCOME_UNKNOWN, message)
+        return self.show(id_)
+
     def cancel(self, id_: str) -> StateResult:
         """Cancel a job; on success the cancellation is stored."""
         final = self._jobs.find_final_state(id_)
--- a/skylarktally/scheduling/_records.py
+++ b/skylarktally/scheduling/_records.py
@@ -15,6 +15,8 @@
 TERMS = 'terms'
 MAINTENANCE = 'maintenance'
 TERM_KEY = 'term'
+# Table and partition of the pools of each queue.
+QUEUES = 'queues'
 # Rows are larger than what an entry instance writes only if another program
 # has written them.
 _MAX_ITEMS = 100000
@@ -80,6 +82,15 @@
     unreachable: tuple[UnreachableWorker, ...] = ()
 
 
+class QueuePools(NamedTuple):
+    """Pools that may hold jobs of a queue; encoded as a list of its fields."""
+
+    # Version of the configuration that sent the queue to the last pool.
+    version: int
+    # The last one accepts its jobs; the others accepted them before.
+    pools: tuple[str, ...]
+
+
 class WaveRecord(NamedTuple):
     """Progress of a maintenance wave; the row key is the wave number."""
 
@@ -158,6 +169,23 @@
     )
 
 
+def encode_queue_pools(record: QueuePools) -> bytes:
+    """Return the row value of a queue's pools."""
+    return json.dumps(record, separators=(',', ':')).encode()
+
+
+def decode_queue_pools(value: bytes) -> QueuePools:
+    """Return the pools of a row value; MalformedInput if it is damaged."""
+    version, items = _load(value, QueuePools)
+    pools = _values.check_list(items, 'pools', _MAX_WORKERS)
+    if not pools:
+        raise _errors.MalformedInput('a queue has no pool')
+    return QueuePools(
+        _values.check_integer(version, 'version'),
+        tuple(_values.check_string(pool, 'pool') for pool in pools),
+    )
+
+
 def parse_wave_key(key: str) -> int:
     """Return the number of a wave from the key of its row."""
     if not _WAVE_KEY.fullmatch(key):
--- a/tests/owners.py
+++ b/tests/owners.py
@@ -89,7 +89,7 @@
 
     def submit(self, owner, job, body=BODY):
         return owner.submit(
-            _owner.Submission(job, self.queue, body, pools.seconds(1))
+            _owner.Submission(job, self.queue, body, pools.seconds(1), 1)
         )
 
     def list_starts(self, job):
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -176,7 +176,7 @@
 
 def submit(owner, job):
     submission = _owner.Submission(
-        job, pools.make_queue(), BODY, pools.seconds(1)
+        job, pools.make_queue(), BODY, pools.seconds(1), 1
     )
     return owner.submit(submission)
 
