Count the waiting jobs of a queue in its former pools too

What callers could see: after the move of a queue `queued_count` lacked the jobs that wait in the former pool (MIXED).

Cause: as for the repeated POST, a job was taken to be in the pool that its queue uses now.

If one of them does not answer, the count fails.

Test: test_waiting_jobs_are_counted_in_the_former_pool_too failed without the change (after the move the count does not come back to 2 within 2 s).

--- a/skylarktally/entries/_dispatcher.py
+++ b/skylarktally/entries/_dispatcher.py
@@ -228,8 +228,10 @@
             message = f'pool {call.pool} is not owned by this entry instance'
             return _encode_failure(Failure(ErrorKind.LEASE_LOST, message))
         if call.operation == 'count':
-            queued = owner.count_queued(call.queue)
-            return _calls.JobReply('', '', 0, '', queued)
+            counted = self._count(owner, call)
+            if isinstance(counted, result.Success):
+                return _calls.JobReply('', '', 0, '', counted.unwrap())
+            return _encode_failure(counted.failure())
         if call.operation == 'submit':
             accepted = self._submit(owner, call)
             if isinstance(accepted, result.Success):
@@ -274,6 +276,20 @@
             )
         )
 
+    def _count(
+        self, owner: _owner.PoolOwner, call: _calls.JobCall
+    ) -> result.Result[int, Failure]:
+        """Count the jobs of a queue that wait, also in its former pools."""
+        configuration = self._directory.configuration
+        queue = configuration and configuration.find_queue(call.queue)
+        counted = owner.count_queued(call.queue)
+        if not configuration or not queue or call.body:
+            return result.Success(counted)
+        timeout = datetime.timedelta(milliseconds=call.timeout_ms)
+        return self._former_pools.count(
+            owner, queue, configuration, timeout
+        ).map(lambda others: counted + others)
+
 
 def decode_reply(reply: _calls.JobReply) -> Reply:
     """Return the reply, or the failure that it stands for.
--- a/skylarktally/entries/_former_pools.py
+++ b/skylarktally/entries/_former_pools.py
@@ -22,6 +22,9 @@
     result.Result[_calls.JobReply, Failure],
 ]
 
+# Body of a call that counts the jobs of one pool only.
+_ONE_POOL = b'one pool'
+
 
 class FormerPools:
     """Asks the other pools that may hold jobs of a queue."""
@@ -75,6 +78,28 @@
                 )
         return result.Success(False)
 
+    def count(
+        self,
+        owner: _owner.PoolOwner,
+        queue: _work.Queue,
+        configuration: _work.Configuration,
+        timeout: datetime.timedelta,
+    ) -> result.Result[int, Failure]:
+        """Return the number of waiting jobs of a queue in other pools."""
+        pools = owner.queue_registry.list_others(
+            queue, _list_pools(configuration)
+        )
+        if not isinstance(pools, result.Success):
+            return result.Failure(pools.failure())
+        total = 0
+        for pool in _select_configured(pools.unwrap(), configuration):
+            call = _calls.JobCall('count', pool, queue.name, '', _ONE_POOL)
+            counted = self._dispatch(call, timeout)
+            if not isinstance(counted, result.Success):
+                return result.Failure(counted.failure())
+            total += counted.unwrap().queued or 0
+        return result.Success(total)
+
 
 def show(
     owner: _owner.PoolOwner, call: _calls.JobCall
--- a/skylarktally/scheduling/_queue_pools.py
+++ b/skylarktally/scheduling/_queue_pools.py
@@ -100,6 +100,18 @@
         with self._lock:
             self._load()
 
+    def list_others(
+        self, queue: _work.Queue, pools: Iterable[str]
+    ) -> result.Result[tuple[str, ...], _errors.Failure]:
+        """Return the other pools that may hold jobs of a queue.
+
+        :param pools: all pools, for a queue whose row cannot be read
+        """
+        with self._lock:
+            loaded = self._load()
+        id_ = make_queue_id(queue)
+        return loaded.map(lambda _: self._list_others(id_, pools))
+
     def note_move(self, queue_id: str, version: int) -> None:
         """Note that a configuration sends a queue to another pool."""
         if version > self._moved.get(queue_id, 0):
--- a/tests/test_queue_moves.py
+++ b/tests/test_queue_moves.py
@@ -30,6 +30,8 @@
 BODY = json.dumps(
     {'task_spec': 's', 'steps': [{'task_count': 2, 'estimate_ms': 9000}]}
 ).encode()
+# A job that no worker has room for.
+LARGE = json.dumps({'steps': [{'task_count': 1, 'mem_mb': 60000}]}).encode()
 
 
 class Directory(test_dispatcher.Directory):
@@ -290,6 +292,24 @@
     assert site.entries[OTHER].submit() is None
 
 
+def test_waiting_jobs_are_counted_in_the_former_pool_too(site):
+    """Guards against a count without the jobs of a former pool (MIXED)."""
+    # Only one of them has room.
+    for number in range(3):
+        site.entries[OTHER].submit(f'{number:016x}', LARGE)
+    entry = site.entries[OTHER]
+
+    def count():
+        return entry.dispatcher.count(entry.queue, TIMEOUT).unwrap()
+
+    owners.wait_until(lambda: count() == 2)
+    site.move(2, NEW)
+    assert entry.submit('f' * 16, LARGE) is None
+    owners.wait_until(lambda: count() == 2)
+    assert entry.submit('e' * 16, LARGE) is None
+    owners.wait_until(lambda: count() == 3)
+
+
 def test_a_queue_that_never_moved_costs_no_calls(site):
     """Guards against inquiries with every job."""
     for number in range(3):
