Treat the entry of a worker without its start time as unreadable

Cause: the adapter took a missing start time for 0, so that the entry counted as that of another incarnation.

Ruled out: the worker was not missing from the list (runs would have been freed 2.5 s later), nor was its address another one (they would have been freed after 6.6 s).

Change: the start time has to be there, a whole number. Otherwise the last good record stays in force, as for every other odd entry.

Tests: tests/test_worker_rows.py, two cases failed before; tests/test_worker_restarts.py -k does_not_confirm covers the owner. The row in tests/test_entries.py lacked `born`, which each worker writes by the protocol, and has it now; its checks are the same.

--- a/skylarktally/platform/_decoding.py
+++ b/skylarktally/platform/_decoding.py
@@ -265,7 +265,7 @@
         rack=next(
             (item for item in labels if _RACK_LABEL.fullmatch(item)), ''
         ),
-        started_ms=_values.check_integer(data.get('born', 0), 'born'),
+        started_ms=_values.check_integer(data.get('born'), 'born'),
         drain_time_left=None
         if remaining is None
         else _values.check_milliseconds(
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -284,6 +284,7 @@
     'zone': 'z1',
     'state': 'ready',
     'capacity': {'cpu': 16000, 'mem_mb': 32768},
+    'born': 1700000000000,
 }
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -78,6 +78,8 @@
         {'capacity': None},
         {'labels': [1]},
         {'born': 'x'},
+        {'born': None},
+        {'born': 1.5},
         {'zone': 3},
     ],
 )
--- a/tests/test_worker_rows.py
+++ b/tests/test_worker_rows.py
@@ -119,6 +119,11 @@
     b'{"state": "ready", "sequence": ' + b'9' * 5000 + b'}',
     json.dumps({**pools.WORKER_FIELDS, 'address': '10.0.0.1:99999'}).encode(),
     json.dumps({**pools.WORKER_FIELDS, 'capacity': {'cpu': 10**400}}).encode(),
+    # review/2: the row was taken for that of another incarnation.
+    json.dumps(
+        {k: v for k, v in pools.WORKER_FIELDS.items() if k != 'born'}
+    ).encode(),
+    json.dumps({**pools.WORKER_FIELDS, 'born': 1.5}).encode(),
 ]
 
 
