--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -9,11 +9,12 @@
 from skylarktally.scheduling import _advice
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _work
+from tests import owners
 from tests import pools
-from tests import test_owner
 
 POLICY = _work.AdvicePolicy(pools.seconds(0.1), pools.seconds(0.01))
 VALIDITY = pools.seconds(3)
+JOB = '5c0e7a21d94b36f8'
 
 
 def make_pool_state(names='wxyz', count=2, **fields):
@@ -128,8 +129,8 @@
     assert found == _advice.Answer(
         (_advice.WorkerTicket('i-1', 't-1'),), VALIDITY
     )
-    step = _work.StepId(test_owner.JOB, 0, 1)
-    assert _decoding.format_step(step) == f'{test_owner.JOB}.0.1'
+    step = _work.StepId(JOB, 0, 1)
+    assert _decoding.format_step(step) == f'{JOB}.0.1'
 
 
 class Advisor:
@@ -153,16 +154,14 @@
 
 def test_a_job_runs_where_advice_allows_it():
     """Guards against jobs that never run, since starts lack a ticket."""
-    deployment = test_owner.Deployment()
+    deployment = owners.Deployment()
     deployment.advisor = Advisor()
     deployment.queue = pools.make_queue(advice=POLICY)
     owner = deployment.start_owner()
     try:
-        test_owner.wait_until(lambda: owner.is_ready)
-        deployment.submit(owner, test_owner.JOB)
-        test_owner.wait_until(
-            lambda: len(deployment.list_starts(test_owner.JOB)) == 2
-        )
+        owners.wait_until(lambda: owner.is_ready)
+        deployment.submit(owner, JOB)
+        owners.wait_until(lambda: len(deployment.list_starts(JOB)) == 2)
         assert len(deployment.fleet.workers['x'].starts) == 2
         assert len(deployment.advisor.questions) == 2
     finally:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -27,8 +27,8 @@
 from skylarktally.scheduling import _rows
 from skylarktally.scheduling import _work
 from standins import rows
+from tests import owners
 from tests import pools
-from tests import test_owner
 
 JOBS = ('5c0e7a21d94b36f8', '5c0e7a21d94b36f9')
 
@@ -45,7 +45,7 @@
 
 @pytest.fixture
 def deployment():
-    deployment = test_owner.Deployment()
+    deployment = owners.Deployment()
     yield deployment
     for owner in deployment.owners:
         owner.ledger.end()
