Store large jobs compressed, and end the term of a refused transaction

Cause: its row was above the 64 KB that the table service stores. The ledger repeated the refused transaction for good, and the entry instance went on counting as the owner. The relay took the refusal for a broken connection.

Change: rows of jobs and of progress above 32 KB are compressed; a job that still does not fit is refused with 413, not run; a transaction takes at most 400 KB of values (1 MB in base64 with names); a refusal for good ends the term; the relay takes it for an answer. The stand-in of the table has these limits.

--- a/skylarktally/entries/_store_relay.py
+++ b/skylarktally/entries/_store_relay.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable
 import datetime
 import logging
-from typing import Protocol, TypeVar
+from typing import Any, Protocol, TypeVar
 
 from returns import result
 
@@ -146,7 +146,7 @@
         if self._failing_since is None:
             outcome = call_directly()
             self._record_outcome(outcome)
-            if isinstance(outcome, result.Success):
+            if _is_answer(outcome):
                 return outcome
             failure = outcome.failure()
         else:
@@ -158,6 +158,8 @@
             if isinstance(relayed, result.Success):
                 self._last_relay = address
                 return result.Success(decode(relayed.unwrap()))
+            if _is_answer(relayed):
+                return result.Failure(relayed.failure())
             if relayed.failure().kind is ErrorKind.OUTCOME_UNKNOWN:
                 failure = relayed.failure()
         return result.Failure(failure)
@@ -181,7 +183,7 @@
             self._is_probing = False
 
     def _record_outcome(self, outcome: Outcome[Answer]) -> None:
-        is_failing = not isinstance(outcome, result.Success)
+        is_failing = not _is_answer(outcome)
         if is_failing == (self._failing_since is not None):
             return
         now = self._clock.monotonic()
@@ -218,6 +220,13 @@
         return _execute(self._direct, call)
 
 
+def _is_answer(outcome: Outcome[Any]) -> bool:
+    """Tell whether the store has answered, if only to refuse the call."""
+    if isinstance(outcome, result.Success):
+        return True
+    return outcome.failure().kind in _rows.REFUSAL_KINDS
+
+
 def _execute(store: _rows.Store, call: _calls.StoreCall) -> _calls.StoreReply:
     if call.operation == 'commit':
         committed = store.commit(
--- a/skylarktally/scheduling/_job_store.py
+++ b/skylarktally/scheduling/_job_store.py
@@ -155,25 +155,28 @@
             job.released_occurrences = progress.finished.below
         self._pool_state.add_job(job, now, wall_time)
 
-    def take_changes(self, limit: int) -> _ledger.Changes:
+    def take_changes(self, limit: int, max_bytes: int) -> _ledger.Changes:
         """Remove and return the changes of jobs, at most ``limit`` rows.
 
+        No row is added once the values have ``max_bytes``.
+
         A job that has ended loses its job row; its progress row remains until
         the retention time is over.
         """
         puts: list[_ledger.Put] = []
         removals: list[_rows.RowKey] = []
         final: list[_states.Job] = []
-        row_count = 0
-        while self._pool_state.changed and row_count + 2 <= limit:
+        row_count = size = 0
+        while (
+            self._pool_state.changed
+            and row_count + 2 <= limit
+            and size < max_bytes
+        ):
             id_ = next(iter(self._pool_state.changed))
             job = self._pool_state.changed.pop(id_)
-            puts.append(
-                (
-                    self.make_key(_records.PROGRESS, id_),
-                    _records.encode_progress(job),
-                )
-            )
+            value = _records.encode_progress(job)
+            puts.append((self.make_key(_records.PROGRESS, id_), value))
+            size += len(value)
             row_count += 1
             if job.is_final:
                 removals.append(self.make_key(_records.JOBS, id_))
--- a/skylarktally/scheduling/_ledger.py
+++ b/skylarktally/scheduling/_ledger.py
@@ -42,6 +42,9 @@
 # The store accepts 100 items per transaction. The margin covers the term row
 # and the last write of a batch, which may have several rows.
 _BATCH_ROWS = 90
+# The store accepts 1 MB per transaction, in base64 and with all names. The
+# margin covers the term row and the last row of a batch.
+_BATCH_BYTES = 400000
 
 Put = tuple[_rows.RowKey, bytes]
 
@@ -69,8 +72,11 @@
 class ChangeSource(Protocol):
     """Provides the ledger with pending changes and the lease holders."""
 
-    def take_changes(self, limit: int) -> Changes:
-        """Remove and return pending changes of at most ``limit`` rows."""
+    def take_changes(self, limit: int, max_bytes: int) -> Changes:
+        """Remove and return pending changes of at most ``limit`` rows.
+
+        No row is added once their values have ``max_bytes``.
+        """
 
     def list_lease_holders(self) -> tuple[str, ...]:
         """Return the workers that may hold a lease."""
@@ -254,12 +260,11 @@
     def commit(self) -> None:
         """Commit pending changes in one transaction, which renews the term."""
         self._commit_due = None
-        puts: list[Put] = []
-        while self._queued_writes and len(puts) < _BATCH_ROWS:
-            write = self._queued_writes.popleft()
-            self._sending_writes.append(write)
-            puts.extend(write.puts)
-        changes = self._take_changes(_BATCH_ROWS - len(puts))
+        puts = self._take_writes()
+        size = _measure(puts)
+        changes = self._take_changes(
+            _BATCH_ROWS - len(puts), max(_BATCH_BYTES - size, 0)
+        )
         is_complete = changes.is_complete and not self._queued_writes
         if changes.is_complete:
             self._sending_flushes, self._flushes = self._flushes, []
@@ -293,6 +298,19 @@
         if is_applied and term.is_released:
             self.is_over = True
 
+    def _take_writes(self) -> list[Put]:
+        """Move queued writes to the transaction in progress."""
+        puts: list[Put] = []
+        while (
+            self._queued_writes
+            and len(puts) < _BATCH_ROWS
+            and _measure(puts) < _BATCH_BYTES
+        ):
+            write = self._queued_writes.popleft()
+            self._sending_writes.append(write)
+            puts.extend(write.puts)
+        return puts
+
     def _list_lease_holders(self) -> tuple[str, ...]:
         if self._source is None:
             return self._term.workers
@@ -303,10 +321,10 @@
             return self._term.unreachable
         return self._source.list_unreachable()
 
-    def _take_changes(self, limit: int) -> Changes:
+    def _take_changes(self, limit: int, max_bytes: int) -> Changes:
         if self._source is None:
             return Changes([], [], lambda: None)
-        return self._source.take_changes(limit)
+        return self._source.take_changes(limit, max_bytes)
 
     def _send(
         self, transaction: _rows.Transaction, term: _records.Term
@@ -329,19 +347,28 @@
                     # the term from the first time they saw its row.
                     started_at = first_started_at
                 return self._conclude_commit(committed, term, started_at)
+            failure = outcome.failure()
+            if failure.kind in _rows.REFUSAL_KINDS:
+                # Whatever makes it invalid is lost with the term.
+                self._log_failure('store refuses a transaction', failure)
+                self.is_over = True
+                return False
             if not failures:
-                _LOG.warning(
-                    'store commit failed, retrying',
-                    extra={
-                        'shard': self.shard,
-                        'failure': outcome.failure().kind.value,
-                        'reason': outcome.failure().message,
-                    },
-                )
+                self._log_failure('store commit failed, retrying', failure)
             failures += 1
             self._clock.sleep(_RETRY_DELAY)
         return False
 
+    def _log_failure(self, message: str, failure: _errors.Failure) -> None:
+        _LOG.warning(
+            message,
+            extra={
+                'shard': self.shard,
+                'failure': failure.kind.value,
+                'reason': failure.message,
+            },
+        )
+
     def _conclude_commit(
         self,
         committed: _rows.CommitResult,
@@ -398,6 +425,11 @@
         self._flushes.clear()
 
 
+def _measure(puts: list[Put]) -> int:
+    """Return the size of the values, in bytes."""
+    return sum(len(value) for _, value in puts)
+
+
 def claim(
     store: _rows.Store,
     clock: _clock.Clock,
--- a/skylarktally/scheduling/_owner.py
+++ b/skylarktally/scheduling/_owner.py
@@ -349,9 +349,9 @@
         """Allow starts on workers that the stored term row names."""
         self._roster.confirm_holders(workers)
 
-    def take_changes(self, limit: int) -> _ledger.Changes:
+    def take_changes(self, limit: int, max_bytes: int) -> _ledger.Changes:
         """Return rows with the progress of changed jobs."""
-        return self._jobs.take_changes(limit)
+        return self._jobs.take_changes(limit, max_bytes)
 
     # Requests from callers.
 
@@ -380,21 +380,34 @@
             spec = self._decode_job(submission.body)
         except _errors.MalformedInput as error:
             return _fail(ErrorKind.INVALID_REQUEST, str(error))
-        refusal = _admission.review(self.pool_state, submission.queue, spec)
-        if refusal is not None:
-            kind = ErrorKind.QUEUE_FULL
-            if refusal.is_permanent:
-                kind = ErrorKind.UNSCHEDULABLE
-            failure = _errors.Failure(
-                kind, refusal.reason, refusal.retry_after
-            )
+        value = self._encode_record(submission)
+        failure = self._review(submission, spec, value)
+        if failure is not None:
             return result.Failure(failure)
         self.pool_state.note_arrival(spec, self._clock.monotonic())
-        outcome = self._accept(submission, spec)
+        outcome = self._accept(submission, spec, value)
         if outcome is _ledger.WriteOutcome.DISCARDED:
             self._resolve(id_, outcome)
         return _convert_outcome(outcome)
 
+    def _review(
+        self, submission: Submission, spec: _work.JobSpec, value: bytes
+    ) -> _errors.Failure | None:
+        """Return why a job is refused; None if it is not.
+
+        :param value: of its row
+        """
+        refusal = _admission.review(self.pool_state, submission.queue, spec)
+        if refusal is not None:
+            kind = ErrorKind.QUEUE_FULL
+            if refusal.is_permanent:
+                kind = ErrorKind.UNSCHEDULABLE
+            return _errors.Failure(kind, refusal.reason, refusal.retry_after)
+        if len(value) > _records.MAX_ROW_BYTES:
+            message = 'the job is larger than the table service can store'
+            return _errors.Failure(ErrorKind.BODY_TOO_LARGE, message)
+        return None
+
     def is_known(self, id_: str) -> bool:
         """Tell whether a job has been accepted; its row may be unreadable."""
         return (
@@ -417,21 +430,25 @@
             outcome = pending.wait()
         return _convert_outcome(outcome)
 
-    def _accept(
-        self, submission: Submission, spec: _work.JobSpec
-    ) -> _ledger.WriteOutcome:
-        now = self._clock.monotonic()
-        wall_time = self._clock.now()
+    def _encode_record(self, submission: Submission) -> bytes:
         record = _job_store.create_record(
             submission.queue,
             submission.body,
-            wall_time,
+            self._clock.now(),
             self.ledger.generation,
         )
-        put = (
-            self._jobs.make_key(_records.JOBS, submission.id),
-            _records.encode_job(record),
-        )
+        return _records.encode_job(record)
+
+    def _accept(
+        self, submission: Submission, spec: _work.JobSpec, value: bytes
+    ) -> _ledger.WriteOutcome:
+        """Store a job, and add it once it is stored.
+
+        :param value: of its row
+        """
+        now = self._clock.monotonic()
+        wall_time = self._clock.now()
+        put = (self._jobs.make_key(_records.JOBS, submission.id), value)
         job = _states.Job(submission.id, submission.queue, spec, now)
         self._pending_submissions[job.id] = _loop.Event()
 
--- a/skylarktally/scheduling/_records.py
+++ b/skylarktally/scheduling/_records.py
@@ -3,6 +3,7 @@
 import json
 import re
 from typing import Any, NamedTuple
+import zlib
 
 from skylarktally import _errors
 from skylarktally import _values
@@ -17,6 +18,13 @@
 TERM_KEY = 'term'
 # Table and partition of the pools of each queue.
 QUEUES = 'queues'
+# The table service refuses larger values.
+MAX_ROW_BYTES = 65536
+# Larger rows of jobs are compressed; most of their text repeats.
+_COMPRESSION_THRESHOLD_BYTES = MAX_ROW_BYTES // 2
+# Starts a compressed value; any other starts like a JSON text.
+_COMPRESSED = b'z'
+_MAX_EXPANDED_BYTES = 2**24
 # Rows are larger than what an entry instance writes only if another program
 # has written them.
 _MAX_ITEMS = 100000
@@ -101,13 +109,13 @@
 
 
 def encode_job(record: JobRecord) -> bytes:
-    """Return the row value of a job."""
-    return json.dumps(record, separators=(',', ':')).encode()
+    """Return the row value of a job, compressed if it is large."""
+    return _compress(json.dumps(record, separators=(',', ':')).encode())
 
 
 def decode_job(value: bytes) -> JobRecord:
     """Return the job of a row value; MalformedInput if it is damaged."""
-    fields = _load(value, JobRecord)
+    fields = _load(_expand(value), JobRecord)
     return JobRecord(
         queue=_values.check_string(fields[0], 'queue'),
         accepted_ms=_values.check_integer(fields[1], 'accepted_ms'),
@@ -199,6 +207,28 @@
     return _values.parse_list(value, range(size, size + 1))
 
 
+def _compress(value: bytes) -> bytes:
+    if len(value) <= _COMPRESSION_THRESHOLD_BYTES:
+        return value
+    return _COMPRESSED + zlib.compress(value)
+
+
+def _expand(value: bytes) -> bytes:
+    """Return the value that was compressed; MalformedInput if damaged."""
+    if not value.startswith(_COMPRESSED):
+        return value
+    expander = zlib.decompressobj()
+    try:
+        expanded = expander.decompress(
+            value.removeprefix(_COMPRESSED), _MAX_EXPANDED_BYTES
+        )
+    except zlib.error as error:
+        raise _errors.MalformedInput('the row cannot be expanded') from error
+    if not expander.eof:
+        raise _errors.MalformedInput('the row is cut off or too large')
+    return expanded
+
+
 def make_term_key(shard: str) -> _rows.RowKey:
     """Return the key of a shard's term row."""
     return _rows.RowKey(TERMS, shard, TERM_KEY)
@@ -210,7 +240,8 @@
     A list of the state, the ordinals of done tasks by
     ``occurrence.position``, the failed runs of tasks that are not done, and
     the finished occurrences: all below a number, and others. The last item is
-    left out for jobs that run once. A final state needs no tasks.
+    left out for jobs that run once. A final state needs no tasks. A large
+    value is compressed.
     """
     done: dict[str, list[int]] = {}
     failed: list[list[Any]] = []
@@ -226,12 +257,12 @@
     if job.spec.occurrences > 1 and not job.is_final:
         finished = job.finished_occurrences
         data.append([finished.below, sorted(finished.others)])
-    return json.dumps(data, separators=(',', ':')).encode()
+    return _compress(json.dumps(data, separators=(',', ':')).encode())
 
 
 def decode_progress(id_: str, value: bytes) -> _states.JobProgress:
     """Return the progress of a job; MalformedInput if it is damaged."""
-    fields = _values.parse_list(value, range(3, 5))
+    fields = _values.parse_list(_expand(value), range(3, 5))
     try:
         state = _work.JobState(fields[0])
     except (ValueError, TypeError) as error:
--- a/skylarktally/scheduling/_rows.py
+++ b/skylarktally/scheduling/_rows.py
@@ -7,6 +7,11 @@
 
 from skylarktally import _errors
 
+# Failures with which the store refuses a call for good, without effect.
+REFUSAL_KINDS = frozenset(
+    {_errors.ErrorKind.INVALID_REQUEST, _errors.ErrorKind.FORBIDDEN}
+)
+
 
 class RowKey(NamedTuple):
     """Key of a row; all rows of a transaction share one partition."""
@@ -62,7 +67,8 @@
         """Apply a transaction.
 
         OUTCOME_UNKNOWN means that it was applied, or may still be applied
-        later, or never is. Any other failure means that it was not applied.
+        later, or never is. Any other failure means that it was not applied,
+        and one of ``REFUSAL_KINDS`` that it never will be.
         """
 
     def read(
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -32,6 +32,12 @@
     DELAY = 'delay'
 
 
+# Limits of a row and of a transaction, in which values are in base64.
+_MAX_ROW_BYTES = 65536
+_MAX_BYTES = 1000000
+_MAX_ITEMS = 100
+
+
 class RowTable:
     """Transactional table with fault injection.
 
@@ -56,6 +62,8 @@
         fault = self.faults.pop(0) if self.faults else None
         if self.is_down or fault is Fault.REFUSE:
             return _fail(ErrorKind.PLATFORM_UNAVAILABLE)
+        if _is_above_limits(transaction):
+            return _fail(ErrorKind.INVALID_REQUEST)
         if fault is Fault.DELAY:
             self.delayed.append(transaction)
         if fault is Fault.LOSE_RESPONSE:
@@ -138,5 +146,15 @@
         return result.Success(_rows.Changes(rows, self.version))
 
 
+def _is_above_limits(transaction: _rows.Transaction) -> bool:
+    sizes = [len(value) for _, value in transaction.puts]
+    items = len(sizes) + len(transaction.expected) + len(transaction.removals)
+    return (
+        items > _MAX_ITEMS
+        or max(sizes, default=0) > _MAX_ROW_BYTES
+        or sum(sizes) * 4 // 3 > _MAX_BYTES
+    )
+
+
 def _fail(kind: ErrorKind) -> result.Result[Any, _errors.Failure]:
     return result.Failure(_errors.Failure(kind, kind.value))
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -221,7 +221,7 @@
     ledger = _ledger.claim(table, clock, 'pool', term, 0).unwrap()
 
     class FaultySource:
-        def take_changes(self, limit):
+        def take_changes(self, limit, max_bytes):
             raise RuntimeError('a fault of the program')
 
     ledger.set_source(FaultySource())
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -25,7 +25,7 @@
         self.applied = 0
         self.workers = ()
 
-    def take_changes(self, limit):
+    def take_changes(self, limit, max_bytes):
         taken, self.puts = self.puts[:limit], self.puts[limit:]
         return _ledger.Changes(taken, [], self.note_applied, not self.puts)
 
