List a worker whose address another one took, with a failing test

Found by asking who else holds a belief about the incarnation of a worker: a session takes the answer of another worker at the address (421) for a sign of life and counts the leases as extended.

--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -6,6 +6,7 @@
 from skylarktally import _errors
 from skylarktally import _loop
 from skylarktally.scheduling import _ledger
+from skylarktally.scheduling import _orders
 from skylarktally.scheduling import _planning
 from skylarktally.scheduling import _records
 from skylarktally.scheduling import _sessions
@@ -457,6 +458,38 @@
     assert not fleet.workers[lost].active
 
 
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED.txt, issue 2')
+def test_tasks_start_elsewhere_after_another_worker_took_the_address(
+    fleet, clock
+):
+    """Guards against tasks that wait for a worker that has gone (LOST).
+
+    The worker at its address says that it is another one. That shows as much
+    as no answer: the leases of the former one are not extended any more.
+    """
+    pool = Pool(fleet, clock, names='wx')
+    pool.exchange_all()
+    pool.add('a', pools.make_step(1))
+    (run,) = pool.start()
+    pool.exchange_all()
+    lost = run.worker
+    leases_expire_at = pool.sessions[lost].leases_expire_at
+    renew = fleet.renew_leases
+
+    def renew_elsewhere(worker, token, order):
+        if worker.id == lost:
+            rejection = _orders.Rejection.OTHER_INCARNATION
+            return result.Success(_orders.OrderResult(rejection))
+        return renew(worker, token, order)
+
+    fleet.renew_leases = renew_elsewhere
+    while clock.monotonic() < leases_expire_at + pools.seconds(0.5):
+        pool.exchange_all()
+        clock.advance(0.2)
+    (again,) = pool.start()
+    assert again.worker != lost
+
+
 @pytest.mark.parametrize(
     'fault, reports, unresponsive, active',
     [
