--- a/tests/test_queue_moves.py
+++ b/tests/test_queue_moves.py
@@ -310,6 +310,21 @@
     owners.wait_until(lambda: count() == 3)
 
 
+def test_a_job_cancelled_in_the_former_pool_stays_cancelled(site):
+    """Guards against a cancelled job that runs in the new pool (UNASKED)."""
+    entry = site.entries[OTHER]
+    entry.submit()
+    before = site.await_starts()
+    site.move(2, NEW)
+    cancelled = entry.dispatcher.cancel(entry.queue, JOB, TIMEOUT)
+    assert cancelled == result.Success(_work.JobState.CANCELLED)
+    assert entry.submit() is None
+    _loop.sleep(0.4)
+    assert site.list_starts() == before
+    shown = entry.dispatcher.show(entry.queue, JOB, TIMEOUT)
+    assert shown == result.Success(_work.JobState.CANCELLED)
+
+
 def test_a_queue_that_never_moved_costs_no_calls(site):
     """Guards against inquiries with every job."""
     for number in range(3):
